--- /dev/null
+++ b/schema/almondramp.capnp
@@ -0,0 +1,155 @@
+@0xd0c1f3a5b7e94621;
+# The protocol between entries and agents. docs/PROTOCOL.md describes the exchange.
+
+struct RequestId {
+  # Unique over the life of the fleet: an incarnation is never used twice.
+  incarnation @0 :UInt64;   # of the entry that accepted the request
+  sequence @1 :UInt64;
+}
+
+struct Ticket {
+  request @0 :RequestId;
+  organisation @1 :Text;
+  order @2 :UInt8;                # rank of the tier; 0 is the highest
+  remainingMillis @3 :UInt64;     # until the deadline, relative, so that clocks need not agree
+  prefillTokens @4 :UInt64;       # estimate
+  outputTokens @5 :UInt64;        # estimate
+  prefixChunks @6 :List(UInt64);  # chained hashes, longest prefix last
+  idempotent @7 :Bool;
+  bodyBytes @8 :UInt64;
+}
+
+enum RefusalCode {
+  overloaded @0;       # the queue is full of work of the same or a higher tier
+  late @1;             # the deadline can't be met here
+  draining @2;         # the agent takes no new work
+  expired @3;          # the grant or the ticket lapsed
+  stale @4;            # from an earlier incarnation, or already decided
+  unreachable @5;      # the upstream could not be connected to
+  duplicate @6;        # the ticket is already here
+  evicted @7;          # pushed out by a ticket of a higher tier
+  notReady @8;         # the agent has no settings yet
+}
+
+struct Refusal {
+  # A refused ticket or accept was surely not dispatched.
+  code @0 :RefusalCode;
+  retryAfterMillis @1 :UInt64;
+}
+
+struct Quote {
+  startMillis @0 :UInt64;     # expected wait until dispatch
+  cachedTokens @1 :UInt64;    # prefix tokens the engine is believed to hold
+}
+
+struct Grant {
+  id @0 :UInt64;              # unique within the agent's incarnation
+  validMillis @1 :UInt64;     # by the agent's own clock
+}
+
+struct Header { name @0 :Text; value @1 :Data; }
+
+struct Call {
+  method @0 :Text;
+  path @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+  stream @4 :Bool;            # the answer comes as server-sent events
+}
+
+struct Usage {
+  prefillTokens @0 :UInt64;
+  cachedTokens @1 :UInt64;
+  outputTokens @2 :UInt64;
+}
+
+enum FailureCode {
+  upstreamFailed @0;          # the upstream died or cut the answer short
+  cancelled @1;
+  timedOut @2;
+  answerLost @3;              # the entry came back too late for a part of the answer
+  notDispatched @4;           # the upstream surely did not receive the request
+}
+
+interface Answer {
+  # Implemented by the entry, called by the agent. Offsets count body bytes.
+  head @0 (status :UInt16, headers :List(Header)) -> ();
+  chunk @1 (offset :UInt64, data :Data) -> ();
+  end @2 (total :UInt64, usage :Usage) -> ();
+  fail @3 (code :FailureCode) -> ();
+}
+
+interface Waiter {
+  # Implemented by the entry; one per ticket.
+  granted @0 (grant :Grant) -> ();
+  handedBack @1 (refusal :Refusal) -> ();
+}
+
+struct Offered {
+  union {
+    queued @0 :Quote;
+    granted @1 :Grant;
+    refused @2 :Refusal;
+  }
+}
+
+struct Accepted {
+  union {
+    dispatched @0 :Void;
+    refused @1 :Refusal;
+  }
+}
+
+enum Fate {
+  neverDispatched @0;         # and never will be: the agent now refuses this request
+  running @1;
+  finished @2;
+}
+
+struct AgentStatus {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
+  waiting @3 :UInt64;
+  running @4 :UInt64;
+  slots @5 :UInt64;
+  draining @6 :Bool;
+  secondsPerToken @7 :Float64;
+}
+
+interface Desk {
+  # What an agent does for an entry.
+  offer @0 (ticket :Ticket, waiter :Waiter) -> (offered :Offered);
+  accept @1 (request :RequestId, grant :UInt64, call :Call, answer :Answer) -> (accepted :Accepted);
+  withdraw @2 (request :RequestId) -> ();
+  cancel @3 (request :RequestId) -> ();
+  fate @4 (request :RequestId) -> (fate :Fate);
+  attach @5 (request :RequestId, offset :UInt64, answer :Answer) -> (attached :Bool);
+  status @6 () -> (status :AgentStatus);
+  drain @7 () -> ();
+  settings @8 () -> (revision :UInt64, document :Data);
+  adopt @9 (revision :UInt64, document :Data) -> (revision :UInt64);
+  heartbeat @10 (revision :UInt64) -> (revision :UInt64);
+}
+
+struct Hello {
+  version @0 :UInt32;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  nonce @3 :Data;             # chosen by the caller
+  proof @4 :Data;             # HMAC-SHA256 of the site key over role, both nonces
+  revision @5 :UInt64;
+}
+
+struct Welcome {
+  version @0 :UInt32;
+  incarnation @1 :UInt64;
+  proof @2 :Data;
+  revision @3 :UInt64;
+}
+
+interface Gate {
+  # The bootstrap interface of an agent.
+  challenge @0 () -> (nonce :Data, version :UInt32);
+  hello @1 (hello :Hello) -> (welcome :Welcome, desk :Desk);
+}
--- /dev/null
+++ b/src/agent/metrics.rs
@@ -0,0 +1,158 @@
+//! The metrics of an agent.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::agent::answer::End;
+use crate::desk::Desk;
+use crate::metrics;
+use crate::ticket::Offered;
+use crate::ticket::Work;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OfferLabels {
+    answer: OfferAnswer,
+}
+
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+#[allow(non_camel_case_types)]
+enum OfferAnswer {
+    queued,
+    granted,
+    refused,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct EndLabels {
+    end: EndLabel,
+}
+
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+#[allow(non_camel_case_types)]
+enum EndLabel {
+    whole,
+    failed,
+}
+
+/// Counters and gauges of one agent.
+pub struct AgentMetrics {
+    registry: Registry,
+    offers: Family<OfferLabels, Counter>,
+    finished: Family<EndLabels, Counter>,
+    wasted_prefill: Counter,
+    prefill: Counter,
+    cached: Counter,
+    output: Counter,
+    waiting: Gauge,
+    running: Gauge,
+    slots: Gauge,
+    seconds_per_cost: Gauge<f64, AtomicU64>,
+}
+
+impl AgentMetrics {
+    /// Metrics that start at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("almondramp_agent");
+        let this = Self {
+            offers: Family::default(),
+            finished: Family::default(),
+            wasted_prefill: Counter::default(),
+            prefill: Counter::default(),
+            cached: Counter::default(),
+            output: Counter::default(),
+            waiting: Gauge::default(),
+            running: Gauge::default(),
+            slots: Gauge::default(),
+            seconds_per_cost: Gauge::default(),
+            registry: Registry::default(),
+        };
+        let r = &mut registry;
+        r.register("offers", "Tickets by the answer given", this.offers.clone());
+        r.register(
+            "finished",
+            "Dispatched requests that ended",
+            this.finished.clone(),
+        );
+        r.register(
+            "wasted_prefill_tokens",
+            "Prompt tokens of dispatched requests that brought no whole answer",
+            this.wasted_prefill.clone(),
+        );
+        r.register(
+            "prefill_tokens",
+            "Prompt tokens of whole answers, cached ones included",
+            this.prefill.clone(),
+        );
+        r.register(
+            "cached_tokens",
+            "Prompt tokens that the engine reported as cached",
+            this.cached.clone(),
+        );
+        r.register("output_tokens", "Generated tokens", this.output.clone());
+        r.register("waiting_tickets", "Tickets that wait", this.waiting.clone());
+        r.register(
+            "running_requests",
+            "Requests in flight",
+            this.running.clone(),
+        );
+        r.register("slots", "Requests in flight at most", this.slots.clone());
+        r.register(
+            "seconds_per_cost",
+            "Measured pace of the upstream, in seconds for a prefill token",
+            this.seconds_per_cost.clone(),
+        );
+        Self { registry, ..this }
+    }
+
+    /// Counts the answer to a ticket.
+    pub fn offered(&self, offered: &Offered) {
+        let answer = match offered {
+            Offered::Queued(_) => OfferAnswer::queued,
+            Offered::Granted(_) => OfferAnswer::granted,
+            Offered::Refused(_) => OfferAnswer::refused,
+        };
+        self.offers.get_or_create(&OfferLabels { answer }).inc();
+    }
+
+    /// Counts the end of a request that was expected to take `expected`.
+    pub fn finished(&self, end: End, expected: Work) {
+        let end = match end {
+            End::Whole(work) => {
+                self.prefill.inc_by(work.prefill);
+                self.cached.inc_by(work.cached);
+                self.output.inc_by(work.output);
+                EndLabel::whole
+            }
+            End::Failed(_) => {
+                self.wasted_prefill.inc_by(expected.prefill);
+                EndLabel::failed
+            }
+        };
+        self.finished.get_or_create(&EndLabels { end }).inc();
+    }
+
+    /// Shows the present state of the desk.
+    pub fn desk(&self, desk: &Desk) {
+        self.waiting.set(desk.waiting() as i64);
+        self.running.set(desk.running() as i64);
+        self.slots.set(desk.slots() as i64);
+        self.seconds_per_cost.set(desk.pace().seconds_per_cost());
+    }
+
+    /// The metrics as text.
+    pub fn render(&self) -> String {
+        metrics::render(&self.registry)
+    }
+}
+
+impl Default for AgentMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/agent/rpc.rs
@@ -0,0 +1,249 @@
+//! The protocol of the agent towards entries.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use capnp::Error;
+use slog::warn;
+
+use crate::agent::state::AgentState;
+use crate::agent::state::SessionId;
+use crate::almondramp_capnp as schema;
+use crate::almondramp_capnp::desk;
+use crate::almondramp_capnp::gate;
+use crate::current::Revision;
+use crate::desk::Fate;
+use crate::ids::GrantId;
+use crate::settings::Document;
+use crate::site_key::Nonce;
+use crate::site_key::Role;
+use crate::site_key::nonce;
+use crate::wire;
+use crate::wire::PROTOCOL_VERSION;
+
+/// The first interface of a connection. It leads on only to a peer that
+/// proves that it holds the site's key.
+pub struct Gate {
+    state: Rc<AgentState>,
+    session: SessionId,
+    nonce: Nonce,
+    admitted: Rc<Cell<bool>>,
+}
+
+impl Gate {
+    /// The gate of one connection; sets `admitted` once the peer has proved
+    /// itself.
+    pub fn new(state: Rc<AgentState>, session: SessionId, admitted: Rc<Cell<bool>>) -> Self {
+        Self {
+            state,
+            session,
+            nonce: nonce(&mut rand::rng()),
+            admitted,
+        }
+    }
+
+    fn check(&self, hello: schema::hello::Reader<'_>) -> Result<(), Error> {
+        if hello.get_version() != PROTOCOL_VERSION {
+            let text = format!("protocol version {PROTOCOL_VERSION} is needed");
+            return Err(Error::unimplemented(text));
+        }
+        let key = &self.state.config.site_key;
+        let proof = hello.get_proof()?;
+        if key.verify(Role::Entry, hello.get_nonce()?, &self.nonce, proof) {
+            return Ok(());
+        }
+        warn!(self.state.log, "refused a peer without the site's key");
+        Err(Error::failed("the site key does not match".to_owned()))
+    }
+}
+
+impl gate::Server for Gate {
+    async fn challenge(
+        self: Rc<Self>,
+        _params: gate::ChallengeParams,
+        mut results: gate::ChallengeResults,
+    ) -> Result<(), Error> {
+        results.get().set_nonce(&self.nonce);
+        results.get().set_version(PROTOCOL_VERSION);
+        Ok(())
+    }
+
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), Error> {
+        let hello = params.get()?.get_hello()?;
+        self.check(hello)?;
+        self.admitted.set(true);
+        let state = &self.state;
+        let proof = state
+            .config
+            .site_key
+            .prove(Role::Agent, hello.get_nonce()?, &self.nonce);
+        let mut welcome = results.get().init_welcome();
+        welcome.set_version(PROTOCOL_VERSION);
+        welcome.set_incarnation(state.incarnation.0);
+        welcome.set_proof(&proof);
+        welcome.set_revision(state.current.revision().0);
+        let session = DeskSession {
+            state: Rc::clone(state),
+            session: self.session,
+        };
+        results.get().set_desk(capnp_rpc::new_client(session));
+        Ok(())
+    }
+}
+
+/// The desk as one connected entry uses it.
+struct DeskSession {
+    state: Rc<AgentState>,
+    session: SessionId,
+}
+
+impl desk::Server for DeskSession {
+    async fn offer(
+        self: Rc<Self>,
+        params: desk::OfferParams,
+        mut results: desk::OfferResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let ticket = wire::read_ticket(params.get_ticket()?, self.state.now())?;
+        let offered = self.state.offer(self.session, ticket, params.get_waiter()?);
+        wire::write_offered(offered, results.get().init_offered());
+        Ok(())
+    }
+
+    async fn accept(
+        self: Rc<Self>,
+        params: desk::AcceptParams,
+        mut results: desk::AcceptResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let request = wire::read_request(params.get_request()?);
+        let call = wire::read_call(params.get_call()?)?;
+        let grant = GrantId(params.get_grant());
+        let accepted = self
+            .state
+            .accept(request, grant, call, params.get_answer()?);
+        let mut builder = results.get().init_accepted();
+        match accepted {
+            Ok(()) => builder.set_dispatched(()),
+            Err(refusal) => wire::write_refusal(refusal, builder.init_refused()),
+        }
+        Ok(())
+    }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: desk::WithdrawParams,
+        _results: desk::WithdrawResults,
+    ) -> Result<(), Error> {
+        let request = wire::read_request(params.get()?.get_request()?);
+        self.state.withdraw(request);
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: desk::CancelParams,
+        _results: desk::CancelResults,
+    ) -> Result<(), Error> {
+        let request = wire::read_request(params.get()?.get_request()?);
+        self.state.cancel(request);
+        Ok(())
+    }
+
+    async fn fate(
+        self: Rc<Self>,
+        params: desk::FateParams,
+        mut results: desk::FateResults,
+    ) -> Result<(), Error> {
+        let request = wire::read_request(params.get()?.get_request()?);
+        results.get().set_fate(match self.state.fate(request) {
+            Fate::NeverDispatched => schema::Fate::NeverDispatched,
+            Fate::Running => schema::Fate::Running,
+            Fate::Finished => schema::Fate::Finished,
+        });
+        Ok(())
+    }
+
+    async fn attach(
+        self: Rc<Self>,
+        params: desk::AttachParams,
+        mut results: desk::AttachResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let request = wire::read_request(params.get_request()?);
+        let answer = params.get_answer()?;
+        let attached = self.state.attach(request, params.get_offset(), answer);
+        results.get().set_attached(attached);
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _params: desk::StatusParams,
+        mut results: desk::StatusResults,
+    ) -> Result<(), Error> {
+        let mut status = results.get().init_status();
+        status.set_upstream(self.state.config.upstream.as_str());
+        status.set_incarnation(self.state.incarnation.0);
+        status.set_revision(self.state.current.revision().0);
+        self.state.desk(|desk| {
+            status.set_waiting(desk.waiting() as u64);
+            status.set_running(desk.running() as u64);
+            status.set_slots(desk.slots() as u64);
+            status.set_draining(desk.is_draining());
+            status.set_seconds_per_token(desk.pace().seconds_per_cost());
+        });
+        Ok(())
+    }
+
+    async fn drain(
+        self: Rc<Self>,
+        _params: desk::DrainParams,
+        _results: desk::DrainResults,
+    ) -> Result<(), Error> {
+        self.state.drain();
+        Ok(())
+    }
+
+    async fn settings(
+        self: Rc<Self>,
+        _params: desk::SettingsParams,
+        mut results: desk::SettingsResults,
+    ) -> Result<(), Error> {
+        let accepted = self.state.current.get();
+        let document = serde_json::to_vec(&*accepted.document);
+        let document = document.map_err(|e| Error::failed(e.to_string()))?;
+        results.get().set_revision(accepted.revision.0);
+        results.get().set_document(&document);
+        Ok(())
+    }
+
+    async fn adopt(
+        self: Rc<Self>,
+        params: desk::AdoptParams,
+        mut results: desk::AdoptResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let document = serde_json::from_slice::<Document>(params.get_document()?);
+        let document = document.map_err(|e| Error::failed(e.to_string()))?;
+        let current = &self.state.current;
+        let adopted = current.adopt(Revision(params.get_revision()), document);
+        adopted.map_err(|e| Error::failed(e.to_string()))?;
+        results.get().set_revision(current.revision().0);
+        Ok(())
+    }
+
+    async fn heartbeat(
+        self: Rc<Self>,
+        _params: desk::HeartbeatParams,
+        mut results: desk::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let revision = self.state.current.revision();
+        results.get().set_revision(revision.0);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/almondramp-agent.rs
@@ -0,0 +1,8 @@
+//! `almondramp-agent`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    almondramp::programs::agent(&args).into()
+}
--- /dev/null
+++ b/src/bin/almondramp-entry.rs
@@ -0,0 +1,8 @@
+//! `almondramp-entry`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    almondramp::programs::entry(&args).into()
+}
--- /dev/null
+++ b/src/bin/almondramp.rs
@@ -0,0 +1,8 @@
+//! `almondramp`, for operators.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    almondramp::programs::operator(&args).into()
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,179 @@
+//! The command lines of the programs.
+
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::ValueHint;
+use clap::builder::PossibleValuesParser;
+use clap::builder::TypedValueParser;
+use clap::value_parser;
+use clap_complete::Shell;
+
+use crate::log::LogFormat;
+
+/// What a daemon was asked to do.
+#[derive(Clone, Debug)]
+pub enum DaemonAction {
+    /// Run with the settings in this file.
+    Run {
+        /// The process's own settings.
+        config: PathBuf,
+        /// The form of log lines.
+        log_format: LogFormat,
+    },
+    /// Print the completions for a shell.
+    Completions(Shell),
+}
+
+/// What the operators' program was asked to do.
+#[derive(Clone, Debug)]
+pub enum OperatorAction {
+    /// Check a folder.
+    Check(PathBuf),
+    /// Show the merged settings of a folder.
+    Show(PathBuf),
+    /// Show how two folders differ.
+    Diff(PathBuf, PathBuf),
+    /// Print the completions for a shell.
+    Completions(Shell),
+}
+
+/// The command line of `almondramp-entry`.
+pub fn entry_command() -> Command {
+    daemon_command(
+        "almondramp-entry",
+        "Serves callers and schedules their requests",
+    )
+}
+
+/// The command line of `almondramp-agent`.
+pub fn agent_command() -> Command {
+    daemon_command(
+        "almondramp-agent",
+        "Runs beside an upstream and dispatches to it",
+    )
+}
+
+/// The command line of `almondramp`.
+pub fn operator_command() -> Command {
+    Command::new("almondramp")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks and shows the settings of almondramp")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a folder of settings and report every problem")
+                .arg(folder_arg("folder")),
+        )
+        .subcommand(
+            Command::new("show")
+                .about("Show merged settings, each value with the file that set it")
+                .arg(folder_arg("folder")),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show the values that differ between two folders")
+                .arg(folder_arg("before"))
+                .arg(folder_arg("after")),
+        )
+        .subcommand(
+            Command::new("completions")
+                .about("Print completions for a shell")
+                .arg(shell_arg().required(true)),
+        )
+}
+
+/// Reads the command line of a daemon.
+pub fn daemon_action(matches: &ArgMatches) -> DaemonAction {
+    if let Some(shell) = matches.get_one::<Shell>("completions") {
+        return DaemonAction::Completions(*shell);
+    }
+    DaemonAction::Run {
+        config: path(matches, "config"),
+        log_format: matches
+            .get_one::<LogFormat>("log-format")
+            .copied()
+            .unwrap_or_default(),
+    }
+}
+
+/// Reads the command line of the operators' program.
+pub fn operator_action(matches: &ArgMatches) -> Option<OperatorAction> {
+    let (name, matches) = matches.subcommand()?;
+    match name {
+        "check" => Some(OperatorAction::Check(path(matches, "folder"))),
+        "show" => Some(OperatorAction::Show(path(matches, "folder"))),
+        "diff" => Some(OperatorAction::Diff(
+            path(matches, "before"),
+            path(matches, "after"),
+        )),
+        "completions" => {
+            let shell = matches.get_one::<Shell>("shell");
+            shell.copied().map(OperatorAction::Completions)
+        }
+        _ => None,
+    }
+}
+
+fn daemon_command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .short('c')
+                .value_name("FILE")
+                .help("The process's own settings, in TOML")
+                .value_parser(value_parser!(PathBuf))
+                .value_hint(ValueHint::FilePath)
+                .required_unless_present("completions"),
+        )
+        .arg(
+            Arg::new("log-format")
+                .long("log-format")
+                .short('f')
+                .value_name("FORMAT")
+                .help("The form of log lines")
+                .value_parser(log_format_parser())
+                .default_value("text"),
+        )
+        .arg(
+            Arg::new("completions")
+                .long("completions")
+                .value_name("SHELL")
+                .help("Print completions for a shell and exit")
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+fn log_format_parser() -> impl TypedValueParser<Value = LogFormat> {
+    PossibleValuesParser::new(["text", "json"]).map(|value| match value.as_str() {
+        "json" => LogFormat::Json,
+        _ => LogFormat::Text,
+    })
+}
+
+fn folder_arg(name: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("DIR")
+        .help("A folder of TOML files")
+        .value_parser(value_parser!(PathBuf))
+        .value_hint(ValueHint::DirPath)
+        .required(true)
+}
+
+fn shell_arg() -> Arg {
+    Arg::new("shell")
+        .value_name("SHELL")
+        .help("The shell")
+        .value_parser(value_parser!(Shell))
+}
+
+fn path(matches: &ArgMatches, name: &str) -> PathBuf {
+    let path = matches.get_one::<PathBuf>(name);
+    path.cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/src/entry/error.rs
@@ -0,0 +1,232 @@
+//! Refusals towards callers, as JSON with a typed code.
+
+use std::time::Duration;
+
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header;
+use rand::RngExt;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::almondramp_capnp::FailureCode;
+use crate::dispatch::Failure;
+use crate::name::Name;
+use crate::ticket::RefusalCode;
+
+/// Repeats of refused callers are spread over this part of the wait.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Whether a request that was answered with an error was run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Run {
+    /// It surely was not run.
+    NotRun,
+    /// It may have been run.
+    Unknown,
+}
+
+/// Why a request was not answered by an upstream.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum CallerError {
+    /// No API key was given.
+    #[error("an API key is needed: Authorization: Bearer KEY")]
+    MissingKey,
+    /// The API key names no organisation.
+    #[error("the API key is not known")]
+    UnknownKey,
+    /// No route has this path.
+    #[error("no route has this path")]
+    NoRoute,
+    /// The route takes another method.
+    #[error("the route takes POST only")]
+    Method,
+    /// No upstream serves the model.
+    #[error("no upstream serves model {0}")]
+    UnknownModel(Name),
+    /// The body is not what the route expects.
+    #[error("the body is not valid: {0}")]
+    InvalidBody(String),
+    /// A header of the caller can't be read.
+    #[error("header {0} is not valid")]
+    InvalidHeader(&'static str),
+    /// The body is larger than the settings allow.
+    #[error("the body exceeds {0} bytes")]
+    BodyTooLarge(u64),
+    /// The body did not arrive in time.
+    #[error("the body did not arrive in time")]
+    BodyTimeout,
+    /// The body broke off.
+    #[error("the body broke off")]
+    BodyBroken,
+    /// The entry has no settings yet.
+    #[error("the entry has no settings yet")]
+    NotReady,
+    /// The entry is about to stop.
+    #[error("the entry is stopping")]
+    Stopping,
+    /// More requests of the same or a higher tier wait than can be held.
+    #[error("too many requests of the same or a higher tier are waiting")]
+    Overloaded(Duration),
+    /// The deadline can't be met.
+    #[error("the deadline cannot be met")]
+    Late(Duration),
+    /// The organisation has as many requests in flight as it may.
+    #[error("the organisation has too many requests in flight")]
+    Limited(Duration),
+    /// No upstream can take the request now.
+    #[error("no upstream can take the request now")]
+    Unavailable(Duration),
+    /// The request may have been run, but its answer is lost.
+    #[error("the request may have been run; its answer is lost")]
+    Unknown,
+    /// The upstream broke off.
+    #[error("the upstream failed; the request may have been run")]
+    UpstreamFailed,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    error: ErrorBody<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    code: &'static str,
+    message: String,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    run: Run,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<&'a str>,
+}
+
+impl CallerError {
+    /// The error for a request that no agent has answered.
+    pub fn from_failure(failure: Failure) -> Self {
+        let Failure::NotRun {
+            refusal,
+            retry_after,
+        } = failure
+        else {
+            return Self::Unknown;
+        };
+        match refusal.map(|r| r.code) {
+            Some(RefusalCode::Overloaded | RefusalCode::Evicted) => Self::Overloaded(retry_after),
+            Some(RefusalCode::Late | RefusalCode::Expired) => Self::Late(retry_after),
+            Some(
+                RefusalCode::Draining
+                | RefusalCode::Stale
+                | RefusalCode::Unreachable
+                | RefusalCode::Duplicate
+                | RefusalCode::NotReady,
+            )
+            | None => Self::Unavailable(retry_after),
+        }
+    }
+
+    /// The error for an answer that broke off before its head was passed on.
+    pub fn from_code(code: FailureCode) -> Self {
+        match code {
+            FailureCode::UpstreamFailed | FailureCode::TimedOut => Self::UpstreamFailed,
+            FailureCode::NotDispatched => Self::Unavailable(Duration::from_secs(1)),
+            FailureCode::Cancelled | FailureCode::AnswerLost => Self::Unknown,
+        }
+    }
+
+    /// The code by which programs tell errors apart.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::MissingKey => "missing-key",
+            Self::UnknownKey => "unknown-key",
+            Self::NoRoute => "no-route",
+            Self::Method => "method-not-allowed",
+            Self::UnknownModel(_) => "unknown-model",
+            Self::InvalidBody(_) => "invalid-body",
+            Self::InvalidHeader(_) => "invalid-header",
+            Self::BodyTooLarge(_) => "body-too-large",
+            Self::BodyTimeout => "body-timeout",
+            Self::BodyBroken => "body-broken",
+            Self::NotReady => "not-ready",
+            Self::Stopping => "stopping",
+            Self::Overloaded(_) => "overloaded",
+            Self::Late(_) => "late",
+            Self::Limited(_) => "limited",
+            Self::Unavailable(_) => "unavailable",
+            Self::Unknown => "unknown-outcome",
+            Self::UpstreamFailed => "upstream-failed",
+        }
+    }
+
+    /// Whether the request was run.
+    pub fn run(&self) -> Run {
+        match self {
+            Self::Unknown | Self::UpstreamFailed => Run::Unknown,
+            _ => Run::NotRun,
+        }
+    }
+
+    /// The HTTP status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::MissingKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute | Self::UnknownModel(_) => StatusCode::NOT_FOUND,
+            Self::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Self::InvalidBody(_) | Self::InvalidHeader(_) | Self::BodyBroken => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::Limited(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady
+            | Self::Stopping
+            | Self::Overloaded(_)
+            | Self::Late(_)
+            | Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// When coming back may help.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotReady | Self::Stopping => Some(Duration::from_secs(1)),
+            Self::Overloaded(after)
+            | Self::Late(after)
+            | Self::Limited(after)
+            | Self::Unavailable(after) => Some(*after),
+            _ => None,
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn response(&self, request_id: Option<&str>) -> Response<BoxBody> {
+        let after = self.retry_after().map(spread);
+        let body = Body {
+            error: ErrorBody {
+                code: self.code(),
+                message: self.to_string(),
+                kind: "almondramp",
+                run: self.run(),
+                retry_after_ms: after.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
+                request_id,
+            },
+        };
+        let json = serde_json::to_vec(&body).unwrap_or_default();
+        let mut builder = Response::build(self.status());
+        builder.insert_header((header::CONTENT_TYPE, "application/json"));
+        if let Some(after) = after {
+            let seconds = after.as_secs_f64().ceil().max(1.0);
+            builder.insert_header((header::RETRY_AFTER, format!("{seconds:.0}")));
+        }
+        builder.body(json).map_into_boxed_body()
+    }
+}
+
+fn spread(after: Duration) -> Duration {
+    after.mul_f64(1.0 + rand::rng().random_range(0.0..RETRY_SPREAD))
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,252 @@
+//! HTTP towards callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Request;
+use actix_http::RequestHead;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BodyStream;
+use actix_http::body::BoxBody;
+use actix_http::header;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::Stream;
+use futures::StreamExt;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::Receiver;
+
+use crate::clock::Moment;
+use crate::entry::error::CallerError;
+use crate::entry::request::Admission;
+use crate::entry::request::Job;
+use crate::entry::serve::Reply;
+use crate::entry::serve::Serving;
+use crate::entry::state::EntryState;
+use crate::health::alive;
+use crate::health::readiness;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::outcome::Outcome;
+use crate::wire::Header;
+
+/// The header that tells the caller the id of its request.
+const REQUEST_ID_HEADER: &str = "x-almondramp-request-id";
+
+/// Parts of an answer that wait for a slow caller.
+const REPLIES_AHEAD: usize = 4;
+
+/// When a caller may come back if the entry is full.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// An answer broke off after its head was sent.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the answer broke off")]
+struct Truncated;
+
+/// A request that the entry holds; it is released when dropped, unless it
+/// was handed on.
+struct Held {
+    state: Rc<EntryState>,
+    request: Option<RequestId>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.state.release(request);
+        }
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn handle(state: Rc<EntryState>, mut req: Request) -> Response<BoxBody> {
+    match req.path() {
+        "/healthz" => return alive(),
+        "/readyz" => return readiness(state.is_ready()),
+        _ => {}
+    }
+    match serve(&state, &mut req).await {
+        Ok(response) => response,
+        Err(e) => {
+            count_refused(&state, &e);
+            e.error.response(None)
+        }
+    }
+}
+
+/// A request that was refused before it was scheduled.
+struct Refused {
+    admission: Option<Admission>,
+    error: CallerError,
+}
+
+impl From<CallerError> for Refused {
+    fn from(error: CallerError) -> Self {
+        let admission = None;
+        Self { admission, error }
+    }
+}
+
+fn count_refused(state: &EntryState, refused: &Refused) {
+    let unknown = Name::new("none");
+    let (organisation, tier) = match &refused.admission {
+        Some(admission) => (&admission.organisation, &admission.tier),
+        None => (&unknown, &unknown),
+    };
+    let outcome = refused.error.outcome();
+    state.metrics.ended(organisation, tier, outcome);
+}
+
+async fn serve(state: &Rc<EntryState>, req: &mut Request) -> Result<Response<BoxBody>, Refused> {
+    if state.is_stopping() {
+        return Err(CallerError::Stopping.into());
+    }
+    if !state.current.is_ready() {
+        return Err(CallerError::NotReady.into());
+    }
+    let arrived = state.now();
+    let settings = state.current.settings();
+    let admission = Admission::new(req.head(), &settings, &state.keys())?;
+    let admitted = admission.clone();
+    let refused = |error| Refused {
+        admission: Some(admitted.clone()),
+        error,
+    };
+    let bytes = declared_length(req, settings.limits.body).map_err(&refused)?;
+    let (events, heard) = mpsc::unbounded_channel();
+    let deadline = arrived + admission.deadline;
+    let held = state.hold(admission.order, deadline, bytes, events.clone());
+    let full = || refused(CallerError::Overloaded(FULL_RETRY));
+    let mut held = Held {
+        request: Some(held.ok_or_else(full)?),
+        state: Rc::clone(state),
+    };
+    let body = read_body(req, settings.limits.body, settings.limits.caller_timeout);
+    let body = body.await.map_err(&refused)?;
+    let job = admission.with_body(req.head(), &settings, body);
+    let job = job.map_err(&refused)?;
+    let Some(request) = held.request.take() else {
+        return Err(full());
+    };
+    Ok(answer(state, request, job, arrived, (events, heard)).await)
+}
+
+async fn answer(
+    state: &Rc<EntryState>,
+    request: RequestId,
+    job: Job,
+    arrived: Moment,
+    channel: (
+        mpsc::UnboundedSender<crate::dispatch::Event>,
+        mpsc::UnboundedReceiver<crate::dispatch::Event>,
+    ),
+) -> Response<BoxBody> {
+    let (replies, mut received) = mpsc::channel(REPLIES_AHEAD);
+    let serving = Serving::new(Rc::clone(state), request, job, arrived, channel, replies);
+    actix_rt::spawn(serving.run());
+    let id = request.to_string();
+    match received.recv().await {
+        Some(Reply::Head(status, headers)) => {
+            let close = state.is_stopping();
+            let mut response = head(status, &headers, &id, close);
+            response
+                .body(BodyStream::new(body(received)))
+                .map_into_boxed_body()
+        }
+        Some(Reply::Error(error)) => error.response(Some(&id)),
+        Some(Reply::Bytes(_) | Reply::End | Reply::Broken) | None => {
+            CallerError::Unknown.response(Some(&id))
+        }
+    }
+}
+
+fn head(status: u16, headers: &[Header], id: &str, close: bool) -> actix_http::ResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::build(status);
+    for header in headers {
+        builder.append_header((header.name.as_str(), header.value.as_ref()));
+    }
+    builder.insert_header((REQUEST_ID_HEADER, id));
+    if close {
+        builder.force_close();
+    }
+    builder
+}
+
+/// The body of an answer; it ends with an error, which closes the connection
+/// in the middle of the body, unless all of it has come.
+fn body(received: Receiver<Reply>) -> impl Stream<Item = Result<Bytes, Truncated>> {
+    futures::stream::unfold(Some(received), |received| async {
+        let mut received = received?;
+        match received.recv().await {
+            Some(Reply::Bytes(bytes)) => Some((Ok(bytes), Some(received))),
+            Some(Reply::End) => None,
+            Some(Reply::Broken | Reply::Error(_) | Reply::Head(..)) | None => {
+                Some((Err(Truncated), None))
+            }
+        }
+    })
+}
+
+/// The bytes to reserve for a body whose length may not be known.
+fn declared_length(req: &Request, limit: u64) -> Result<u64, CallerError> {
+    let length = length_header(req.head())?;
+    match length {
+        Some(length) if length > limit => Err(CallerError::BodyTooLarge(limit)),
+        Some(length) => Ok(length),
+        None if req.head().headers.contains_key(header::TRANSFER_ENCODING) => Ok(limit),
+        None => Ok(0),
+    }
+}
+
+fn length_header(head: &RequestHead) -> Result<Option<u64>, CallerError> {
+    let Some(value) = head.headers.get(header::CONTENT_LENGTH) else {
+        return Ok(None);
+    };
+    let length = value.to_str().ok().and_then(|v| v.parse().ok());
+    let invalid = CallerError::InvalidHeader("content-length");
+    length.map(Some).ok_or(invalid)
+}
+
+async fn read_body(req: &mut Request, limit: u64, within: Duration) -> Result<Bytes, CallerError> {
+    let mut payload = req.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|_| CallerError::BodyBroken)?;
+            if (body.len() + part.len()) as u64 > limit {
+                return Err(CallerError::BodyTooLarge(limit));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    };
+    let timed = actix_rt::time::timeout(within, read).await;
+    timed.unwrap_or(Err(CallerError::BodyTimeout))
+}
+
+impl CallerError {
+    /// How the request counts for the service-level objective.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::MissingKey
+            | Self::UnknownKey
+            | Self::NoRoute
+            | Self::Method
+            | Self::UnknownModel(_)
+            | Self::InvalidBody(_)
+            | Self::InvalidHeader(_)
+            | Self::BodyTooLarge(_)
+            | Self::BodyTimeout
+            | Self::BodyBroken => Outcome::invalid,
+            Self::Overloaded(_) => Outcome::overloaded,
+            Self::Late(_) => Outcome::expired,
+            Self::Limited(_) => Outcome::limited,
+            Self::NotReady | Self::Stopping | Self::Unavailable(_) => Outcome::unavailable,
+            Self::Unknown | Self::UpstreamFailed => Outcome::unknown,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,467 @@
+//! Carries one request from its admission to the end of its answer.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::debug;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::almondramp_capnp as schema;
+use crate::almondramp_capnp::FailureCode;
+use crate::almondramp_capnp::answer;
+use crate::almondramp_capnp::desk;
+use crate::clock::Moment;
+use crate::dispatch::Action;
+use crate::dispatch::Dispatch;
+use crate::dispatch::Event;
+use crate::dispatch::Failure;
+use crate::entry::answer::AnswerReceiver;
+use crate::entry::answer::Part;
+use crate::entry::answer::Progress;
+use crate::entry::error::CallerError;
+use crate::entry::links::Link;
+use crate::entry::request::Job;
+use crate::entry::state::EntryState;
+use crate::entry::waiter::TicketWaiter;
+use crate::ids::GrantId;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::outcome::Outcome;
+use crate::settings::Policy;
+use crate::ticket::Offered;
+use crate::ticket::Refusal;
+use crate::ticket::RefusalCode;
+use crate::ticket::Ticket;
+use crate::wire;
+use crate::wire::Header;
+
+/// Parts of an answer that wait between an agent and the caller.
+const PARTS_AHEAD: usize = 4;
+
+/// When to try again after an upstream could not be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// What goes back to the caller, in order.
+#[derive(Debug)]
+pub enum Reply {
+    /// The status and headers of the upstream's answer.
+    Head(u16, Vec<Header>),
+    /// The next bytes of the body.
+    Bytes(bytes::Bytes),
+    /// The body is whole.
+    End,
+    /// The answer broke off after its head.
+    Broken,
+    /// There is no answer from an upstream.
+    Error(CallerError),
+}
+
+/// One request on its way.
+pub struct Serving {
+    state: Rc<EntryState>,
+    request: RequestId,
+    job: Rc<Job>,
+    arrived: Moment,
+    deadline: Moment,
+    dispatch: Dispatch,
+    /// The agents that may hold a ticket or the request.
+    agents: BTreeSet<Name>,
+    /// The agent whose grant was accepted, and its life.
+    accepted: Option<(Name, Incarnation)>,
+    events: UnboundedSender<Event>,
+    heard: UnboundedReceiver<Event>,
+    parts: Sender<Part>,
+    received: Receiver<Part>,
+    progress: Rc<Progress>,
+    replies: Sender<Reply>,
+    status: u16,
+}
+
+/// What a step of a request leads to.
+enum Step {
+    Go,
+    Ended(Outcome),
+}
+
+impl Serving {
+    /// A request that was taken in at `arrived`; `events` and `heard` are the
+    /// ends of the channel under which it is held.
+    pub fn new(
+        state: Rc<EntryState>,
+        request: RequestId,
+        job: Job,
+        arrived: Moment,
+        (events, heard): (UnboundedSender<Event>, UnboundedReceiver<Event>),
+        replies: Sender<Reply>,
+    ) -> Self {
+        let limits = &state.current.settings().limits;
+        let width = match limits.policy {
+            Policy::LateBinding => limits.probes as usize,
+            Policy::RoundRobin | Policy::TwoChoices => 1,
+        };
+        let (parts, received) = mpsc::channel(PARTS_AHEAD);
+        Self {
+            request,
+            arrived,
+            deadline: arrived + job.admission.deadline,
+            dispatch: Dispatch::new(state.candidates(&job), width),
+            job: Rc::new(job),
+            agents: BTreeSet::new(),
+            accepted: None,
+            events,
+            heard,
+            parts,
+            received,
+            progress: Rc::default(),
+            replies,
+            status: 0,
+            state,
+        }
+    }
+
+    /// Carries the request to its end.
+    pub async fn run(mut self) {
+        let actions = self.dispatch.start();
+        let mut step = self.perform(actions).await;
+        let outcome = loop {
+            match step {
+                Step::Ended(outcome) => break outcome,
+                Step::Go => step = self.step().await,
+            }
+        };
+        self.finish(outcome);
+    }
+
+    /// Waits for the next thing to happen and deals with it.
+    async fn step(&mut self) -> Step {
+        let deadline = self.state.instant(self.deadline);
+        let waits = !self.dispatch.is_dispatched();
+        tokio::select! {
+            Some(event) = self.heard.recv() => {
+                let actions = self.dispatch.on(event);
+                self.perform(actions).await
+            }
+            Some(part) = self.received.recv() => self.pass_on(part).await,
+            () = self.replies.closed(), if self.job.cancellable || waits => self.caller_gone(),
+            () = actix_rt::time::sleep_until(deadline.into()), if waits => {
+                let actions = self.dispatch.on(Event::DeadlinePassed);
+                match actions.is_empty() {
+                    // An accept is unanswered; its answer decides.
+                    true => self.wait_for_event().await,
+                    false => self.perform(actions).await,
+                }
+            }
+        }
+    }
+
+    async fn wait_for_event(&mut self) -> Step {
+        let Some(event) = self.heard.recv().await else {
+            return Step::Ended(Outcome::unknown);
+        };
+        let actions = self.dispatch.on(event);
+        self.perform(actions).await
+    }
+
+    async fn perform(&mut self, actions: Vec<Action>) -> Step {
+        for action in actions {
+            match action {
+                Action::Offer(agent) => self.offer(agent),
+                Action::Accept(agent, grant) => self.accept(agent, grant),
+                Action::Withdraw(agent) => self.withdraw(&agent),
+                Action::AskFate(agent) => {
+                    let event = self.ask_fate(&agent).await;
+                    let _ = self.events.send(event);
+                }
+                Action::Resume(agent) => {
+                    if !self.resume(&agent, None).await {
+                        return self.broken(CallerError::Unknown).await;
+                    }
+                }
+                Action::Finish(failure) => return self.give_up(failure).await,
+            }
+        }
+        Step::Go
+    }
+
+    fn offer(&mut self, agent: Name) {
+        let Some(link) = self.state.links.get(&agent) else {
+            let _ = self.events.send(Event::Lost(agent));
+            return;
+        };
+        if self.agents.insert(agent.clone()) {
+            self.state.begin(&agent);
+        }
+        let events = self.events.clone();
+        self.state
+            .links
+            .register(&agent, self.request, events.clone());
+        let mut req = link.desk.offer_request();
+        wire::write_ticket(&self.ticket(), self.state.now(), req.get().init_ticket());
+        let waiter = TicketWaiter::new(agent.clone(), events.clone());
+        req.get().set_waiter(capnp_rpc::new_client(waiter));
+        let sent = req.send();
+        actix_rt::spawn(async move {
+            let offered = sent.promise.await.and_then(|reply| {
+                let offered = reply.get()?.get_offered()?;
+                wire::read_offered(offered)
+            });
+            let _ = events.send(match offered {
+                Ok(Offered::Queued(_)) => Event::Queued(agent),
+                Ok(Offered::Granted(grant)) => Event::Granted(agent, grant.id),
+                Ok(Offered::Refused(refusal)) => Event::Refused(agent, refusal),
+                Err(_) => Event::Lost(agent),
+            });
+        });
+    }
+
+    fn ticket(&self) -> Ticket {
+        let admission = &self.job.admission;
+        Ticket {
+            request: self.request,
+            organisation: admission.organisation.clone(),
+            order: admission.order,
+            deadline: self.deadline,
+            work: self.job.work,
+            prefix: self.job.prefix.clone(),
+            idempotent: self.job.idempotent,
+        }
+    }
+
+    fn accept(&mut self, agent: Name, grant: GrantId) {
+        let Some(link) = self.state.links.get(&agent) else {
+            // Nothing was sent.
+            let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
+            let _ = self.events.send(Event::NotDispatched(agent, refusal));
+            return;
+        };
+        self.accepted = Some((agent.clone(), link.incarnation));
+        self.state.dispatched(self.request);
+        self.state.sent(&agent, &self.job.prefix);
+        let sent = self.send_accept(&link, grant);
+        let events = self.events.clone();
+        actix_rt::spawn(async move {
+            let accepted = sent.await;
+            let _ = events.send(match accepted {
+                Ok(None) => Event::Dispatched(agent),
+                Ok(Some(refusal)) => Event::NotDispatched(agent, refusal),
+                Err(_) => Event::Lost(agent),
+            });
+        });
+    }
+
+    /// Sends the request with a grant. The future gives the refusal, if any.
+    fn send_accept(
+        &self,
+        link: &Link,
+        grant: GrantId,
+    ) -> impl Future<Output = Result<Option<Refusal>, capnp::Error>> + use<> {
+        use schema::accepted::Which;
+
+        let mut req = link.desk.accept_request();
+        wire::write_request(self.request, req.get().init_request());
+        req.get().set_grant(grant.0);
+        wire::write_call(&self.job.call, req.get().init_call());
+        req.get().set_answer(self.new_receiver());
+        let sent = req.send();
+        async move {
+            let reply = sent.promise.await?;
+            match reply.get()?.get_accepted()?.which()? {
+                Which::Dispatched(()) => Ok(None),
+                Which::Refused(refusal) => wire::read_refusal(refusal?).map(Some),
+            }
+        }
+    }
+
+    fn new_receiver(&self) -> answer::Client {
+        let receiver = AnswerReceiver::new(self.parts.clone(), Rc::clone(&self.progress));
+        capnp_rpc::new_client(receiver)
+    }
+
+    fn withdraw(&self, agent: &Name) {
+        self.state.links.unregister(agent, self.request);
+        if let Some(link) = self.state.links.get(agent) {
+            let mut req = link.desk.withdraw_request();
+            wire::write_request(self.request, req.get().init_request());
+            let sent = req.send();
+            // A ticket whose withdrawal is lost ends with its connection.
+            actix_rt::spawn(async move { sent.promise.await.map(drop) });
+        }
+    }
+
+    /// Asks the life of the agent that was sent an accept whether it has
+    /// dispatched the request.
+    async fn ask_fate(&mut self, agent: &Name) -> Event {
+        let Some(link) = self.same_again(agent).await else {
+            return Event::Unclear(agent.clone());
+        };
+        match ask(&link.desk, self.request).await {
+            Ok(schema::Fate::NeverDispatched) => {
+                let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
+                Event::NotDispatched(agent.clone(), refusal)
+            }
+            Ok(schema::Fate::Running | schema::Fate::Finished) => {
+                match self.resume(agent, Some(link)).await {
+                    true => Event::Dispatched(agent.clone()),
+                    false => Event::Unclear(agent.clone()),
+                }
+            }
+            Err(_) => Event::Unclear(agent.clone()),
+        }
+    }
+
+    async fn same_again(&self, agent: &Name) -> Option<Link> {
+        let (accepted, incarnation) = self.accepted.as_ref()?;
+        let within = self.state.current.settings().limits.resume;
+        debug_assert_eq!(accepted, agent);
+        let links = &self.state.links;
+        links.same_again(agent, *incarnation, within).await
+    }
+
+    /// Has the rest of the answer sent on a new connection to the same life
+    /// of the agent.
+    async fn resume(&mut self, agent: &Name, link: Option<Link>) -> bool {
+        let link = match link {
+            Some(link) => Some(link),
+            None => self.same_again(agent).await,
+        };
+        let Some(link) = link else {
+            return false;
+        };
+        let events = self.events.clone();
+        self.state.links.register(agent, self.request, events);
+        let mut req = link.desk.attach_request();
+        wire::write_request(self.request, req.get().init_request());
+        req.get().set_answer(self.new_receiver());
+        req.get().set_offset(self.progress.offset.get());
+        let reply = req.send().promise.await;
+        let attached = reply.and_then(|reply| Ok(reply.get()?.get_attached()));
+        debug!(self.state.log, "resumed"; "request" => %self.request, "ok" => ?attached);
+        attached.unwrap_or(false)
+    }
+
+    /// Passes a part of the answer on to the caller.
+    async fn pass_on(&mut self, part: Part) -> Step {
+        match part {
+            Part::Head(status, headers) => {
+                self.status = status;
+                self.reply(Reply::Head(status, headers)).await
+            }
+            Part::Bytes(bytes) => {
+                let admission = &self.job.admission;
+                if self.progress.offset.get() == bytes.len() as u64 {
+                    let waited = self.state.now().since(self.arrived);
+                    let seconds = waited.as_secs_f64();
+                    self.state.metrics.first_byte(&admission.tier, seconds);
+                }
+                self.reply(Reply::Bytes(bytes)).await
+            }
+            Part::End(work) => {
+                let organisation = &self.job.admission.organisation;
+                self.state.metrics.used(organisation, work);
+                let outcome = self.outcome_of_whole();
+                self.reply(Reply::End).await;
+                Step::Ended(outcome)
+            }
+            Part::Failed(FailureCode::NotDispatched) => self.not_dispatched().await,
+            Part::Failed(code) => self.broken(CallerError::from_code(code)).await,
+        }
+    }
+
+    /// The agent dispatched the request, but the upstream surely did not
+    /// receive it.
+    async fn not_dispatched(&mut self) -> Step {
+        let Some((agent, _)) = self.accepted.take() else {
+            return self.broken(CallerError::Unknown).await;
+        };
+        self.state.waits_again(self.request);
+        let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
+        let actions = self.dispatch.on(Event::NotDispatched(agent, refusal));
+        self.perform(actions).await
+    }
+
+    fn outcome_of_whole(&self) -> Outcome {
+        match self.status {
+            500.. => Outcome::failed,
+            400..500 => Outcome::invalid,
+            _ if self.state.now() > self.deadline => Outcome::late,
+            _ => Outcome::good,
+        }
+    }
+
+    async fn broken(&mut self, error: CallerError) -> Step {
+        let reply = match self.status {
+            0 => Reply::Error(error),
+            _ => Reply::Broken,
+        };
+        self.reply(reply).await;
+        Step::Ended(Outcome::unknown)
+    }
+
+    async fn give_up(&mut self, failure: Failure) -> Step {
+        let error = CallerError::from_failure(failure);
+        let outcome = error.outcome();
+        self.reply(Reply::Error(error)).await;
+        Step::Ended(outcome)
+    }
+
+    /// Replies to the caller. One that has gone is noticed by `step`.
+    async fn reply(&mut self, reply: Reply) -> Step {
+        let _ = self.replies.send(reply).await;
+        Step::Go
+    }
+
+    fn caller_gone(&mut self) -> Step {
+        for action in self.dispatch.abandon() {
+            if let Action::Withdraw(agent) = action {
+                self.withdraw(&agent);
+            }
+        }
+        if let Some((agent, _)) = &self.accepted
+            && let Some(link) = self.state.links.get(agent)
+        {
+            let mut req = link.desk.cancel_request();
+            wire::write_request(self.request, req.get().init_request());
+            let sent = req.send();
+            actix_rt::spawn(async move { sent.promise.await.map(drop) });
+        }
+        Step::Ended(Outcome::cancelled)
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        let state = &self.state;
+        for agent in &self.agents {
+            state.links.unregister(agent, self.request);
+            state.finish(agent);
+        }
+        let admission = &self.job.admission;
+        let took = state.now().since(self.arrived);
+        state
+            .metrics
+            .ended(&admission.organisation, &admission.tier, outcome);
+        if let Some((agent, _)) = &self.accepted {
+            state.metrics.upstream_ended(agent, outcome);
+            state.metrics.duration(&admission.tier, took.as_secs_f64());
+        }
+        info!(state.log, "request ended";
+            "request" => %self.request,
+            "organisation" => %admission.organisation,
+            "tier" => %admission.tier,
+            "outcome" => outcome.name(),
+            "milliseconds" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
+        state.release(self.request);
+    }
+}
+
+async fn ask(desk: &desk::Client, request: RequestId) -> Result<schema::Fate, capnp::Error> {
+    let mut req = desk.fate_request();
+    wire::write_request(request, req.get().init_request());
+    let reply = req.send().promise.await?;
+    Ok(reply.get()?.get_fate()?)
+}
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,258 @@
+//! What the parts of an entry share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Logger;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::clock::Clock;
+use crate::clock::Moment;
+use crate::config::EntryConfig;
+use crate::current::Current;
+use crate::current::Revision;
+use crate::dispatch::Event;
+use crate::entry::auth::KeyTable;
+use crate::entry::links::Links;
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::request::Job;
+use crate::entry::request::serves;
+use crate::holding::Holding;
+use crate::holding::HoldingBounds;
+use crate::holding::Taken;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::prefix::PrefixIndex;
+use crate::routing;
+use crate::routing::Candidate;
+use crate::settings::Settings;
+use crate::ticket::Refusal;
+use crate::ticket::RefusalCode;
+
+/// When a request that gave way may come back.
+const SHED_RETRY: Duration = Duration::from_secs(1);
+
+/// Prompt chunks that an entry remembers of each upstream.
+const REMEMBERED_CHUNKS: usize = 4096;
+
+/// The state of an entry.
+pub struct EntryState {
+    /// The process's own settings.
+    pub config: EntryConfig,
+    /// The present life of the process.
+    pub incarnation: Incarnation,
+    /// The operators' settings.
+    pub current: Rc<Current>,
+    /// The connections to agents.
+    pub links: Rc<Links>,
+    /// The metrics.
+    pub metrics: EntryMetrics,
+    /// The log.
+    pub log: Logger,
+    clock: Clock,
+    keys: RefCell<(Revision, Rc<KeyTable>)>,
+    requests: Cell<u64>,
+    holding: RefCell<Holding>,
+    /// Where the requests that are held hear of events.
+    events: RefCell<HashMap<RequestId, UnboundedSender<Event>>>,
+    /// What was sent to each upstream.
+    affinity: RefCell<HashMap<Name, PrefixIndex>>,
+    outstanding: RefCell<HashMap<Name, usize>>,
+    rng: RefCell<SmallRng>,
+    stopping: Cell<bool>,
+    released: Notify,
+}
+
+impl EntryState {
+    /// The state of an entry that has just started.
+    pub fn new(
+        config: EntryConfig,
+        incarnation: Incarnation,
+        current: Rc<Current>,
+        links: Rc<Links>,
+        log: Logger,
+    ) -> Self {
+        let keys = Rc::new(KeyTable::new(&Settings::default()));
+        Self {
+            config,
+            incarnation,
+            current,
+            links,
+            metrics: EntryMetrics::new(),
+            log,
+            clock: Clock::new(),
+            keys: RefCell::new((Revision::default(), keys)),
+            requests: Cell::new(0),
+            holding: RefCell::default(),
+            events: RefCell::default(),
+            affinity: RefCell::default(),
+            outstanding: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
+            stopping: Cell::new(false),
+            released: Notify::new(),
+        }
+    }
+
+    /// The present moment on the entry's clock.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The instant at which the entry's clock shows `moment`.
+    pub fn instant(&self, moment: Moment) -> std::time::Instant {
+        self.clock.instant(moment)
+    }
+
+    /// Whether the entry is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Takes no new requests from now on.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.current.is_ready() && !self.is_stopping() && self.links.count() > 0
+    }
+
+    /// The keys of the settings in force.
+    pub fn keys(&self) -> Rc<KeyTable> {
+        let revision = self.current.revision();
+        let mut keys = self.keys.borrow_mut();
+        if keys.0 != revision {
+            let table = KeyTable::new(&self.current.settings());
+            *keys = (revision, Rc::new(table));
+        }
+        Rc::clone(&keys.1)
+    }
+
+    /// Takes in a request of which the body is yet to come, and has requests
+    /// of lower tiers give way where there is no room. None if there is none.
+    pub fn hold(
+        &self,
+        order: u8,
+        deadline: Moment,
+        bytes: u64,
+        events: UnboundedSender<Event>,
+    ) -> Option<RequestId> {
+        let limits = &self.current.settings().limits;
+        let bounds = HoldingBounds {
+            requests: limits.entry_requests as usize,
+            bytes: limits.entry_bodies,
+        };
+        let sequence = self.requests.get() + 1;
+        self.requests.set(sequence);
+        let request = RequestId {
+            incarnation: self.incarnation,
+            sequence,
+        };
+        let mut holding = self.holding.borrow_mut();
+        let taken = holding.take(bounds, request, order, deadline, bytes);
+        let Taken::Held(yielding) = taken else {
+            return None;
+        };
+        let refusal = Refusal::new(RefusalCode::Evicted, SHED_RETRY);
+        let mut listeners = self.events.borrow_mut();
+        for other in yielding {
+            if let Some(events) = listeners.get(&other) {
+                // A request that has ended no longer listens.
+                let _ = events.send(Event::Shed(refusal));
+            }
+        }
+        listeners.insert(request, events);
+        Some(request)
+    }
+
+    /// Notes that a request can no longer give way.
+    pub fn dispatched(&self, request: RequestId) {
+        self.holding.borrow_mut().dispatched(request);
+    }
+
+    /// Notes that a request can give way again.
+    pub fn waits_again(&self, request: RequestId) {
+        self.holding.borrow_mut().waits_again(request);
+    }
+
+    /// Notes that a request has ended.
+    pub fn release(&self, request: RequestId) {
+        self.holding.borrow_mut().release(request);
+        self.events.borrow_mut().remove(&request);
+        self.released.notify_waiters();
+    }
+
+    /// Waits until no request is held.
+    pub async fn idle(&self) {
+        loop {
+            let released = self.released.notified();
+            if self.events.borrow().is_empty() {
+                return;
+            }
+            released.await;
+        }
+    }
+
+    /// The connected upstreams that could run `job`, the best first.
+    pub fn candidates(&self, job: &Job) -> Vec<Name> {
+        let settings = self.current.settings();
+        let affinity = self.affinity.borrow();
+        let outstanding = self.outstanding.borrow();
+        let kind = job.admission.route.kind;
+        let candidates = settings
+            .upstreams
+            .iter()
+            .filter(|(name, u)| serves(u, kind, &job.target) && self.links.is_up(name))
+            .map(|(name, u)| Candidate {
+                upstream: name.clone(),
+                near: u.zone == self.config.zone,
+                matched: affinity.get(name).map_or(0, |a| a.matched(&job.prefix)),
+                outstanding: outstanding.get(name).copied().unwrap_or_default(),
+            })
+            .collect();
+        let turn = self.requests.get();
+        let policy = settings.limits.policy;
+        routing::order(policy, candidates, turn, &mut *self.rng.borrow_mut())
+    }
+
+    /// Notes that the prompt of a request was sent to `upstream`.
+    pub fn sent(&self, upstream: &Name, prefix: &[u64]) {
+        let mut affinity = self.affinity.borrow_mut();
+        affinity
+            .entry(upstream.clone())
+            .or_insert_with(|| PrefixIndex::new(REMEMBERED_CHUNKS))
+            .touch(prefix);
+    }
+
+    /// Counts a ticket or request at `upstream`.
+    pub fn begin(&self, upstream: &Name) {
+        *self
+            .outstanding
+            .borrow_mut()
+            .entry(upstream.clone())
+            .or_default() += 1;
+    }
+
+    /// Ends what `begin` counted.
+    pub fn finish(&self, upstream: &Name) {
+        if let Some(count) = self.outstanding.borrow_mut().get_mut(upstream) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// The metrics as text.
+    pub fn render_metrics(&self) -> String {
+        let held = self.holding.borrow().len();
+        let revision = self.current.revision().0;
+        self.metrics.state(held, self.links.count(), revision);
+        self.metrics.render()
+    }
+}
--- /dev/null
+++ b/src/http_server.rs
@@ -0,0 +1,169 @@
+//! Serves HTTP on one thread, with bounds on connections and on slow callers.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_service::ServiceFactory;
+use actix_service::fn_service;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_io_timeout::TimeoutStream;
+
+/// The time for which a connection without a request is kept open.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// The time after a failed `accept`, such as one for want of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Bounds on the callers of one server.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpBounds {
+    /// Open connections at most; more wait in the listen queue.
+    pub connections: usize,
+    /// The time for a request's head.
+    pub head_timeout: Duration,
+    /// The time for which writing to a caller may make no progress.
+    pub write_timeout: Duration,
+}
+
+type Io = Pin<Box<TimeoutStream<TcpStream>>>;
+
+/// A listening server.
+pub struct HttpServer {
+    address: SocketAddr,
+    state: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    connections: Cell<usize>,
+    stopping: Cell<bool>,
+    changed: Notify,
+}
+
+impl HttpServer {
+    /// Binds to `address` and serves each request with `handler`.
+    pub async fn bind<F, Fut>(
+        address: SocketAddr,
+        bounds: HttpBounds,
+        handler: F,
+    ) -> io::Result<Self>
+    where
+        F: Fn(Request) -> Fut + Clone + 'static,
+        Fut: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(State::default());
+        actix_rt::spawn(serve(listener, bounds, handler, Rc::clone(&state)));
+        Ok(Self { address, state })
+    }
+
+    /// The address in use.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening and waits until every connection has ended, `within`
+    /// this time at most. Idle connections end after the keep-alive time.
+    pub async fn stop(&self, within: Duration) {
+        self.state.stopping.set(true);
+        self.state.changed.notify_waiters();
+        let ended = async {
+            while self.state.connections.get() > 0 {
+                self.state.changed.notified().await;
+            }
+        };
+        // The caller of a connection that is still open has been too slow.
+        let _ = actix_rt::time::timeout(within, ended).await;
+    }
+}
+
+async fn serve<F, Fut>(listener: TcpListener, bounds: HttpBounds, handler: F, state: Rc<State>)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let service = fn_service(move |req: Request| {
+        let response = handler(req);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let factory = HttpService::<Io, _, _>::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(bounds.head_timeout)
+        .h1_allow_half_closed(false)
+        .h1(service);
+    let Ok(handler) = factory.new_service(()).await else {
+        return;
+    };
+    let handler = Rc::new(handler);
+    loop {
+        let Some(stream) = next_connection(&listener, bounds, &state).await else {
+            return;
+        };
+        let peer = stream.peer_addr().ok();
+        let _ = stream.set_nodelay(true);
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(bounds.write_timeout));
+        let open = Open::new(&state);
+        let handler = Rc::clone(&handler);
+        actix_rt::spawn(async move {
+            let _open = open;
+            // A failed connection concerns only its own caller.
+            let _ = handler.call((Box::pin(stream), peer)).await;
+        });
+    }
+}
+
+/// The next connection within the bounds; none once the server is stopping.
+async fn next_connection(
+    listener: &TcpListener,
+    bounds: HttpBounds,
+    state: &State,
+) -> Option<TcpStream> {
+    loop {
+        let changed = state.changed.notified();
+        if state.stopping.get() {
+            return None;
+        }
+        if state.connections.get() >= bounds.connections {
+            changed.await;
+            continue;
+        }
+        tokio::select! {
+            () = changed => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => return Some(stream),
+                Err(_) => actix_rt::time::sleep(ACCEPT_BACKOFF).await,
+            },
+        }
+    }
+}
+
+/// Counts a connection while it is open.
+struct Open(Rc<State>);
+
+impl Open {
+    fn new(state: &Rc<State>) -> Self {
+        state.connections.set(state.connections.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+        self.0.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/src/name.rs
@@ -0,0 +1,52 @@
+//! Shared immutable names of organisations, tiers, upstreams and the like.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A name that is cheap to clone and never changes.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Makes a name from its text.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// The text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
+
+impl Deref for Name {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/src/object_store/http.rs
@@ -0,0 +1,147 @@
+//! The object API over HTTP.
+//!
+//! `GET /objects/NAME` answers with the value and its version as `ETag`;
+//! `PUT` takes `If-Match` or `If-None-Match: *`; a watch is a `GET` with
+//! `If-None-Match` and `Prefer: wait=SECONDS`, answered 304 when nothing has
+//! changed in that time.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header;
+use awc::Client;
+use awc::ClientRequest;
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+
+use crate::http_client::new_client;
+use crate::http_client::surely_not_sent;
+use crate::name::Name;
+use crate::object_store::Expected;
+use crate::object_store::MAX_OBJECT_BYTES;
+use crate::object_store::Object;
+use crate::object_store::ObjectStore;
+use crate::object_store::StoreError;
+use crate::object_store::Version;
+
+/// The time for a reply, on top of the time that a watch waits.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The object API at one address.
+pub struct HttpObjectStore {
+    base: Name,
+    client: Client,
+}
+
+struct Reply {
+    status: StatusCode,
+    version: Option<Version>,
+    value: Bytes,
+}
+
+impl HttpObjectStore {
+    /// The object API under `base`, such as `http://127.0.0.1:7000`.
+    pub fn new(base: &str) -> Self {
+        Self {
+            base: Name::new(base.trim_end_matches('/')),
+            client: new_client(),
+        }
+    }
+
+    fn url(&self, name: &Name) -> String {
+        format!("{}/objects/{name}", self.base)
+    }
+
+    async fn call(req: ClientRequest, body: Bytes, wait: Duration) -> Result<Reply, StoreError> {
+        let replied = async {
+            let mut res = req.send_body(body).await.map_err(|e| match e {
+                e if surely_not_sent(&e) => StoreError::Unreachable,
+                _ => StoreError::Unclear,
+            })?;
+            let etag = res.headers().get(header::ETAG);
+            let version = etag.and_then(|v| v.to_str().ok()).map(Version::new);
+            let body = res.body().limit(2 * MAX_OBJECT_BYTES);
+            let value = body.await.map_err(|_| StoreError::Unclear)?;
+            Ok(Reply {
+                status: res.status(),
+                version,
+                value,
+            })
+        };
+        let within = wait + REPLY_TIMEOUT;
+        let timed = actix_rt::time::timeout(within, replied).await;
+        timed.unwrap_or(Err(StoreError::Unclear))
+    }
+
+    async fn read(&self, req: ClientRequest, wait: Duration) -> Result<Option<Object>, StoreError> {
+        let reply = Self::call(req, Bytes::new(), wait).await?;
+        match reply.status {
+            StatusCode::OK => {
+                let version = reply.version.ok_or(StoreError::Unclear)?;
+                let value = reply.value;
+                Ok(Some(Object { version, value }))
+            }
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
+            status => Err(failure(status)),
+        }
+    }
+}
+
+impl ObjectStore for HttpObjectStore {
+    fn get(&self, name: Name) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
+        let req = self.client.get(self.url(&name));
+        self.read(req, Duration::ZERO).boxed_local()
+    }
+
+    fn put(
+        &self,
+        name: Name,
+        value: Bytes,
+        expected: Expected,
+    ) -> LocalBoxFuture<'_, Result<Version, StoreError>> {
+        let req = self.client.put(self.url(&name));
+        let req = match &expected {
+            Expected::Absent => req.insert_header((header::IF_NONE_MATCH, "*")),
+            Expected::Version(version) => req.insert_header((header::IF_MATCH, version.as_str())),
+        };
+        async move {
+            if value.len() > MAX_OBJECT_BYTES {
+                return Err(StoreError::TooLarge);
+            }
+            let reply = Self::call(req, value, Duration::ZERO).await?;
+            match reply.status {
+                StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => {
+                    reply.version.ok_or(StoreError::Unclear)
+                }
+                StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
+                status => Err(failure(status)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn watch(
+        &self,
+        name: Name,
+        known: Option<Version>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
+        let seconds = wait.as_secs().max(1);
+        let mut req = self.client.get(self.url(&name));
+        req = req.insert_header(("prefer", format!("wait={seconds}")));
+        if let Some(known) = known {
+            req = req.insert_header((header::IF_NONE_MATCH, known.as_str()));
+        }
+        async move { self.read(req, wait).await }.boxed_local()
+    }
+}
+
+/// A refusal by a status below 500 was not carried out; of a server error
+/// that can't be said.
+fn failure(status: StatusCode) -> StoreError {
+    if status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error() {
+        return StoreError::Refused(status.as_u16());
+    }
+    StoreError::Unclear
+}
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,261 @@
+//! The order in which waiting tickets are served.
+//!
+//! The higher tier goes first. Within a tier organisations are served by
+//! start-time fair queueing over the cost of their work, and within an
+//! organisation the earliest deadline goes first. Every operation takes time
+//! logarithmic in the number of waiting tickets.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::clock::Moment;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::ticket::Ticket;
+
+#[cfg(test)]
+mod tests;
+
+/// Virtual time units for one unit of cost at weight 1.
+const VIRTUAL_SCALE: u64 = 1 << 10;
+
+/// What became of a ticket that was pushed.
+#[derive(Debug)]
+pub enum Pushed {
+    /// It waits.
+    Queued,
+    /// It waits, and this ticket of a lower tier was pushed out for it.
+    Evicted(Box<Ticket>),
+    /// The queue is full of tickets of the same or a higher tier.
+    Full,
+    /// A ticket of this request waits already.
+    Duplicate,
+}
+
+/// Waiting tickets.
+///
+/// Invariants: `tickets` and the tiers' queues hold the same requests; an
+/// organisation stands in `ready` of its tier exactly while it has tickets
+/// waiting there, under its present virtual time.
+pub struct Queue {
+    capacity: usize,
+    tickets: HashMap<RequestId, Waiting>,
+    tiers: BTreeMap<u8, TierQueue>,
+    /// All tickets by deadline, to expire them.
+    deadlines: BTreeSet<(Moment, RequestId)>,
+}
+
+struct Waiting {
+    ticket: Ticket,
+    weight: u32,
+}
+
+#[derive(Default)]
+struct TierQueue {
+    organisations: HashMap<Name, OrganisationQueue>,
+    ready: BTreeSet<(u64, Name)>,
+    /// The virtual time of the last ticket served; never falls.
+    now: u64,
+    cost: u64,
+    count: usize,
+    /// Every ticket of the tier by deadline, to choose whom to evict.
+    deadlines: BTreeSet<(Moment, RequestId)>,
+}
+
+#[derive(Default)]
+struct OrganisationQueue {
+    /// The virtual time up to which the organisation has been served.
+    served: u64,
+    waiting: BTreeSet<(Moment, RequestId)>,
+}
+
+impl Queue {
+    /// A queue of at most `capacity` tickets.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            tickets: HashMap::new(),
+            tiers: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+        }
+    }
+
+    /// Changes the capacity; tickets that wait already stay.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
+    /// The number of waiting tickets.
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Whether no ticket waits.
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// The number of tickets waiting in the tier of rank `order`.
+    pub fn count_of(&self, order: u8) -> usize {
+        self.tiers.get(&order).map_or(0, |t| t.count)
+    }
+
+    /// The cost of all waiting work of the tier of rank `order` and above.
+    pub fn cost_ahead(&self, order: u8) -> u64 {
+        self.tiers.range(..=order).map(|(_, t)| t.cost).sum()
+    }
+
+    /// Whether a ticket of `request` waits.
+    pub fn contains(&self, request: RequestId) -> bool {
+        self.tickets.contains_key(&request)
+    }
+
+    /// Adds a ticket. When the queue is full, the ticket with the latest
+    /// deadline in the lowest tier gives way, if that tier is lower.
+    pub fn push(&mut self, ticket: Ticket, weight: u32) -> Pushed {
+        if self.contains(ticket.request) {
+            return Pushed::Duplicate;
+        }
+        if self.len() < self.capacity {
+            self.insert(ticket, weight);
+            return Pushed::Queued;
+        }
+        match self.lowest().filter(|(order, _)| *order > ticket.order) {
+            None => Pushed::Full,
+            Some((_, victim)) => {
+                let evicted = self.remove(victim);
+                self.insert(ticket, weight);
+                evicted.map_or(Pushed::Queued, |t| Pushed::Evicted(Box::new(t)))
+            }
+        }
+    }
+
+    /// Takes out the ticket that is to be served next.
+    pub fn pop(&mut self) -> Option<Ticket> {
+        let request = self.peek()?;
+        let waiting = self.tickets.get(&request)?;
+        let cost = waiting.ticket.work.cost();
+        let step = cost.saturating_mul(VIRTUAL_SCALE) / u64::from(waiting.weight.max(1));
+        let (order, name) = (waiting.ticket.order, waiting.ticket.organisation.clone());
+        let ticket = self.remove(request)?;
+        let tier = self.tiers.get_mut(&order)?;
+        tier.advance(&name, step);
+        Some(ticket)
+    }
+
+    /// The request that is to be served next.
+    pub fn peek(&self) -> Option<RequestId> {
+        let tier = self.tiers.values().find(|t| t.count > 0)?;
+        let (_, name) = tier.ready.first()?;
+        let (_, request) = tier.organisations.get(name)?.waiting.first()?;
+        Some(*request)
+    }
+
+    /// The waiting ticket of `request`.
+    pub fn get(&self, request: RequestId) -> Option<&Ticket> {
+        self.tickets.get(&request).map(|w| &w.ticket)
+    }
+
+    /// Takes out the ticket of `request`.
+    pub fn remove(&mut self, request: RequestId) -> Option<Ticket> {
+        let ticket = self.tickets.remove(&request)?.ticket;
+        self.deadlines.remove(&(ticket.deadline, request));
+        if let Some(tier) = self.tiers.get_mut(&ticket.order) {
+            tier.remove(&ticket);
+        }
+        Some(ticket)
+    }
+
+    /// Takes out every ticket whose deadline is not after `now`.
+    pub fn expire(&mut self, now: Moment) -> Vec<Ticket> {
+        let mut expired = Vec::new();
+        while let Some(&(deadline, request)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            expired.extend(self.remove(request));
+        }
+        expired
+    }
+
+    /// Takes out every ticket.
+    pub fn drain(&mut self) -> Vec<Ticket> {
+        let requests: Vec<RequestId> = self.deadlines.iter().map(|(_, r)| *r).collect();
+        requests
+            .into_iter()
+            .filter_map(|request| self.remove(request))
+            .collect()
+    }
+
+    /// The earliest deadline among the waiting tickets.
+    pub fn next_deadline(&self) -> Option<Moment> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    fn lowest(&self) -> Option<(u8, RequestId)> {
+        let (order, tier) = self.tiers.iter().rev().find(|(_, t)| t.count > 0)?;
+        let (_, request) = tier.deadlines.last()?;
+        Some((*order, *request))
+    }
+
+    fn insert(&mut self, ticket: Ticket, weight: u32) {
+        self.deadlines.insert((ticket.deadline, ticket.request));
+        self.tiers.entry(ticket.order).or_default().insert(&ticket);
+        let waiting = Waiting { ticket, weight };
+        self.tickets.insert(waiting.ticket.request, waiting);
+    }
+}
+
+impl TierQueue {
+    fn insert(&mut self, ticket: &Ticket) {
+        let name = &ticket.organisation;
+        let queue = self.organisations.entry(name.clone()).or_default();
+        if queue.waiting.is_empty() {
+            // An organisation that was away gets no credit for that time.
+            queue.served = queue.served.max(self.now);
+            self.ready.insert((queue.served, name.clone()));
+        }
+        queue.waiting.insert((ticket.deadline, ticket.request));
+        self.deadlines.insert((ticket.deadline, ticket.request));
+        self.cost = self.cost.saturating_add(ticket.work.cost());
+        self.count += 1;
+    }
+
+    fn remove(&mut self, ticket: &Ticket) {
+        let name = &ticket.organisation;
+        let Some(queue) = self.organisations.get_mut(name) else {
+            return;
+        };
+        queue.waiting.remove(&(ticket.deadline, ticket.request));
+        self.deadlines.remove(&(ticket.deadline, ticket.request));
+        self.cost = self.cost.saturating_sub(ticket.work.cost());
+        self.count -= 1;
+        if queue.waiting.is_empty() {
+            self.ready.remove(&(queue.served, name.clone()));
+        }
+    }
+
+    /// Charges one organisation for served work and moves virtual time on.
+    fn advance(&mut self, name: &Name, step: u64) {
+        let Some(queue) = self.organisations.get_mut(name) else {
+            return;
+        };
+        self.now = self.now.max(queue.served);
+        self.ready.remove(&(queue.served, name.clone()));
+        queue.served = queue.served.saturating_add(step);
+        if !queue.waiting.is_empty() {
+            self.ready.insert((queue.served, name.clone()));
+        }
+        if self.count == 0 {
+            self.forget_served();
+        }
+    }
+
+    /// With nobody waiting, only organisations that are ahead of the virtual
+    /// time need to be remembered.
+    fn forget_served(&mut self) {
+        let now = self.now;
+        self.organisations.retain(|_, queue| queue.served > now);
+    }
+}
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,277 @@
+//! Turns merged values into checked settings and reports every problem at once.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use toml::Table;
+use toml::Value;
+
+use crate::name::Name;
+use crate::settings::Document;
+use crate::settings::Merged;
+use crate::settings::Problem;
+use crate::settings::Reason;
+use crate::settings::RouteKind;
+use crate::settings::Settings;
+use crate::settings::SettingsError;
+use crate::settings::merge::join;
+
+const SECTIONS: [&str; 5] = ["tiers", "organisations", "upstreams", "routes", "limits"];
+
+impl Settings {
+    /// Merges and checks the files of `document`.
+    pub fn new(document: &Document) -> Result<Self, SettingsError> {
+        let mut checker = Checker::new(Merged::new(document));
+        let settings = checker.decode();
+        // References into a section that did not decode would only repeat
+        // the problem that kept it from decoding.
+        if checker.problems.is_empty() {
+            checker.cross_check(&settings);
+        }
+        if checker.problems.is_empty() {
+            return Ok(settings);
+        }
+        Err(SettingsError::Invalid(checker.problems))
+    }
+}
+
+struct Checker {
+    merged: Merged,
+    problems: Vec<Problem>,
+}
+
+impl Checker {
+    fn new(mut merged: Merged) -> Self {
+        let problems = std::mem::take(&mut merged.problems);
+        Self { merged, problems }
+    }
+
+    fn report(&mut self, key: String, reason: Reason) {
+        self.problems.push(Problem {
+            file: self.merged.origin(&key),
+            key,
+            reason,
+        });
+    }
+
+    fn decode(&mut self) -> Settings {
+        let mut table = std::mem::take(&mut self.merged.table);
+        let settings = Settings {
+            tiers: self.section(&mut table, "tiers"),
+            organisations: self.section(&mut table, "organisations"),
+            upstreams: self.section(&mut table, "upstreams"),
+            routes: self.section(&mut table, "routes"),
+            limits: self.limits(&mut table),
+        };
+        for key in table.keys() {
+            debug_assert!(!SECTIONS.contains(&key.as_str()));
+            self.report(join("", key), Reason::UnknownKey);
+        }
+        settings
+    }
+
+    fn section<T>(&mut self, table: &mut Table, section: &str) -> BTreeMap<Name, T>
+    where
+        T: DeserializeOwned,
+    {
+        let mut entries = BTreeMap::new();
+        match table.remove(section) {
+            None => {}
+            Some(Value::Table(section_table)) => {
+                for (name, value) in section_table {
+                    let path = join(section, &name);
+                    if let Some(entry) = self.entry(&path, value) {
+                        entries.insert(Name::new(&name), entry);
+                    }
+                }
+            }
+            Some(_) => self.report(section.to_owned(), expected_table()),
+        }
+        entries
+    }
+
+    fn limits(&mut self, table: &mut Table) -> super::Limits {
+        let value = table.remove("limits");
+        let value = value.unwrap_or_else(|| Value::Table(Table::new()));
+        self.entry("limits", value).unwrap_or_default()
+    }
+
+    /// Decodes one entry. A value that does not decode is reported, taken
+    /// out, and the rest tried again, so that one run finds every problem.
+    fn entry<T>(&mut self, path: &str, mut value: Value) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        if !value.is_table() {
+            self.report(path.to_owned(), expected_table());
+            return None;
+        }
+        let mut whole = true;
+        let mut unknown: Vec<String> = Vec::new();
+        loop {
+            unknown.clear();
+            let mut track = serde_path_to_error::Track::new();
+            let inner = serde_path_to_error::Deserializer::new(value.clone(), &mut track);
+            let decoded = serde_ignored::deserialize(inner, |p| unknown.push(p.to_string()));
+            let Err(e) = decoded else {
+                unknown
+                    .iter()
+                    .for_each(|key| self.report(format!("{path}.{key}"), Reason::UnknownKey));
+                return decoded.ok().filter(|_| whole);
+            };
+            whole = false;
+            let first_key = track.path().iter().next().map(ToString::to_string);
+            let reason = Reason::Value(first_line(&e));
+            let Some(key) = first_key.filter(|k| remove(&mut value, k)) else {
+                self.report(path.to_owned(), reason);
+                return None;
+            };
+            self.report(join(path, &key), reason);
+        }
+    }
+
+    fn cross_check(&mut self, settings: &Settings) {
+        if settings.tiers.is_empty() {
+            self.report("tiers".to_owned(), Reason::Empty);
+        }
+        self.check_tiers(settings);
+        self.check_organisations(settings);
+        self.check_upstreams(settings);
+        self.check_routes(settings);
+        self.check_limits(settings);
+    }
+
+    fn check_tiers(&mut self, settings: &Settings) {
+        let mut orders: BTreeMap<u8, &Name> = BTreeMap::new();
+        for (name, tier) in &settings.tiers {
+            if let Some(other) = orders.insert(tier.order, name) {
+                let other = Reason::Contradiction(format!("tiers.{other}.order"));
+                self.report(format!("tiers.{name}.order"), other);
+            }
+            if !(tier.objective > 0.0 && tier.objective < 1.0) {
+                let reason = Reason::Value("must lie between 0 and 1".to_owned());
+                self.report(format!("tiers.{name}.objective"), reason);
+            }
+        }
+    }
+
+    fn check_organisations(&mut self, settings: &Settings) {
+        let mut keys = BTreeMap::new();
+        let mut folded = BTreeMap::new();
+        for (name, organisation) in &settings.organisations {
+            let path = join("organisations", name);
+            if let Some(other) = folded.insert(name.to_lowercase(), name) {
+                self.report(path.clone(), Reason::DuplicateOrganisation(other.clone()));
+            }
+            for key in &organisation.keys {
+                if let Some(other) = keys.insert(*key, name) {
+                    let reason = Reason::DuplicateOrganisation(Name::clone(other));
+                    self.report(format!("{path}.keys"), reason);
+                }
+            }
+            if organisation.weight == 0 {
+                let reason = Reason::Value("must be at least 1".to_owned());
+                self.report(format!("{path}.weight"), reason);
+            }
+            self.check_tier(settings, format!("{path}.tier"), &organisation.tier);
+            for (route, tier) in &organisation.tiers {
+                let key = join(&format!("{path}.tiers"), route);
+                self.check_tier(settings, key.clone(), tier);
+                if !settings.routes.contains_key(route) {
+                    self.report_dangling(key, "routes", route);
+                }
+            }
+        }
+    }
+
+    fn check_upstreams(&mut self, settings: &Settings) {
+        let mut agents = BTreeMap::new();
+        for (name, upstream) in &settings.upstreams {
+            let path = join("upstreams", name);
+            if let Some(other) = agents.insert(upstream.agent, name) {
+                let reason = Reason::Contradiction(format!("upstreams.{other}.agent"));
+                self.report(format!("{path}.agent"), reason);
+            }
+            if upstream.slots == 0 {
+                let reason = Reason::Value("must be at least 1".to_owned());
+                self.report(format!("{path}.slots"), reason);
+            }
+            if upstream.serves.is_empty() {
+                self.report(format!("{path}.serves"), Reason::Empty);
+            }
+        }
+    }
+
+    fn check_routes(&mut self, settings: &Settings) {
+        let mut paths = BTreeMap::new();
+        for (name, route) in &settings.routes {
+            let path = join("routes", name);
+            if let Some(other) = paths.insert(&route.path, name) {
+                let reason = Reason::Contradiction(format!("routes.{other}.path"));
+                self.report(format!("{path}.path"), reason);
+            }
+            if !route.path.starts_with('/') {
+                let reason = Reason::Value("must begin with a slash".to_owned());
+                self.report(format!("{path}.path"), reason);
+            }
+            if let Some(tier) = &route.tier {
+                self.check_tier(settings, format!("{path}.tier"), tier);
+            }
+            self.check_service(settings, &path, route);
+        }
+    }
+
+    fn check_service(&mut self, settings: &Settings, path: &str, route: &super::Route) {
+        let key = format!("{path}.service");
+        match (route.kind, &route.service) {
+            (RouteKind::Model, None) => {}
+            (RouteKind::Model, Some(_)) => {
+                self.report(key, Reason::Contradiction(format!("{path}.kind")));
+            }
+            (RouteKind::Service, None) => self.report(key, Reason::Empty),
+            (RouteKind::Service, Some(service)) => {
+                let served = |u: &super::Upstream| u.serves.contains(service);
+                if !settings.upstreams.values().any(served) {
+                    self.report_dangling(key, "upstreams serving a service", service);
+                }
+            }
+        }
+    }
+
+    fn check_limits(&mut self, settings: &Settings) {
+        let limits = &settings.limits;
+        if limits.probes == 0 {
+            let reason = Reason::Value("must be at least 1".to_owned());
+            self.report("limits.probes".to_owned(), reason);
+        }
+        if limits.body > limits.entry_bodies {
+            let reason = Reason::Contradiction("limits.entry_bodies".to_owned());
+            self.report("limits.body".to_owned(), reason);
+        }
+    }
+
+    fn check_tier(&mut self, settings: &Settings, key: String, tier: &Name) {
+        if !settings.tiers.contains_key(tier) {
+            self.report_dangling(key, "tiers", tier);
+        }
+    }
+
+    fn report_dangling(&mut self, key: String, section: &'static str, name: &Name) {
+        let name = name.clone();
+        self.report(key, Reason::Dangling { section, name });
+    }
+}
+
+fn remove(value: &mut Value, key: &str) -> bool {
+    value
+        .as_table_mut()
+        .is_some_and(|t| t.remove(key).is_some())
+}
+
+fn expected_table() -> Reason {
+    Reason::Value("expected a table".to_owned())
+}
+
+fn first_line(e: &toml::de::Error) -> String {
+    e.message().lines().next().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,30 @@
+//! The operators' settings: a folder of small TOML files, merged in the order
+//! of their names and checked whole.
+
+mod check;
+mod error;
+mod merge;
+mod model;
+mod show;
+#[cfg(test)]
+mod tests;
+
+pub use error::Problem;
+pub use error::Reason;
+pub use error::SettingsError;
+pub use merge::Document;
+pub use merge::File;
+pub use merge::Merged;
+pub use model::Fencing;
+pub use model::Limits;
+pub use model::Organisation;
+pub use model::Policy;
+pub use model::Route;
+pub use model::RouteKind;
+pub use model::Settings;
+pub use model::Tier;
+pub use model::Upstream;
+pub use model::UpstreamKind;
+pub use show::Change;
+pub use show::diff;
+pub use show::show;
--- /dev/null
+++ b/src/strict_connector.rs
@@ -0,0 +1,102 @@
+//! A connector for the HTTP client under which the end of a connection in the
+//! middle of an answer is an error.
+//!
+//! The client library takes the end of a connection for the end of the body,
+//! also where the body is framed by chunks or by its length. A truncated
+//! answer would look whole. Connections made here report their end as an
+//! error, which the client passes on unless the body was complete before.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use actix_http::Uri;
+use actix_rt::net::ActixStream;
+use actix_rt::net::Ready;
+use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_tls::connect::ConnectError;
+use actix_tls::connect::ConnectInfo;
+use actix_tls::connect::Connection;
+use actix_tls::connect::ConnectorService;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+/// Opens connections that report their end as an error.
+#[derive(Clone, Default)]
+pub struct StrictConnector {
+    inner: ConnectorService,
+}
+
+impl Service<ConnectInfo<Uri>> for StrictConnector {
+    type Response = Connection<Uri, StrictStream>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Service::<ConnectInfo<Uri>>::poll_ready(&self.inner, cx)
+    }
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let connecting = self.inner.call(info);
+        async move {
+            let (stream, uri) = connecting.await?.into_parts();
+            let _ = stream.set_nodelay(true);
+            Ok(Connection::new(uri, StrictStream(stream)))
+        }
+        .boxed_local()
+    }
+}
+
+/// A TCP connection whose end is an error.
+#[derive(Debug)]
+pub struct StrictStream(TcpStream);
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        let ended = buf.filled().len() == before && buf.remaining() > 0;
+        Poll::Ready(match ended {
+            true => Err(io::ErrorKind::UnexpectedEof.into()),
+            false => Ok(()),
+        })
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,26 @@
+//! Small stand-ins of the outside systems, for tests, measurements and the
+//! demo. Each serves its published protocol on a thread of its own and can be
+//! told to fail.
+
+mod engine;
+mod platform;
+mod ports;
+mod process;
+mod server;
+mod service;
+mod site;
+
+pub use engine::Engine;
+pub use engine::EngineConfig;
+pub use engine::EngineLedger;
+pub use engine::SeenPrefixes;
+pub use platform::Platform;
+pub use platform::PlatformFaults;
+pub use ports::Ports;
+pub use process::Launcher;
+pub use process::Process;
+pub use service::Service;
+pub use service::ServiceLedger;
+pub use site::Site;
+pub use site::SiteSpec;
+pub use site::key_digest;
--- /dev/null
+++ b/standins/src/site.rs
@@ -0,0 +1,184 @@
+//! A whole site on the loopback address: stand-ins for the upstreams that the
+//! settings name, an agent beside each, and entries in front.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use almondramp::name::Name;
+use almondramp::settings::Document;
+use almondramp::settings::File;
+use almondramp::settings::Settings;
+use almondramp::settings::UpstreamKind;
+use sha2::Digest;
+use sha2::Sha256;
+use tempfile::TempDir;
+
+use crate::engine::Engine;
+use crate::engine::EngineConfig;
+use crate::engine::SeenPrefixes;
+use crate::ports::Ports;
+use crate::process::Launcher;
+use crate::process::Process;
+use crate::service::Service;
+
+/// The file by which the addresses of the settings are replaced.
+const OVERLAY: &str = "90-loopback.toml";
+
+const SITE_KEY: &str = "000102030405060708090a0b0c0d0e0f";
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteSpec {
+    /// The operators' settings; addresses in them are replaced.
+    pub document: Document,
+    /// The availability zone of each entry.
+    pub entry_zones: Vec<Name>,
+    /// How engines behave, by upstream; the default for those not named.
+    pub engines: BTreeMap<Name, EngineConfig>,
+    /// How the daemons are started.
+    pub launcher: Launcher,
+}
+
+/// A running site. Everything ends when it is dropped.
+pub struct Site {
+    /// Stand-ins of model engines, by upstream.
+    pub engines: BTreeMap<Name, Engine>,
+    /// Stand-ins of plain services, by upstream.
+    pub services: BTreeMap<Name, Service>,
+    /// The agents, by upstream.
+    pub agents: BTreeMap<Name, Process>,
+    /// The entries.
+    pub entries: Vec<Process>,
+    /// Where each entry listens for callers.
+    pub callers: Vec<SocketAddr>,
+    /// Where each entry serves its metrics.
+    pub admins: Vec<SocketAddr>,
+    /// The files that the daemons read.
+    pub folder: TempDir,
+    launcher: Launcher,
+    _ports: Ports,
+}
+
+impl Site {
+    /// Starts a site. The daemons may not be ready yet when this returns.
+    pub fn start(spec: &SiteSpec) -> Self {
+        let folder = TempDir::new().expect("a temporary folder can be made");
+        let mut site = Self {
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            entries: Vec::new(),
+            callers: Vec::new(),
+            admins: Vec::new(),
+            folder,
+            launcher: spec.launcher.clone(),
+            _ports: Ports::new(),
+        };
+        write(&site.folder.path().join("site.key"), SITE_KEY);
+        let settings = Settings::new(&spec.document).expect("the settings are valid");
+        site.start_upstreams(spec, &settings);
+        let overlay = site.start_agents(&settings);
+        site.write_settings(&spec.document, overlay);
+        for (i, zone) in spec.entry_zones.iter().enumerate() {
+            site.start_entry(i, zone);
+        }
+        site
+    }
+
+    /// Starts the agent of `upstream` anew.
+    pub fn restart_agent(&mut self, upstream: &str) {
+        let config = self.config_path(&format!("agent-{upstream}"));
+        let process = self.launcher.agent(&config);
+        self.agents.insert(Name::new(upstream), process);
+    }
+
+    /// Starts an entry anew.
+    pub fn restart_entry(&mut self, number: usize) {
+        let config = self.config_path(&format!("entry-{number}"));
+        self.entries[number] = self.launcher.entry(&config);
+    }
+
+    fn start_upstreams(&mut self, spec: &SiteSpec, settings: &Settings) {
+        let seen = SeenPrefixes::default();
+        for (name, upstream) in &settings.upstreams {
+            match upstream.kind {
+                UpstreamKind::Model => {
+                    let config = spec.engines.get(name).cloned().unwrap_or_default();
+                    let engine = Engine::start(config, SeenPrefixes::clone(&seen));
+                    self.engines.insert(name.clone(), engine);
+                }
+                UpstreamKind::Service => {
+                    self.services.insert(name.clone(), Service::start());
+                }
+            }
+        }
+    }
+
+    fn start_agents(&mut self, settings: &Settings) -> String {
+        let mut overlay = String::new();
+        for name in settings.upstreams.keys() {
+            let (agent, admin) = (self._ports.reserve(), self._ports.reserve());
+            let address = match self.engines.get(name) {
+                Some(engine) => engine.address(),
+                None => self.services[name].address(),
+            };
+            let _ = write!(
+                overlay,
+                "[upstreams.{name}]\naddress = \"{address}\"\nagent = \"{agent}\"\n"
+            );
+            let text = format!(
+                "name = \"agent-{name}\"\nupstream = \"{name}\"\nlisten = \"{agent}\"\n\
+                 admin = \"{admin}\"\nsite_key_file = \"site.key\"\n"
+            );
+            let config = self.config_path(&format!("agent-{name}"));
+            write(&config, &text);
+            let process = self.launcher.agent(&config);
+            self.agents.insert(name.clone(), process);
+        }
+        overlay
+    }
+
+    fn write_settings(&self, document: &Document, overlay: String) {
+        let folder = self.folder.path().join("settings");
+        fs::create_dir(&folder).expect("a folder can be made");
+        let overlay = File {
+            name: Name::new(OVERLAY),
+            text: overlay,
+        };
+        for f in document.files.iter().chain([&overlay]) {
+            write(&folder.join(f.name.as_str()), &f.text);
+        }
+    }
+
+    fn start_entry(&mut self, number: usize, zone: &Name) {
+        let (listen, admin) = (self._ports.reserve(), self._ports.reserve());
+        let text = format!(
+            "name = \"entry-{number}\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
+             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n\
+             settings.folder = \"settings\"\n"
+        );
+        let config = self.config_path(&format!("entry-{number}"));
+        write(&config, &text);
+        self.entries.push(self.launcher.entry(&config));
+        self.callers.push(listen);
+        self.admins.push(admin);
+    }
+
+    fn config_path(&self, process: &str) -> PathBuf {
+        self.folder.path().join(format!("{process}.toml"))
+    }
+}
+
+/// The digest of an API key, as it stands in settings.
+pub fn key_digest(key: &str) -> String {
+    let digest: [u8; 32] = Sha256::digest(key.as_bytes()).into();
+    almondramp::units::KeyDigest(digest).to_string()
+}
+
+fn write(path: &Path, text: &str) {
+    fs::write(path, text).expect("a file can be written");
+}
--- /dev/null
+++ b/tests/it/refusals.rs
@@ -0,0 +1,93 @@
+//! Every refusal is JSON with a typed code, and says whether the work ran.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::ANCHOR_KEY;
+use crate::support::Env;
+use crate::support::chat_body;
+use crate::support::settings;
+
+#[actix_rt::test]
+async fn bad_input_is_refused_by_code_and_not_run() {
+    let env = Env::new().await;
+    let chat = "/v1/chat/completions";
+    let good = chat_body("u", false, 1, "x");
+    let cases: [(&str, &str, &str, Value, u16); 6] = [
+        ("unknown-key", "wrong", chat, good.clone(), 401),
+        ("no-route", ANCHOR_KEY, "/nowhere", good.clone(), 404),
+        ("no-route", ANCHOR_KEY, "/portalx", good.clone(), 404),
+        (
+            "unknown-model",
+            ANCHOR_KEY,
+            chat,
+            json!({ "model": "none", "prompt": "x" }),
+            404,
+        ),
+        (
+            "invalid-body",
+            ANCHOR_KEY,
+            chat,
+            json!({ "model": "m" }),
+            400,
+        ),
+        ("invalid-body", ANCHOR_KEY, chat, json!([1, 2]), 400),
+    ];
+    for (code, key, path, body, status) in cases {
+        let reply = env.post_as(0, key, path, &body).await;
+        assert_eq!(
+            (reply.status, reply.code().as_str()),
+            (status, code),
+            "{reply:?}"
+        );
+        assert_eq!(reply.run(), "not-run");
+    }
+    assert_eq!(env.engine_runs("u"), 0);
+}
+
+#[actix_rt::test]
+async fn a_body_over_the_limit_is_refused() {
+    let env = Env::with(settings("limits.body = \"1KiB\""), 1).await;
+    let body = chat_body("u", false, 1, &"x".repeat(2000));
+    let reply = env.post("/v1/chat/completions", &body).await;
+    assert_eq!(
+        (reply.status, reply.code().as_str()),
+        (413, "body-too-large")
+    );
+}
+
+#[actix_rt::test]
+async fn what_cannot_be_done_in_time_is_refused_with_when_to_come_back() {
+    let more = "tiers.urgent.deadline = \"200ms\"\nupstreams.portal.slots = 1";
+    let env = Env::with(settings(more), 1).await;
+    for service in env.site.services.values() {
+        service.set_delay(Duration::from_millis(600));
+    }
+    let save = |id: &'static str| {
+        let env = &env;
+        async move { env.post("/portal/logs", &json!({ "id": id })).await }
+    };
+    let (first, second) = futures::join!(save("first"), save("second"));
+    let refused = if first.status == 200 { second } else { first };
+    assert_eq!(
+        (refused.status, refused.code().as_str()),
+        (503, "late"),
+        "{refused:?}"
+    );
+    assert_eq!(refused.run(), "not-run");
+    assert!(refused.retry_after.is_some());
+    let runs = env.service_runs("first") + env.service_runs("second");
+    assert_eq!(runs, 1);
+}
+
+#[actix_rt::test]
+async fn an_entry_without_a_reachable_agent_says_so() {
+    let mut env = Env::new().await;
+    env.site.agents.remove("portal");
+    env.wait_for_links(0, 2).await;
+    let reply = env.post("/portal/logs", &json!({ "id": "x" })).await;
+    assert_eq!((reply.status, reply.code().as_str()), (503, "unavailable"));
+    assert_eq!(reply.run(), "not-run");
+}
--- /dev/null
+++ b/tests/it/support.rs
@@ -0,0 +1,280 @@
+//! The test environment: a small site of built programs, and a caller.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use almondramp::http_client::new_client;
+use almondramp::name::Name;
+use almondramp::settings::Document;
+use almondramp::settings::File;
+use almondramp_standins::EngineConfig;
+use almondramp_standins::Launcher;
+use almondramp_standins::Site;
+use almondramp_standins::SiteSpec;
+use almondramp_standins::key_digest;
+use awc::Client;
+use awc::ClientResponse;
+use serde_json::Value;
+use serde_json::json;
+
+/// The API key of the small organisation in `settings`.
+pub const KEY: &str = "small-key";
+
+/// The API key of the large organisation in `settings`.
+pub const ANCHOR_KEY: &str = "anchor-key";
+
+/// The time that a site gets to become ready; a hang, not a speed, is caught.
+const READY: Duration = Duration::from_secs(30);
+
+/// A site and a caller.
+pub struct Env {
+    pub site: Site,
+    pub client: Client,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+    pub whole: bool,
+    pub retry_after: Option<String>,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    pub fn run(&self) -> String {
+        self.json()["error"]["run"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+pub fn launcher() -> Launcher {
+    Launcher::Programs {
+        entry: PathBuf::from(env!("CARGO_BIN_EXE_almondramp-entry")),
+        agent: PathBuf::from(env!("CARGO_BIN_EXE_almondramp-agent")),
+    }
+}
+
+/// Settings with two engines and one service, refined by `more`.
+pub fn settings(more: &str) -> Document {
+    let text = format!(
+        r#"
+        [tiers.urgent]
+        order = 0
+        deadline = "5s"
+        [tiers.batch]
+        order = 1
+        deadline = "30s"
+        [organisations.anchor]
+        tier = "urgent"
+        keys = ["{}"]
+        [organisations.small]
+        tier = "urgent"
+        keys = ["{}"]
+        [upstreams.engine-a]
+        kind = "model"
+        zone = "a"
+        address = "127.0.0.1:1"
+        agent = "127.0.0.1:2"
+        serves = ["m"]
+        slots = 4
+        cache_tokens = 65536
+        [upstreams.engine-b]
+        kind = "model"
+        zone = "b"
+        address = "127.0.0.1:3"
+        agent = "127.0.0.1:4"
+        serves = ["m"]
+        slots = 4
+        cache_tokens = 65536
+        [upstreams.portal]
+        kind = "service"
+        zone = "a"
+        address = "127.0.0.1:5"
+        agent = "127.0.0.1:6"
+        serves = ["portal"]
+        slots = 8
+        [routes.chat]
+        kind = "model"
+        path = "/v1/chat/completions"
+        [routes.portal]
+        kind = "service"
+        path = "/portal"
+        service = "portal"
+        "#,
+        key_digest(ANCHOR_KEY),
+        key_digest(KEY),
+    );
+    let base = File {
+        name: Name::new("10-base.toml"),
+        text,
+    };
+    let more = File {
+        name: Name::new("20-more.toml"),
+        text: more.to_owned(),
+    };
+    Document::new(vec![base, more])
+}
+
+impl Env {
+    /// A ready site with one entry.
+    pub async fn new() -> Self {
+        Self::with(settings(""), 1).await
+    }
+
+    /// A ready site with these settings and so many entries.
+    pub async fn with(document: Document, entries: usize) -> Self {
+        Self::with_engines(document, entries, BTreeMap::new()).await
+    }
+
+    /// A ready site whose engines behave as given.
+    pub async fn with_engines(
+        document: Document,
+        entries: usize,
+        engines: BTreeMap<Name, EngineConfig>,
+    ) -> Self {
+        let site = Site::start(&SiteSpec {
+            document,
+            entry_zones: vec![Name::new("a"); entries],
+            engines,
+            launcher: launcher(),
+        });
+        let client = new_client();
+        let env = Self { site, client };
+        let links = env.site.agents.len();
+        for entry in 0..entries {
+            env.wait_for_links(entry, links).await;
+        }
+        env
+    }
+
+    /// Waits until an entry is connected to so many agents.
+    pub async fn wait_for_links(&self, entry: usize, links: usize) {
+        let wanted = format!("almondramp_entry_links {links}");
+        self.wait_until(|| async {
+            let metrics = self.metrics(entry).await;
+            metrics.lines().any(|line| line == wanted)
+        })
+        .await;
+    }
+
+    /// Waits until `condition` holds.
+    pub async fn wait_until<F, Fut>(&self, condition: F)
+    where
+        F: Fn() -> Fut,
+        Fut: Future<Output = bool>,
+    {
+        let started = Instant::now();
+        while !condition().await {
+            assert!(started.elapsed() < READY, "waited in vain");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub async fn metrics(&self, entry: usize) -> String {
+        let url = format!("http://{}/metrics", self.site.admins[entry]);
+        let Ok(mut res) = self.client.get(url).send().await else {
+            return String::new();
+        };
+        let body = res.body().await.unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
+    /// Where the first entry listens.
+    pub fn caller(&self) -> SocketAddr {
+        self.site.callers[0]
+    }
+
+    /// Sends a chat request, streamed or whole, for `tokens` tokens.
+    pub async fn chat(&self, user: &str, stream: bool, tokens: u64) -> Reply {
+        let body = chat_body(user, stream, tokens, "is this tolerance right?");
+        self.post("/v1/chat/completions", &body).await
+    }
+
+    /// Sends a body as the small organisation to the first entry.
+    pub async fn post(&self, path: &str, body: &Value) -> Reply {
+        self.post_as(0, KEY, path, body).await
+    }
+
+    pub async fn post_as(&self, entry: usize, key: &str, path: &str, body: &Value) -> Reply {
+        let url = format!("http://{}{path}", self.site.callers[entry]);
+        let sent = self.client.post(url).bearer_auth(key).send_json(body);
+        match sent.await {
+            Ok(res) => read(res).await,
+            Err(e) => Reply {
+                status: 0,
+                body: e.to_string(),
+                whole: false,
+                retry_after: None,
+            },
+        }
+    }
+
+    /// How often the service ran the work of this id.
+    pub fn service_runs(&self, id: &str) -> u32 {
+        let ledgers = self.site.services.values().map(|s| s.ledger());
+        ledgers.filter_map(|l| l.runs.get(id).copied()).sum()
+    }
+
+    /// How often any engine ran the request of this user.
+    pub fn engine_runs(&self, user: &str) -> u32 {
+        let ledgers = self.site.engines.values().map(|e| e.ledger());
+        ledgers.filter_map(|l| l.runs.get(user).copied()).sum()
+    }
+}
+
+pub fn chat_body(user: &str, stream: bool, tokens: u64, prompt: &str) -> Value {
+    json!({
+        "model": "m",
+        "user": user,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+}
+
+/// The text that an engine answers to the request of `user`.
+pub fn expected_text(user: &str, tokens: u64) -> String {
+    (1..=tokens).map(|i| format!("{user}:{i} ")).collect()
+}
+
+/// The text of a streamed answer.
+pub fn streamed_text(body: &str) -> String {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .filter_map(|event| {
+            let text = &event["choices"][0]["delta"]["content"];
+            text.as_str().map(str::to_owned)
+        })
+        .collect()
+}
+
+pub async fn read(mut res: ClientResponse) -> Reply {
+    let retry_after = res.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let status = res.status().as_u16();
+    let body = res.body().limit(64 << 20).await;
+    Reply {
+        status,
+        retry_after,
+        whole: body.is_ok(),
+        body: String::from_utf8_lossy(&body.unwrap_or_default()).into_owned(),
+    }
+}
