Add a demo, an open-loop load and the burn report

Change: the example starts both users' settings folders, refined by one file of loopback addresses, as separate processes; the load is open-loop and seeded.

--- /dev/null
+++ b/examples/demo.rs
@@ -0,0 +1,220 @@
+//! Starts the shape of both users' deployments in small on the loopback
+//! address, sends each a short mixed load, and prints what came of it.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use almondramp::name::Name;
+use almondramp::operator::burn_report;
+use almondramp::settings::Document;
+use almondramp_standins::EngineConfig;
+use almondramp_standins::Launcher;
+use almondramp_standins::LoadClass;
+use almondramp_standins::LoadWork;
+use almondramp_standins::Site;
+use almondramp_standins::SiteSpec;
+use almondramp_standins::run_daemon_if_asked;
+use almondramp_standins::run_load;
+use almondramp_standins::summarise;
+use almondramp_standins::wait_until_ready;
+
+const SEED: u64 = 1;
+const LENGTH: Duration = Duration::from_secs(8);
+
+struct Deployment {
+    name: &'static str,
+    zones: &'static [&'static str],
+    load: Vec<LoadClass>,
+}
+
+fn main() {
+    run_daemon_if_asked();
+    actix_rt::System::new().block_on(async {
+        for deployment in [zobnik(), lada()] {
+            run(deployment).await;
+        }
+    });
+}
+
+async fn run(deployment: Deployment) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("examples")
+        .join(deployment.name);
+    let document = Document::read(&folder).expect("the example's settings can be read");
+    println!("== {}: starting", deployment.name);
+    let site = Site::start(&SiteSpec {
+        document,
+        entry_zones: deployment.zones.iter().map(|z| Name::new(z)).collect(),
+        engines: BTreeMap::new(),
+        launcher: Launcher::Itself,
+    });
+    wait_until_ready(&site).await;
+    println!(
+        "{} entries, {} agents; sending for {} s with seed {SEED}",
+        site.entries.len(),
+        site.agents.len(),
+        LENGTH.as_secs()
+    );
+    let callers = site.callers.clone();
+    let progress = |sent, ended| println!("  sent {sent}, ended {ended}");
+    let records = run_load(deployment.load, LENGTH, SEED, callers, progress).await;
+    println!("\ngoodput by tier");
+    for (tier, summary) in summarise(&records, |r| r.tier) {
+        println!(
+            "  {tier:<12} {:>4} of {:>4} good, {} late, others {:?}",
+            summary.good, summary.sent, summary.late, summary.refused
+        );
+    }
+    print_prefill(&site);
+    let entries: Vec<String> = site.admins.iter().map(|a| format!("http://{a}")).collect();
+    println!(
+        "\nservice-level burn\n{}",
+        burn_report(&entries).await.table()
+    );
+}
+
+fn print_prefill(site: &Site) {
+    let default = EngineConfig::default();
+    let ledgers = site.engines.values().map(|e| e.ledger());
+    let (mut all, mut wasted, mut recomputed) = (0, 0, 0);
+    for ledger in ledgers {
+        all += ledger.prefill;
+        wasted += ledger.wasted;
+        recomputed += ledger.recomputed;
+    }
+    println!(
+        "\nprefill: {all} tokens processed, {wasted} of them for work cut off, \
+         {recomputed} that some engine had processed before (caches hold {} tokens)",
+        default.cache_tokens
+    );
+}
+
+fn key(organisation: &str) -> String {
+    format!("{organisation}-sample-key")
+}
+
+fn chat(
+    model: &'static str,
+    own: std::ops::Range<usize>,
+    shared: usize,
+    output: std::ops::Range<u64>,
+) -> LoadWork {
+    LoadWork::Chat {
+        model,
+        own_bytes: own,
+        shared_bytes: shared,
+        groups: 4,
+        output,
+    }
+}
+
+fn class(
+    name: &'static str,
+    tier: &'static str,
+    organisation: &'static str,
+    path: &'static str,
+    rate: f64,
+    seconds: u64,
+    work: LoadWork,
+) -> LoadClass {
+    LoadClass {
+        name,
+        tier,
+        organisation,
+        key: key(organisation),
+        path,
+        rate,
+        deadline: Duration::from_secs(seconds),
+        work,
+    }
+}
+
+fn zobnik() -> Deployment {
+    let chats = "/v1/chat/completions";
+    let question = || chat("gear-large", 100..300, 0, 20..60);
+    let review = || chat("gear-large", 4_000..12_000, 12_000, 100..200);
+    Deployment {
+        name: "zobnik",
+        zones: &["a", "b", "c"],
+        load: vec![
+            class(
+                "question",
+                "urgent",
+                "celje-design",
+                chats,
+                20.0,
+                3,
+                question(),
+            ),
+            class(
+                "review",
+                "review",
+                "maribor-gears",
+                chats,
+                3.0,
+                60,
+                review(),
+            ),
+            class(
+                "question",
+                "review",
+                "kranj-pumps",
+                chats,
+                3.0,
+                60,
+                question(),
+            ),
+            class(
+                "sheet",
+                "background",
+                "koper-marine",
+                chats,
+                2.0,
+                600,
+                question(),
+            ),
+            class(
+                "log",
+                "review",
+                "celje-design",
+                "/portal/logs",
+                5.0,
+                10,
+                LoadWork::Save,
+            ),
+        ],
+    }
+}
+
+fn lada() -> Deployment {
+    let chats = "/v1/chat/completions";
+    let shade = || chat("shade-advisor", 60..160, 600, 10..30);
+    let brief = || chat("shade-advisor", 3_000..6_000, 2_000, 150..300);
+    Deployment {
+        name: "lada",
+        zones: &["a", "b", "c", "d"],
+        load: vec![
+            class("shade", "counter", "lada-counters", chats, 30.0, 2, shade()),
+            class("restock", "brief", "lada-buyers", chats, 3.0, 120, brief()),
+            class(
+                "testers",
+                "report",
+                "ana-franchise",
+                chats,
+                1.0,
+                600,
+                brief(),
+            ),
+            class(
+                "order",
+                "report",
+                "zora-wholesale",
+                "/stock/orders",
+                4.0,
+                10,
+                LoadWork::Save,
+            ),
+        ],
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::ValueHint;
@@ -36,10 +37,27 @@
     Show(PathBuf),
     /// Show how two folders differ.
     Diff(PathBuf, PathBuf),
+    /// Report service-level burn.
+    ReportBurn {
+        /// The addresses at which entries serve their metrics.
+        entries: Vec<String>,
+        /// The form of the report.
+        format: ReportFormat,
+    },
     /// Print the completions for a shell.
     Completions(Shell),
 }
 
+/// The form of a report.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReportFormat {
+    /// For people.
+    #[default]
+    Table,
+    /// For programs.
+    Json,
+}
+
 /// The command line of `almondramp-entry`.
 pub fn entry_command() -> Command {
     daemon_command(
@@ -79,6 +97,7 @@
                 .arg(folder_arg("before"))
                 .arg(folder_arg("after")),
         )
+        .subcommand(report_command())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -110,6 +129,7 @@
             path(matches, "before"),
             path(matches, "after"),
         )),
+        "report" => report_action(matches),
         "completions" => {
             let shell = matches.get_one::<Shell>("shell");
             shell.copied().map(OperatorAction::Completions)
@@ -118,6 +138,50 @@
     }
 }
 
+fn report_command() -> Command {
+    Command::new("report")
+        .about("Report what the entries have counted")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("burn")
+                .about("Report service-level burn by tier and organisation")
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .short('e')
+                        .value_name("URL")
+                        .help("Where an entry serves its metrics; may be repeated")
+                        .action(ArgAction::Append)
+                        .required(true),
+                )
+                .arg(
+                    Arg::new("format")
+                        .long("format")
+                        .value_name("FORMAT")
+                        .help("The form of the report")
+                        .value_parser(report_format_parser())
+                        .default_value("table"),
+                ),
+        )
+}
+
+fn report_action(matches: &ArgMatches) -> Option<OperatorAction> {
+    let (_, matches) = matches.subcommand()?;
+    let entries = matches.get_many::<String>("entry").unwrap_or_default();
+    let format = matches.get_one::<ReportFormat>("format");
+    Some(OperatorAction::ReportBurn {
+        entries: entries.cloned().collect(),
+        format: format.copied().unwrap_or_default(),
+    })
+}
+
+fn report_format_parser() -> impl TypedValueParser<Value = ReportFormat> {
+    PossibleValuesParser::new(["table", "json"]).map(|value| match value.as_str() {
+        "json" => ReportFormat::Json,
+        _ => ReportFormat::Table,
+    })
+}
+
 fn daemon_command(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .version(env!("CARGO_PKG_VERSION"))
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -18,7 +18,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Receiver;
 
+use crate::burn::BurnKey;
 use crate::clock::Moment;
+use crate::dispatch::Event;
 use crate::entry::error::CallerError;
 use crate::entry::request::Admission;
 use crate::entry::request::Job;
@@ -90,14 +92,21 @@
     }
 }
 
+/// The name under which requests of nobody in particular are counted.
+const NOBODY: &str = "none";
+
 fn count_refused(state: &EntryState, refused: &Refused) {
-    let unknown = Name::new("none");
-    let (organisation, tier) = match &refused.admission {
-        Some(admission) => (&admission.organisation, &admission.tier),
-        None => (&unknown, &unknown),
+    let key = match &refused.admission {
+        Some(admission) => BurnKey {
+            tier: admission.tier.clone(),
+            organisation: admission.organisation.clone(),
+        },
+        None => BurnKey {
+            tier: Name::new(NOBODY),
+            organisation: Name::new(NOBODY),
+        },
     };
-    let outcome = refused.error.outcome();
-    state.metrics.ended(organisation, tier, outcome);
+    state.count(key, refused.error.outcome(), None);
 }
 
 async fn serve(state: &Rc<EntryState>, req: &mut Request) -> Result<Response<BoxBody>, Refused> {
@@ -139,10 +148,7 @@
     request: RequestId,
     job: Job,
     arrived: Moment,
-    channel: (
-        mpsc::UnboundedSender<crate::dispatch::Event>,
-        mpsc::UnboundedReceiver<crate::dispatch::Event>,
-    ),
+    channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
 ) -> Response<BoxBody> {
     let (replies, mut received) = mpsc::channel(REPLIES_AHEAD);
     let serving = Serving::new(Rc::clone(state), request, job, arrived, channel, replies);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -183,4 +183,8 @@
     fn render_metrics(&self) -> String {
         EntryState::render_metrics(self)
     }
+
+    fn render_burn(&self) -> Option<String> {
+        serde_json::to_string(&self.burn()).ok()
+    }
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,6 +16,7 @@
 use crate::almondramp_capnp::FailureCode;
 use crate::almondramp_capnp::answer;
 use crate::almondramp_capnp::desk;
+use crate::burn::BurnKey;
 use crate::clock::Moment;
 use crate::dispatch::Action;
 use crate::dispatch::Dispatch;
@@ -442,11 +443,13 @@
         }
         let admission = &self.job.admission;
         let took = state.now().since(self.arrived);
-        state
-            .metrics
-            .ended(&admission.organisation, &admission.tier, outcome);
-        if let Some((agent, _)) = &self.accepted {
-            state.metrics.upstream_ended(agent, outcome);
+        let key = BurnKey {
+            tier: admission.tier.clone(),
+            organisation: admission.organisation.clone(),
+        };
+        let upstream = self.accepted.as_ref().map(|(agent, _)| agent);
+        state.count(key, outcome, upstream);
+        if upstream.is_some() {
             state.metrics.duration(&admission.tier, took.as_secs_f64());
         }
         info!(state.log, "request ended";
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,9 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::burn::BurnKey;
+use crate::burn::BurnLog;
+use crate::burn_report::EntryBurn;
 use crate::clock::Clock;
 use crate::clock::Moment;
 use crate::config::EntryConfig;
@@ -29,6 +33,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::outcome::Outcome;
 use crate::prefix::PrefixIndex;
 use crate::routing;
 use crate::routing::Candidate;
@@ -68,6 +73,8 @@
     rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
     released: Notify,
+    burn: RefCell<BurnLog>,
+    upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
 }
 
 impl EntryState {
@@ -97,6 +104,8 @@
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             stopping: Cell::new(false),
             released: Notify::new(),
+            burn: RefCell::default(),
+            upstream_outcomes: RefCell::default(),
         }
     }
 
@@ -248,6 +257,30 @@
         }
     }
 
+    /// Counts a request that ended; `upstream` is where it was dispatched.
+    pub fn count(&self, key: BurnKey, outcome: Outcome, upstream: Option<&Name>) {
+        self.metrics.ended(&key.organisation, &key.tier, outcome);
+        self.burn.borrow_mut().record(self.now(), key, outcome);
+        if let Some(upstream) = upstream {
+            self.metrics.upstream_ended(upstream, outcome);
+            let mut upstreams = self.upstream_outcomes.borrow_mut();
+            let outcomes = upstreams.entry(upstream.clone()).or_default();
+            *outcomes.entry(outcome).or_default() += 1;
+        }
+    }
+
+    /// What the entry says of the burn of its objectives.
+    pub fn burn(&self) -> EntryBurn {
+        let settings = self.current.settings();
+        let tiers = settings.tiers.iter();
+        EntryBurn {
+            entry: self.config.name.clone(),
+            objectives: tiers.map(|(n, t)| (n.clone(), t.objective)).collect(),
+            rows: self.burn.borrow().rows(self.now()),
+            upstreams: self.upstream_outcomes.borrow().clone(),
+        }
+    }
+
     /// The metrics as text.
     pub fn render_metrics(&self) -> String {
         let held = self.holding.borrow().len();
--- a/src/exit_codes.rs
+++ b/src/exit_codes.rs
@@ -6,25 +6,19 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExitCode {
     /// All was done.
-    Success,
+    Success = 0,
     /// Something failed while running.
-    Failure,
+    Failure = 1,
     /// The command line or the settings are not valid.
-    Invalid,
+    Invalid = 2,
     /// The change lost a race with another operator; nothing was written.
-    Conflict,
+    Conflict = 3,
     /// A part of the fleet could not be reached; the answer is partial.
-    Partial,
+    Partial = 4,
 }
 
 impl From<ExitCode> for ProcessCode {
     fn from(code: ExitCode) -> Self {
-        match code {
-            ExitCode::Success => Self::from(0),
-            ExitCode::Failure => Self::from(1),
-            ExitCode::Invalid => Self::from(2),
-            ExitCode::Conflict => Self::from(3),
-            ExitCode::Partial => Self::from(4),
-        }
+        Self::from(code as u8)
     }
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -40,9 +40,15 @@
 
     /// The metrics as text.
     fn render_metrics(&self) -> String;
+
+    /// The burn of the service-level objectives in JSON, where the daemon
+    /// counts it.
+    fn render_burn(&self) -> Option<String> {
+        None
+    }
 }
 
-/// Serves `/healthz`, `/readyz` and `/metrics` for the state that is
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/burn` for the state that is
 /// published under a name.
 pub struct HealthService<T> {
     observed: Name,
@@ -116,10 +122,24 @@
             .insert_header((header::CONTENT_TYPE, metrics::CONTENT_TYPE))
             .body(state.render_metrics())
             .map_into_boxed_body(),
+        "/burn" => burn(state),
         _ => Response::not_found().map_into_boxed_body(),
     }
 }
 
+fn burn<T>(state: &T) -> Response<BoxBody>
+where
+    T: Observed,
+{
+    match state.render_burn() {
+        Some(json) => Response::build(StatusCode::OK)
+            .insert_header((header::CONTENT_TYPE, "application/json"))
+            .body(json)
+            .map_into_boxed_body(),
+        None => Response::not_found().map_into_boxed_body(),
+    }
+}
+
 /// The answer of a process that runs.
 pub fn alive() -> Response<BoxBody> {
     Response::ok().map_into_boxed_body()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! almondramp: a request scheduler for unlike upstreams.
 
 pub mod agent;
+pub mod burn;
+pub mod burn_report;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/src/name.rs
+++ b/src/name.rs
@@ -47,6 +47,6 @@
 
 impl fmt::Display for Name {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.pad(&self.0)
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,11 +2,17 @@
 
 use std::io::Write;
 use std::path::Path;
+use std::time::Duration;
 
+use awc::Client;
 use eyre::Report;
 
+use crate::burn_report::BurnReport;
+use crate::burn_report::EntryBurn;
 use crate::cli::OperatorAction;
+use crate::cli::ReportFormat;
 use crate::exit_codes::ExitCode;
+use crate::http_client::new_client;
 use crate::settings::Document;
 use crate::settings::Merged;
 use crate::settings::Settings;
@@ -14,6 +20,12 @@
 use crate::settings::diff;
 use crate::settings::show;
 
+/// The time that an entry gets to answer.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The largest answer of an entry that is read, in bytes.
+const MAX_BURN_BYTES: usize = 64 << 20;
+
 /// Does what the command line asks for.
 pub fn run(action: OperatorAction) -> Result<ExitCode, Report> {
     match action {
@@ -24,6 +36,10 @@
             let lines: Vec<String> = changes.iter().map(|c| format!("{c}\n")).collect();
             print(&lines.concat())
         }
+        OperatorAction::ReportBurn { entries, format } => {
+            let report = actix_rt::System::new().block_on(burn_report(&entries));
+            print_burn(&report, format)
+        }
         OperatorAction::Completions(_) => Ok(ExitCode::Success),
     }
 }
@@ -39,6 +55,44 @@
     ))
 }
 
+/// Asks every entry for its counts.
+pub async fn burn_report(entries: &[String]) -> BurnReport {
+    let client = new_client();
+    let asked = entries.iter().map(|entry| ask_burn(&client, entry));
+    let answers = futures::future::join_all(asked).await;
+    let mut reached = Vec::new();
+    let mut unreachable = Vec::new();
+    for (entry, answer) in entries.iter().zip(answers) {
+        match answer {
+            Some(burn) => reached.push(burn),
+            None => unreachable.push(entry.clone()),
+        }
+    }
+    BurnReport::new(&reached, unreachable)
+}
+
+async fn ask_burn(client: &Client, entry: &str) -> Option<EntryBurn> {
+    let url = format!("{}/burn", entry.trim_end_matches('/'));
+    let asked = async {
+        let mut res = client.get(url).send().await.ok()?;
+        let body = res.body().limit(MAX_BURN_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    let timed = actix_rt::time::timeout(ENTRY_TIMEOUT, asked);
+    timed.await.ok().flatten()
+}
+
+fn print_burn(report: &BurnReport, format: ReportFormat) -> Result<ExitCode, Report> {
+    match format {
+        ReportFormat::Table => print(&report.table())?,
+        ReportFormat::Json => print(&format!("{}\n", serde_json::to_string(report)?))?,
+    };
+    Ok(match report.unreachable.is_empty() {
+        true => ExitCode::Success,
+        false => ExitCode::Partial,
+    })
+}
+
 /// Merges a folder; its values need not be valid, but its files must be.
 fn merge(folder: &Path) -> Result<Merged, SettingsError> {
     let merged = Merged::new(&Document::read(folder)?);
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -1,9 +1,23 @@
 //! How a request ended, as it counts for the service-level objective.
 
 use prometheus_client::encoding::EncodeLabelValue;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    EncodeLabelValue,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
 #[allow(non_camel_case_types)]
 pub enum Outcome {
     /// A whole, useful answer within the deadline.
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -12,6 +12,18 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+/// Runs a daemon in place of the calling program if its first argument names
+/// one; see `Launcher::Itself`. Call this first in `main`.
+pub fn run_daemon_if_asked() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let code = match args.first().map(String::as_str) {
+        Some("entry") => almondramp::programs::entry(&args),
+        Some("agent") => almondramp::programs::agent(&args),
+        _ => return,
+    };
+    std::process::exit(code as i32);
+}
+
 /// How the daemons are started.
 #[derive(Clone, Debug)]
 pub enum Launcher {
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -7,12 +7,16 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
 
+use almondramp::http_client::new_client;
 use almondramp::name::Name;
 use almondramp::settings::Document;
 use almondramp::settings::File;
 use almondramp::settings::Settings;
 use almondramp::settings::UpstreamKind;
+use awc::Client;
 use sha2::Digest;
 use sha2::Sha256;
 use tempfile::TempDir;
@@ -28,6 +32,11 @@
 /// The file by which the addresses of the settings are replaced.
 const OVERLAY: &str = "90-loopback.toml";
 
+/// The time that a site gets to become ready; it catches a hang, not a speed.
+const READY: Duration = Duration::from_secs(30);
+
+const MAX_METRICS_BYTES: usize = 64 << 20;
+
 const SITE_KEY: &str = "000102030405060708090a0b0c0d0e0f";
 
 /// What a site is made of.
@@ -173,6 +182,32 @@
     }
 }
 
+/// Waits until every entry is connected to every agent.
+pub async fn wait_until_ready(site: &Site) {
+    let client = new_client();
+    let wanted = format!("almondramp_entry_links {}", site.agents.len());
+    for admin in &site.admins {
+        let started = Instant::now();
+        while !metrics(&client, *admin).await.lines().any(|l| l == wanted) {
+            assert!(started.elapsed() < READY, "the site is not ready in time");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// The metrics of a daemon, empty where it can't be reached.
+pub async fn metrics(client: &Client, admin: SocketAddr) -> String {
+    let Ok(mut res) = client.get(format!("http://{admin}/metrics")).send().await else {
+        return String::new();
+    };
+    let body = res
+        .body()
+        .limit(MAX_METRICS_BYTES)
+        .await
+        .unwrap_or_default();
+    String::from_utf8_lossy(&body).into_owned()
+}
+
 /// The digest of an API key, as it stands in settings.
 pub fn key_digest(key: &str) -> String {
     let digest: [u8; 32] = Sha256::digest(key.as_bytes()).into();
