--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -124,7 +124,12 @@
         let i = (sorted.len() as f64 * part) as usize;
         sorted[i.min(sorted.len() - 1)].as_micros()
     };
-    println!("  {name:<24} p50 {:>6} p99 {:>6} max {:>6}", at(0.5), at(0.99), at(1.0));
+    println!(
+        "  {name:<24} p50 {:>6} p99 {:>6} max {:>6}",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
 }
 
 fn resident_mib(process: &Process) -> f64 {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -37,9 +37,9 @@
 /// Runs an agent until it is told to stop.
 pub async fn run(config: AgentConfig, log: Logger) -> Result<(), DaemonError> {
     let current = Rc::new(Current::new());
-    let source = config.settings.clone();
+    let (source, store) = (config.settings.clone(), config.store.clone());
     let kernel = Kernel::new()
-        .with_service(SettingsService::new(source, current, log.clone()))
+        .with_service(SettingsService::new(source, store, current, log.clone()))
         .with_service(StateService::new(config, log.clone()))
         .with_service(HealthService::<AgentState>::new(STATE))
         .with_service(ListenerService::new());
--- /dev/null
+++ b/src/apply/tests.rs
@@ -0,0 +1,179 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use proptest::prelude::*;
+use todc_utils::Action;
+use todc_utils::History;
+use todc_utils::Specification;
+use todc_utils::WGLChecker;
+
+use super::*;
+use crate::object_store::MemoryObjectStore;
+use crate::object_store::tests::FaultRates;
+use crate::object_store::tests::FaultyStore;
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const OPERATORS: usize = 4;
+const EDITS: usize = 3;
+
+fn file(name: &str, text: &str) -> File {
+    File {
+        name: Name::new(name),
+        text: text.to_owned(),
+    }
+}
+
+fn document(files: &[(&str, &str)]) -> Document {
+    Document::new(files.iter().map(|(n, t)| file(n, t)).collect())
+}
+
+fn tiers(edit: usize) -> String {
+    format!(
+        "tiers.urgent.order = 0\ntiers.urgent.deadline = \"{}s\"",
+        edit + 1
+    )
+}
+
+#[test]
+fn changes_to_different_files_merge_and_to_one_file_conflict() {
+    let seen = document(&[("a", "1"), ("b", "1")]);
+    let base = Base::new(&seen);
+    let mine = document(&[("a", "2"), ("b", "1")]);
+    let other = document(&[("a", "1"), ("b", "2"), ("c", "1")]);
+    let merged = merge(&base, &mine, &other);
+    assert_eq!(merged, Ok(document(&[("a", "2"), ("b", "2"), ("c", "1")])));
+    let same_file = document(&[("a", "3"), ("b", "1")]);
+    assert_eq!(merge(&base, &mine, &same_file), Err(vec![Name::new("a")]));
+}
+
+#[test]
+fn a_removed_file_stays_removed_unless_another_operator_changed_it() {
+    let base = Base::new(&document(&[("a", "1"), ("b", "1")]));
+    let mine = document(&[("b", "1")]);
+    assert_eq!(
+        merge(&base, &mine, &document(&[("a", "1"), ("b", "1")])),
+        Ok(mine.clone())
+    );
+    let changed = document(&[("a", "2"), ("b", "1")]);
+    assert_eq!(merge(&base, &mine, &changed), Err(vec![Name::new("a")]));
+}
+
+proptest! {
+    /// For every file of a merge: what only one side changed is kept, and
+    /// what both changed alike is kept; anything else is a conflict.
+    #[test]
+    fn no_edit_is_lost(files in prop::collection::vec((0u8..4, 0u8..4, 0u8..4), 1..6)) {
+        let pick = |side: fn(&(u8, u8, u8)) -> u8| {
+            let named = files.iter().enumerate().filter(|(_, f)| side(f) > 0);
+            let made = named.map(|(i, f)| file(&format!("f{i}"), &side(f).to_string()));
+            Document::new(made.collect())
+        };
+        let (seen, mine, theirs) = (pick(|f| f.0), pick(|f| f.1), pick(|f| f.2));
+        let merged = merge(&Base::new(&seen), &mine, &theirs);
+        let conflict = files.iter().any(|(s, m, t)| m != s && t != s && m != t);
+        prop_assert_eq!(merged.is_err(), conflict);
+        if let Ok(merged) = merged {
+            for (i, (s, m, t)) in files.iter().enumerate() {
+                let wanted = if m == s { t } else { m };
+                let name = format!("f{i}");
+                let text = merged.files.iter().find(|f| &*f.name == name.as_str());
+                let text = text.map_or("0".to_owned(), |f| f.text.clone());
+                prop_assert_eq!(text, wanted.to_string());
+            }
+        }
+    }
+}
+
+/// What an operator saw of the revision.
+#[derive(Clone, Debug)]
+enum Seen {
+    Applied(u64),
+    NotApplied,
+    Unclear,
+}
+
+struct RevisionSpec;
+
+/// The revisions that the store may have, from the lowest to the highest.
+impl Specification for RevisionSpec {
+    type State = (u64, u64);
+    type Operation = Seen;
+
+    fn init() -> (u64, u64) {
+        (0, 0)
+    }
+
+    fn apply(operation: &Seen, (low, high): &(u64, u64)) -> (bool, (u64, u64)) {
+        match operation {
+            Seen::Applied(r) => ((low + 1..=high + 1).contains(r), (*r, *r)),
+            Seen::NotApplied => (true, (*low, *high)),
+            Seen::Unclear => (true, (*low, high + 1)),
+        }
+    }
+}
+
+type Actions = Rc<RefCell<Vec<(usize, Action<Seen>)>>>;
+
+/// Edits a file of its own several times, and gives its last edit that surely
+/// was applied, and whether a later one may have been.
+async fn operate(store: FaultyStore, operator: usize, actions: Actions) -> (Option<usize>, bool) {
+    let name = format!("2{operator}.toml");
+    let mut base = Base::default();
+    let (mut last, mut unclear) = (None, false);
+    for edit in 0..EDITS {
+        let text = format!("limits.probes = {}", edit + 1);
+        let mine = document(&[("10.toml", &tiers(0)), (&name, &text)]);
+        actions
+            .borrow_mut()
+            .push((operator, Action::Call(Seen::Unclear)));
+        let applied = apply(&store, &base, &mine, (operator * 100 + edit) as u64).await;
+        actions.borrow_mut().push((
+            operator,
+            Action::Response(match &applied {
+                Ok(applied) => Seen::Applied(applied.revision.0),
+                Err(ApplyError::Unclear(_)) => Seen::Unclear,
+                Err(_) => Seen::NotApplied,
+            }),
+        ));
+        match applied {
+            Ok(applied) => {
+                base = applied.base;
+                (last, unclear) = (Some(edit), false);
+            }
+            Err(ApplyError::Unclear(_)) => unclear = true,
+            Err(_) => {}
+        }
+    }
+    (last, unclear)
+}
+
+#[actix_rt::test]
+async fn racing_operators_lose_no_edit_and_revisions_are_linearizable() {
+    for rates in FaultRates::TABLE {
+        for seed in SEEDS {
+            let store = Rc::new(MemoryObjectStore::new());
+            let actions = Actions::default();
+            let operators = (0..OPERATORS).map(|operator| {
+                let seed = seed * 31 + operator as u64;
+                let faulty = FaultyStore::new(Rc::clone(&store), rates, seed);
+                operate(faulty, operator, Rc::clone(&actions))
+            });
+            let ended = futures::future::join_all(operators).await;
+            let history = History::from_actions(actions.take());
+            let linearizable = WGLChecker::<RevisionSpec>::is_linearizable(history);
+            assert!(linearizable, "seed {seed}, {rates:?}");
+            let stored = fetch(&*store).await.expect("the store answers");
+            for (operator, (last, unclear)) in ended.into_iter().enumerate() {
+                let name = format!("2{operator}.toml");
+                let files = &stored.document.files;
+                let held = files.iter().find(|f| &*f.name == name.as_str());
+                let wanted = last.map(|edit| format!("limits.probes = {}", edit + 1));
+                let kept = held.map(|f| &f.text) == wanted.as_ref();
+                assert!(
+                    kept || unclear,
+                    "seed {seed}, {rates:?}, operator {operator}"
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/claims/tests.rs
@@ -0,0 +1,253 @@
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use todc_utils::Action;
+use todc_utils::History;
+use todc_utils::Specification;
+use todc_utils::WGLChecker;
+
+use super::*;
+use crate::name::Name;
+use crate::object_store::MemoryObjectStore;
+use crate::object_store::tests::FaultRates;
+use crate::object_store::tests::FaultyStore;
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const CLAIMANTS: u64 = 6;
+
+fn key(text: &str) -> ClaimKey {
+    ClaimKey::new(&Name::new("small"), text)
+}
+
+fn claim(nonce: u64, request: &str) -> Claim {
+    Claim {
+        nonce: Nonce(nonce),
+        request: Digest::new(&[request.as_bytes()]),
+        runs_until: unix_now() + 100,
+        kept_until: unix_now() + 1000,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 200,
+        content_type: None,
+        body: Some(Name::new("saved")),
+    }
+}
+
+#[test]
+fn a_repeated_key_is_answered_by_what_became_of_the_first() {
+    let mut book = Book::default();
+    let now = unix_now();
+    let first = Operation::Claim(key("k"), claim(1, "r"));
+    let repeat = Operation::Claim(key("k"), claim(2, "r"));
+    let other = Operation::Claim(key("k"), claim(3, "another"));
+    assert_eq!(book.apply(&first, now), Verdict::Granted);
+    assert_eq!(book.apply(&repeat, now), Verdict::Running);
+    assert_eq!(book.apply(&other, now), Verdict::Mismatch);
+    assert_eq!(book.apply(&repeat, now + 101), Verdict::Unknown);
+    let done = ClaimState::Done(answer());
+    book.apply(&Operation::Settle(key("k"), Nonce(1), done), now);
+    assert_eq!(book.apply(&repeat, now), Verdict::Done(answer()));
+    assert_eq!(book.apply(&repeat, now + 1001), Verdict::Granted);
+}
+
+#[test]
+fn keys_belong_to_their_organisation() {
+    let mine = ClaimKey::new(&Name::new("a"), "k");
+    let theirs = ClaimKey::new(&Name::new("b"), "k");
+    assert_ne!(mine, theirs);
+}
+
+#[test]
+fn only_the_claimant_settles_or_releases_its_claim() {
+    let mut book = Book::default();
+    let now = unix_now();
+    book.apply(&Operation::Claim(key("k"), claim(1, "r")), now);
+    book.apply(&Operation::Release(key("k"), Nonce(2)), now);
+    book.apply(
+        &Operation::Settle(key("k"), Nonce(2), ClaimState::Unknown),
+        now,
+    );
+    let repeat = Operation::Claim(key("k"), claim(3, "r"));
+    assert_eq!(book.apply(&repeat, now), Verdict::Running);
+}
+
+proptest! {
+    /// Whatever is applied, also twice in a row: a key is granted to a second
+    /// nonce only after the first was released or forgotten.
+    #[test]
+    fn a_key_is_granted_once(steps in prop::collection::vec((0u8..4, 0u64..4, 0u64..300), 1..60)) {
+        let mut book = Book::default();
+        let mut now = unix_now();
+        let mut holder: Option<(u64, bool, u64)> = None;
+        for (step, nonce, wait) in steps {
+            let operation = match step {
+                0 | 1 => Operation::Claim(key("k"), Claim { kept_until: now + 1000, ..claim(nonce, "r") }),
+                2 => Operation::Settle(key("k"), Nonce(nonce), ClaimState::Unknown),
+                _ => Operation::Release(key("k"), Nonce(nonce)),
+            };
+            let verdict = book.apply(&operation, now);
+            let mut again = book.clone();
+            prop_assert_eq!(again.apply(&operation, now), verdict.clone());
+            prop_assert_eq!(&again, &book);
+            holder = holder.filter(|(_, _, until)| *until > now);
+            match (step, verdict) {
+                (0 | 1, Verdict::Granted) => {
+                    prop_assert!(holder.is_none_or(|(n, open, _)| n == nonce && open));
+                    holder = holder.or(Some((nonce, true, now + 1000)));
+                }
+                (2, _) => if let Some((n, open, _)) = &mut holder && *n == nonce { *open = false },
+                (3, _) => holder = holder.filter(|(n, open, _)| *n != nonce || !open),
+                _ => {}
+            }
+            now += wait;
+        }
+    }
+}
+
+/// What a claimant saw of one claim on the key that all contend for.
+#[derive(Clone, Debug)]
+enum Seen {
+    Granted(u64),
+    Running,
+    Failed(u64),
+    Released(u64),
+}
+
+/// Who may hold the key. A claim that failed for its claimant may have been
+/// written, and is released later, at a time that nobody sees.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Holders {
+    possible: BTreeSet<Option<u64>>,
+    failed: BTreeSet<u64>,
+}
+
+impl Holders {
+    fn now(mut self, keep: impl Fn(&Option<u64>) -> bool) -> (bool, Self) {
+        self.possible.retain(|h| keep(h));
+        let valid = !self.possible.is_empty();
+        let failed = self
+            .possible
+            .iter()
+            .flatten()
+            .any(|h| self.failed.contains(h));
+        if failed {
+            self.possible.insert(None);
+        }
+        if self.possible.contains(&None) {
+            self.possible.extend(self.failed.iter().copied().map(Some));
+        }
+        (valid, self)
+    }
+}
+
+struct KeySpec;
+
+impl Specification for KeySpec {
+    type State = Holders;
+    type Operation = Seen;
+
+    fn init() -> Holders {
+        Holders {
+            possible: BTreeSet::from([None]),
+            failed: BTreeSet::new(),
+        }
+    }
+
+    fn apply(operation: &Seen, state: &Holders) -> (bool, Holders) {
+        let mut state = state.clone();
+        match operation {
+            Seen::Granted(nonce) => {
+                let free = state.possible.contains(&None);
+                state.possible = BTreeSet::from([Some(*nonce)]);
+                (free, state)
+            }
+            Seen::Running => state.now(Option::is_some),
+            Seen::Failed(nonce) => {
+                state.failed.insert(*nonce);
+                state.now(|_| true)
+            }
+            Seen::Released(nonce) => {
+                let held = state.possible.contains(&Some(*nonce));
+                state.possible = BTreeSet::from([None]);
+                let (_, state) = state.now(|_| true);
+                (held, state)
+            }
+        }
+    }
+}
+
+type Actions = Rc<RefCell<Vec<(usize, Action<Seen>)>>>;
+
+/// One claimant with a keeper of its own, as in a process of its own.
+async fn contend(store: FaultyStore, claimant: u64, seed: u64, actions: Actions) {
+    let keeper = Rc::new(ClaimKeeper::new(Rc::new(store)));
+    let mut rng = SmallRng::seed_from_u64(seed * 100 + claimant);
+    for turn in 0..3 {
+        let nonce = claimant * 10 + turn;
+        let process = usize::try_from(claimant).unwrap_or_default();
+        let record = |action| actions.borrow_mut().push((process, action));
+        record(Action::Call(Seen::Failed(nonce)));
+        let verdict = keeper.claim(key("contended"), claim(nonce, "r")).await;
+        record(Action::Response(match verdict {
+            Ok(Verdict::Granted) => Seen::Granted(nonce),
+            Ok(_) => Seen::Running,
+            Err(_) => Seen::Failed(nonce),
+        }));
+        if verdict == Ok(Verdict::Granted) && rng.random::<bool>() {
+            record(Action::Call(Seen::Released(nonce)));
+            keeper.note(
+                &key("contended"),
+                Operation::Release(key("contended"), Nonce(nonce)),
+            );
+            // The next verdict of this keeper comes after the release.
+            let probe = keeper.claim(key("contended"), claim(nonce + 5, "r"));
+            let probed = probe.await;
+            record(Action::Response(Seen::Released(nonce)));
+            if probed == Ok(Verdict::Granted) {
+                record(Action::Call(Seen::Granted(nonce + 5)));
+                record(Action::Response(Seen::Granted(nonce + 5)));
+            }
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn contended_claims_are_linearizable_whatever_the_store_does() {
+    tokio::time::pause();
+    for rates in FaultRates::TABLE {
+        for seed in SEEDS {
+            let store = Rc::new(MemoryObjectStore::new());
+            let actions = Actions::default();
+            let claimants = (0..CLAIMANTS).map(|claimant| {
+                let store = FaultyStore::new(Rc::clone(&store), rates, seed * 31 + claimant);
+                contend(store, claimant, seed, Rc::clone(&actions))
+            });
+            futures::future::join_all(claimants).await;
+            let history = History::from_actions(actions.take());
+            let linearizable = WGLChecker::<KeySpec>::is_linearizable(history);
+            assert!(linearizable, "seed {seed}, {rates:?}");
+        }
+    }
+}
+
+#[test]
+fn the_checker_finds_a_key_that_was_granted_twice() {
+    let twice = |process, nonce| {
+        [
+            (process, Action::Call(Seen::Granted(nonce))),
+            (process, Action::Response(Seen::Granted(nonce))),
+        ]
+    };
+    let actions = [twice(0, 1), twice(1, 2)].concat();
+    let history = History::from_actions(actions);
+    assert!(!WGLChecker::<KeySpec>::is_linearizable(history));
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -37,6 +37,38 @@
     Show(PathBuf),
     /// Show how two folders differ.
     Diff(PathBuf, PathBuf),
+    /// Write a folder to the store.
+    Apply {
+        /// The folder.
+        folder: PathBuf,
+        /// The address of the object API.
+        store: String,
+    },
+    /// Bring the store's files into a folder.
+    Fetch {
+        /// The folder.
+        folder: PathBuf,
+        /// The address of the object API.
+        store: String,
+    },
+    /// Show the state of the agents.
+    Status {
+        /// The folder that names the upstreams.
+        folder: PathBuf,
+        /// The file of the site's key.
+        site_key: PathBuf,
+        /// The form of the report.
+        format: ReportFormat,
+    },
+    /// Have an agent take no new work, and wait for its running work.
+    Drain {
+        /// The folder that names the upstreams.
+        folder: PathBuf,
+        /// The file of the site's key.
+        site_key: PathBuf,
+        /// The upstream.
+        upstream: String,
+    },
     /// Report service-level burn.
     ReportBurn {
         /// The addresses at which entries serve their metrics.
@@ -97,6 +129,37 @@
                 .arg(folder_arg("before"))
                 .arg(folder_arg("after")),
         )
+        .subcommand(
+            Command::new("apply")
+                .about("Check a folder and write it to the store, merged with others' changes")
+                .arg(folder_arg("folder"))
+                .arg(store_arg()),
+        )
+        .subcommand(
+            Command::new("fetch")
+                .about("Bring the settings in the store into a folder")
+                .arg(folder_arg("folder"))
+                .arg(store_arg()),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Show the state of every agent")
+                .arg(folder_arg("folder"))
+                .arg(site_key_arg())
+                .arg(format_arg()),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Have an agent take no new work, and wait for its running work")
+                .arg(
+                    Arg::new("upstream")
+                        .value_name("UPSTREAM")
+                        .help("The upstream whose agent is drained")
+                        .required(true),
+                )
+                .arg(folder_arg("folder"))
+                .arg(site_key_arg()),
+        )
         .subcommand(report_command())
         .subcommand(
             Command::new("completions")
@@ -129,6 +192,24 @@
             path(matches, "before"),
             path(matches, "after"),
         )),
+        "apply" => Some(OperatorAction::Apply {
+            folder: path(matches, "folder"),
+            store: text(matches, "store"),
+        }),
+        "fetch" => Some(OperatorAction::Fetch {
+            folder: path(matches, "folder"),
+            store: text(matches, "store"),
+        }),
+        "status" => Some(OperatorAction::Status {
+            folder: path(matches, "folder"),
+            site_key: path(matches, "site-key-file"),
+            format: format(matches),
+        }),
+        "drain" => Some(OperatorAction::Drain {
+            folder: path(matches, "folder"),
+            site_key: path(matches, "site-key-file"),
+            upstream: text(matches, "upstream"),
+        }),
         "report" => report_action(matches),
         "completions" => {
             let shell = matches.get_one::<Shell>("shell");
@@ -154,24 +235,16 @@
                         .action(ArgAction::Append)
                         .required(true),
                 )
-                .arg(
-                    Arg::new("format")
-                        .long("format")
-                        .value_name("FORMAT")
-                        .help("The form of the report")
-                        .value_parser(report_format_parser())
-                        .default_value("table"),
-                ),
+                .arg(format_arg()),
         )
 }
 
 fn report_action(matches: &ArgMatches) -> Option<OperatorAction> {
     let (_, matches) = matches.subcommand()?;
     let entries = matches.get_many::<String>("entry").unwrap_or_default();
-    let format = matches.get_one::<ReportFormat>("format");
     Some(OperatorAction::ReportBurn {
         entries: entries.cloned().collect(),
-        format: format.copied().unwrap_or_default(),
+        format: format(matches),
     })
 }
 
@@ -230,6 +303,35 @@
         .required(true)
 }
 
+fn store_arg() -> Arg {
+    Arg::new("store")
+        .long("store")
+        .short('s')
+        .value_name("URL")
+        .help("The address of the platform's object API")
+        .required(true)
+}
+
+fn site_key_arg() -> Arg {
+    Arg::new("site-key-file")
+        .long("site-key-file")
+        .short('k')
+        .value_name("FILE")
+        .help("The file of the key shared by all processes of the site")
+        .value_parser(value_parser!(PathBuf))
+        .value_hint(ValueHint::FilePath)
+        .required(true)
+}
+
+fn format_arg() -> Arg {
+    Arg::new("format")
+        .long("format")
+        .value_name("FORMAT")
+        .help("The form of the report")
+        .value_parser(report_format_parser())
+        .default_value("table")
+}
+
 fn shell_arg() -> Arg {
     Arg::new("shell")
         .value_name("SHELL")
@@ -241,3 +343,13 @@
     let path = matches.get_one::<PathBuf>(name);
     path.cloned().unwrap_or_default()
 }
+
+fn text(matches: &ArgMatches, name: &str) -> String {
+    let text = matches.get_one::<String>(name);
+    text.cloned().unwrap_or_default()
+}
+
+fn format(matches: &ArgMatches) -> ReportFormat {
+    let format = matches.get_one::<ReportFormat>("format");
+    format.copied().unwrap_or_default()
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -34,6 +34,12 @@
         /// What is wrong, and where.
         message: String,
     },
+    /// The settings are to come from a store of which no address is given.
+    #[error("{path}: settings = \"store\" needs the address of the store")]
+    NoStore {
+        /// The file.
+        path: PathBuf,
+    },
     /// The site's key can't be used.
     #[error("{path}")]
     SiteKey {
@@ -51,8 +57,8 @@
 pub enum SettingsSource {
     /// A folder that is read once.
     Folder(PathBuf),
-    /// The object API under this address.
-    Store(Name),
+    /// The object API.
+    Store,
     /// The processes that connect to this one.
     #[default]
     Peers,
@@ -73,6 +79,8 @@
     pub site_key: SiteKey,
     /// Where the operators' settings come from.
     pub settings: SettingsSource,
+    /// The address of the object API; none if the site has none.
+    pub store: Option<Name>,
     /// The address of the host list; none if the platform has none.
     pub host_list: Option<Name>,
 }
@@ -92,6 +100,8 @@
     pub site_key: SiteKey,
     /// Where the operators' settings come from.
     pub settings: SettingsSource,
+    /// The address of the object API; none if the site has none.
+    pub store: Option<Name>,
     /// The address of the host list; none if the platform has none.
     pub host_list: Option<Name>,
 }
@@ -106,6 +116,7 @@
     site_key_file: PathBuf,
     #[serde(default)]
     settings: SettingsSource,
+    store: Option<Name>,
     host_list: Option<Name>,
 }
 
@@ -119,6 +130,7 @@
     site_key_file: PathBuf,
     #[serde(default)]
     settings: SettingsSource,
+    store: Option<Name>,
     host_list: Option<Name>,
 }
 
@@ -128,7 +140,8 @@
         let f: EntryFile = parse(path)?;
         Ok(Self {
             site_key: read_site_key(&beside(path, &f.site_key_file))?,
-            settings: settle(path, f.settings),
+            settings: settle(path, f.settings, f.store.as_ref())?,
+            store: f.store,
             name: f.name,
             zone: f.zone,
             listen: f.listen,
@@ -144,7 +157,8 @@
         let f: AgentFile = parse(path)?;
         Ok(Self {
             site_key: read_site_key(&beside(path, &f.site_key_file))?,
-            settings: settle(path, f.settings),
+            settings: settle(path, f.settings, f.store.as_ref())?,
+            store: f.store,
             name: f.name,
             upstream: f.upstream,
             listen: f.listen,
@@ -181,10 +195,17 @@
     })
 }
 
-fn settle(file: &Path, source: SettingsSource) -> SettingsSource {
+fn settle(
+    file: &Path,
+    source: SettingsSource,
+    store: Option<&Name>,
+) -> Result<SettingsSource, ConfigError> {
     match source {
-        SettingsSource::Folder(folder) => SettingsSource::Folder(beside(file, &folder)),
-        other => other,
+        SettingsSource::Folder(folder) => Ok(SettingsSource::Folder(beside(file, &folder))),
+        SettingsSource::Store if store.is_none() => Err(ConfigError::NoStore {
+            path: file.to_owned(),
+        }),
+        other => Ok(other),
     }
 }
 
--- a/src/desk/tests.rs
+++ b/src/desk/tests.rs
@@ -1,1 +1,176 @@
+use std::collections::BTreeSet;
 
+use proptest::prelude::*;
+
+use super::*;
+use crate::ids::Incarnation;
+
+const GRANT_VALID: Duration = Duration::from_millis(100);
+
+fn request(sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: Incarnation(1),
+        sequence,
+    }
+}
+
+fn ticket(sequence: u64, order: u8, deadline: Moment) -> Ticket {
+    Ticket {
+        request: request(sequence),
+        organisation: Name::new("small"),
+        order,
+        deadline,
+        work: Work::default(),
+        prefix: Vec::new(),
+        idempotent: false,
+    }
+}
+
+fn desk(slots: usize) -> Desk {
+    Desk::new(DeskConfig {
+        slots,
+        tickets: 8,
+        grant_valid: GRANT_VALID,
+        weights: BTreeMap::new(),
+        cache_tokens: 0,
+    })
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::new(Duration::from_millis(millis))
+}
+
+fn offer_granted(desk: &mut Desk, sequence: u64, now: Moment) -> GrantId {
+    match desk.offer(now, ticket(sequence, 0, at(60_000))).0 {
+        Offered::Granted(grant) => grant.id,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+#[test]
+fn a_grant_can_be_accepted_once() {
+    let mut desk = desk(1);
+    let id = offer_granted(&mut desk, 1, at(0));
+    assert!(desk.accept(at(1), request(1), id).is_ok());
+    let again = desk.accept(at(2), request(1), id);
+    assert_eq!(again.map_err(|r| r.code).err(), Some(RefusalCode::Stale));
+}
+
+#[test]
+fn a_lapsed_grant_is_refused_by_the_agents_own_clock() {
+    let mut desk = desk(1);
+    let id = offer_granted(&mut desk, 1, at(0));
+    let late = desk.accept(at(101), request(1), id);
+    assert_eq!(late.map_err(|r| r.code).err(), Some(RefusalCode::Expired));
+}
+
+#[test]
+fn asking_for_the_fate_of_an_undispatched_request_keeps_it_undispatched() {
+    let mut desk = desk(1);
+    let id = offer_granted(&mut desk, 1, at(0));
+    assert_eq!(desk.fate(request(1)), Fate::NeverDispatched);
+    assert!(desk.accept(at(1), request(1), id).is_err());
+}
+
+#[test]
+fn a_draining_desk_hands_back_what_waits_and_keeps_what_runs() {
+    let mut desk = desk(1);
+    let id = offer_granted(&mut desk, 1, at(0));
+    assert!(desk.accept(at(1), request(1), id).is_ok());
+    desk.offer(at(1), ticket(2, 0, at(60_000)));
+    let notices = desk.drain();
+    assert!(matches!(notices[..], [Notice::HandedBack(r, _)] if r == request(2)));
+    assert_eq!(desk.fate(request(1)), Fate::Running);
+    let refused = desk.offer(at(2), ticket(3, 0, at(60_000))).0;
+    assert!(matches!(refused, Offered::Refused(r) if r.code == RefusalCode::Draining));
+}
+
+#[test]
+fn work_that_cannot_be_done_in_time_is_refused_at_once() {
+    let mut desk = desk(1);
+    let id = offer_granted(&mut desk, 1, at(0));
+    assert!(desk.accept(at(0), request(1), id).is_ok());
+    desk.finish(at(1000), request(1), None);
+    let refused = desk.offer(at(1000), ticket(2, 0, at(1500))).0;
+    assert!(matches!(refused, Offered::Refused(r) if r.code == RefusalCode::Late));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer(u64, u8),
+    Accept(u64, u64),
+    Withdraw(u64),
+    Finish(u64),
+    Fate(u64),
+    Wait(u64),
+    Drain,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let sequence = 0u64..12;
+    prop_oneof![
+        6 => (sequence.clone(), 0u8..3).prop_map(|(s, o)| Step::Offer(s, o)),
+        6 => (sequence.clone(), 0u64..4).prop_map(|(s, back)| Step::Accept(s, back)),
+        2 => sequence.clone().prop_map(Step::Withdraw),
+        3 => sequence.clone().prop_map(Step::Finish),
+        2 => sequence.prop_map(Step::Fate),
+        3 => (1u64..150).prop_map(Step::Wait),
+        1 => Just(Step::Drain),
+    ]
+}
+
+proptest! {
+    /// In any order of events, with late, repeated and made-up messages: a
+    /// request is dispatched at most once, never after its fate was said to
+    /// be `NeverDispatched` unless it was offered anew, never from a lapsed
+    /// grant, and never beyond the slots.
+    #[test]
+    fn a_request_is_dispatched_at_most_once(steps in prop::collection::vec(step(), 1..200)) {
+        let mut desk = desk(2);
+        let mut now = at(0);
+        let mut given: HashMap<u64, Vec<(GrantId, Moment)>> = HashMap::new();
+        let mut dispatched: BTreeSet<u64> = BTreeSet::new();
+        for step in steps {
+            let mut notices = Vec::new();
+            match step {
+                Step::Offer(s, order) => {
+                    let (offered, more) = desk.offer(now, ticket(s, order, now + Duration::from_secs(9)));
+                    if let Offered::Granted(grant) = offered {
+                        given.entry(s).or_default().push((grant.id, now));
+                    }
+                    notices = more;
+                }
+                Step::Accept(s, back) => {
+                    let grants = given.get(&s).cloned().unwrap_or_default();
+                    let grant = grants.iter().rev().nth(usize::try_from(back).unwrap_or(0));
+                    if let Some((id, since)) = grant
+                        && desk.accept(now, request(s), *id).is_ok()
+                    {
+                        prop_assert!(dispatched.insert(s), "{s} was dispatched twice");
+                        prop_assert!(now.since(*since) < GRANT_VALID);
+                    }
+                }
+                Step::Withdraw(s) => notices = desk.withdraw(now, request(s)),
+                Step::Finish(s) => notices = desk.finish(now, request(s), None),
+                Step::Fate(s) => {
+                    let ran = desk.fate(request(s)) != Fate::NeverDispatched;
+                    prop_assert_eq!(ran, dispatched.contains(&s));
+                    if !ran {
+                        given.remove(&s);
+                    }
+                }
+                Step::Wait(millis) => {
+                    now = now + Duration::from_millis(millis);
+                    notices = desk.tick(now);
+                }
+                Step::Drain => notices = desk.drain(),
+            }
+            for notice in notices {
+                if let Notice::Granted(r, grant) = notice {
+                    given.entry(r.sequence).or_default().push((grant.id, now));
+                }
+            }
+            prop_assert!(desk.running() <= 2);
+        }
+    }
+}
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -26,6 +26,8 @@
     NotRun,
     /// It may have been run.
     Unknown,
+    /// It has been run.
+    Ran,
 }
 
 /// Why a request was not answered by an upstream.
@@ -79,6 +81,21 @@
     /// No upstream can take the request now.
     #[error("no upstream can take the request now")]
     Unavailable(Duration),
+    /// The idempotency key was used for another request.
+    #[error("the idempotency key was used for another request")]
+    KeyMismatch,
+    /// A request with this idempotency key may be running.
+    #[error("a request with this idempotency key may be running")]
+    KeyRunning,
+    /// A request with this idempotency key has run; its answer was not kept.
+    #[error("a request with this idempotency key has run; its answer was not kept")]
+    KeyRan,
+    /// The claim on the idempotency key can't be written.
+    #[error("the claim on the idempotency key cannot be written")]
+    ClaimsUnavailable,
+    /// The site has no object store to keep idempotency keys in.
+    #[error("the site keeps no idempotency keys")]
+    ClaimsUnsupported,
     /// The request may have been run, but its answer is lost.
     #[error("the request may have been run; its answer is lost")]
     Unknown,
@@ -157,6 +174,11 @@
             Self::Late(_) => "late",
             Self::Limited(_) => "limited",
             Self::Unavailable(_) => "unavailable",
+            Self::KeyMismatch => "key-mismatch",
+            Self::KeyRunning => "key-running",
+            Self::KeyRan => "key-ran",
+            Self::ClaimsUnavailable => "claims-unavailable",
+            Self::ClaimsUnsupported => "claims-unsupported",
             Self::Unknown => "unknown-outcome",
             Self::UpstreamFailed => "upstream-failed",
         }
@@ -165,7 +187,8 @@
     /// Whether the request was run.
     pub fn run(&self) -> Run {
         match self {
-            Self::Unknown | Self::UpstreamFailed => Run::Unknown,
+            Self::Unknown | Self::UpstreamFailed | Self::KeyRunning => Run::Unknown,
+            Self::KeyRan => Run::Ran,
             _ => Run::NotRun,
         }
     }
@@ -180,10 +203,14 @@
                 StatusCode::BAD_REQUEST
             }
             Self::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyRunning | Self::KeyRan => StatusCode::CONFLICT,
+            Self::ClaimsUnsupported => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Limited(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
             | Self::Stopping
+            | Self::ClaimsUnavailable
             | Self::Overloaded(_)
             | Self::Late(_)
             | Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -194,7 +221,9 @@
     /// When coming back may help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NotReady | Self::Stopping => Some(Duration::from_secs(1)),
+            Self::NotReady | Self::Stopping | Self::ClaimsUnavailable | Self::KeyRunning => {
+                Some(Duration::from_secs(1))
+            }
             Self::Overloaded(after)
             | Self::Late(after)
             | Self::Limited(after)
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -19,11 +19,15 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::burn::BurnKey;
-use crate::clock::Moment;
 use crate::dispatch::Event;
 use crate::entry::error::CallerError;
+use crate::entry::keyed;
+use crate::entry::keyed::Keyed;
+use crate::entry::keyed::key_of;
+use crate::entry::keyed::replay;
 use crate::entry::request::Admission;
 use crate::entry::request::Job;
+use crate::entry::serve::Accepted;
 use crate::entry::serve::Reply;
 use crate::entry::serve::Serving;
 use crate::entry::state::EntryState;
@@ -137,23 +141,47 @@
     let body = body.await.map_err(&refused)?;
     let job = admission.with_body(req.head(), &settings, body);
     let job = job.map_err(&refused)?;
+    let claimed = match claim(state, req.head(), &job).await.map_err(&refused)? {
+        None => None,
+        Some(Keyed::Granted(claimed)) => Some(claimed),
+        Some(Keyed::Replayed(answer)) => return Ok(replay(&answer)),
+    };
     let Some(request) = held.request.take() else {
         return Err(full());
     };
-    Ok(answer(state, request, job, arrived, (events, heard)).await)
+    let accepted = Accepted {
+        request,
+        job,
+        arrived,
+        claimed,
+    };
+    Ok(answer(state, accepted, (events, heard)).await)
+}
+
+/// Claims the key of a request that carries one.
+async fn claim(
+    state: &EntryState,
+    head: &RequestHead,
+    job: &Job,
+) -> Result<Option<Keyed>, CallerError> {
+    let Some(key) = key_of(head, job)? else {
+        return Ok(None);
+    };
+    let keeper = state.claims.as_ref();
+    let keeper = keeper.ok_or(CallerError::ClaimsUnsupported)?;
+    let limits = &state.current.settings().limits;
+    keyed::claim(keeper, limits, job, &key).await.map(Some)
 }
 
 async fn answer(
     state: &Rc<EntryState>,
-    request: RequestId,
-    job: Job,
-    arrived: Moment,
+    accepted: Accepted,
     channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
 ) -> Response<BoxBody> {
     let (replies, mut received) = mpsc::channel(REPLIES_AHEAD);
-    let serving = Serving::new(Rc::clone(state), request, job, arrived, channel, replies);
+    let id = accepted.request.to_string();
+    let serving = Serving::new(Rc::clone(state), accepted, channel, replies);
     actix_rt::spawn(serving.run());
-    let id = request.to_string();
     match received.recv().await {
         Some(Reply::Head(status, headers)) => {
             let close = state.is_stopping();
@@ -247,11 +275,17 @@
             | Self::InvalidHeader(_)
             | Self::BodyTooLarge(_)
             | Self::BodyTimeout
+            | Self::KeyMismatch
+            | Self::KeyRunning
+            | Self::KeyRan
+            | Self::ClaimsUnsupported
             | Self::BodyBroken => Outcome::invalid,
             Self::Overloaded(_) => Outcome::overloaded,
             Self::Late(_) => Outcome::expired,
             Self::Limited(_) => Outcome::limited,
-            Self::NotReady | Self::Stopping | Self::Unavailable(_) => Outcome::unavailable,
+            Self::NotReady | Self::Stopping | Self::ClaimsUnavailable | Self::Unavailable(_) => {
+                Outcome::unavailable
+            }
             Self::Unknown | Self::UpstreamFailed => Outcome::unknown,
         }
     }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -11,21 +11,16 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use capnp_rpc::RpcSystem;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
 use rand::RngExt;
 use slog::Logger;
 use slog::debug;
 use slog::info;
 use slog::warn;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio_util::compat::TokioAsyncReadCompatExt;
-use tokio_util::compat::TokioAsyncWriteCompatExt;
 
-use crate::agent::reader_options;
+use crate::agent_client::Connected;
+use crate::agent_client::connect;
 use crate::almondramp_capnp::desk;
 use crate::almondramp_capnp::gate;
 use crate::config::EntryConfig;
@@ -39,8 +34,6 @@
 use crate::name::Name;
 use crate::settings::Document;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// The shortest time between two tries to connect.
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 
@@ -189,16 +182,9 @@
 
     /// Connects once and returns when the connection has ended.
     async fn connect(&self, upstream: &Name, address: SocketAddr) {
-        let connecting = TcpStream::connect(address);
-        let Ok(Ok(stream)) = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await else {
+        let Some(Connected { gate, rpc }) = connect(address).await else {
             return;
         };
-        let _ = stream.set_nodelay(true);
-        let (reader, writer) = stream.into_split();
-        let (reader, writer) = (reader.compat(), writer.compat_write());
-        let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
-        let mut rpc = RpcSystem::new(Box::new(network), None);
-        let gate: gate::Client = rpc.bootstrap(Side::Server);
         tokio::select! {
             _ = rpc => {}
             () = self.converse(upstream, &gate) => {}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod auth;
 mod error;
 mod http;
+mod keyed;
 mod links;
 mod metrics;
 mod prompt;
@@ -52,9 +53,9 @@
 /// Runs an entry until it is told to stop.
 pub async fn run(config: EntryConfig, log: Logger) -> Result<(), DaemonError> {
     let current = Rc::new(Current::new());
-    let source = config.settings.clone();
+    let (source, store) = (config.settings.clone(), config.store.clone());
     let kernel = Kernel::new()
-        .with_service(SettingsService::new(source, current, log.clone()))
+        .with_service(SettingsService::new(source, store, current, log.clone()))
         .with_service(StateService::new(config, log.clone()))
         .with_service(HealthService::<EntryState>::new(STATE))
         .with_service(CallerService::new());
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,6 +26,7 @@
 use crate::entry::answer::Part;
 use crate::entry::answer::Progress;
 use crate::entry::error::CallerError;
+use crate::entry::keyed::Claimed;
 use crate::entry::links::Link;
 use crate::entry::request::Job;
 use crate::entry::state::EntryState;
@@ -64,6 +65,18 @@
     Error(CallerError),
 }
 
+/// A request that was taken in.
+pub struct Accepted {
+    /// Its id.
+    pub request: RequestId,
+    /// What it is.
+    pub job: Job,
+    /// When its head arrived.
+    pub arrived: Moment,
+    /// The claim on its idempotency key, where it has one.
+    pub claimed: Option<Claimed>,
+}
+
 /// One request on its way.
 pub struct Serving {
     state: Rc<EntryState>,
@@ -83,6 +96,7 @@
     progress: Rc<Progress>,
     replies: Sender<Reply>,
     status: u16,
+    claimed: Option<Claimed>,
 }
 
 /// What a step of a request leads to.
@@ -92,16 +106,20 @@
 }
 
 impl Serving {
-    /// A request that was taken in at `arrived`; `events` and `heard` are the
-    /// ends of the channel under which it is held.
+    /// A request that was taken in; `events` and `heard` are the ends of the
+    /// channel under which it is held.
     pub fn new(
         state: Rc<EntryState>,
-        request: RequestId,
-        job: Job,
-        arrived: Moment,
+        accepted: Accepted,
         (events, heard): (UnboundedSender<Event>, UnboundedReceiver<Event>),
         replies: Sender<Reply>,
     ) -> Self {
+        let Accepted {
+            request,
+            job,
+            arrived,
+            claimed,
+        } = accepted;
         let limits = &state.current.settings().limits;
         let width = match limits.policy {
             Policy::LateBinding => limits.probes as usize,
@@ -123,6 +141,7 @@
             progress: Rc::default(),
             replies,
             status: 0,
+            claimed,
             state,
         }
     }
@@ -414,6 +433,13 @@
 
     /// Replies to the caller. One that has gone is noticed by `step`.
     async fn reply(&mut self, reply: Reply) -> Step {
+        if let Some(claimed) = &mut self.claimed {
+            match &reply {
+                Reply::Head(status, headers) => claimed.head(*status, headers),
+                Reply::Bytes(bytes) => claimed.bytes(bytes),
+                Reply::End | Reply::Broken | Reply::Error(_) => {}
+            }
+        }
         let _ = self.replies.send(reply).await;
         Step::Go
     }
@@ -435,7 +461,20 @@
         Step::Ended(Outcome::cancelled)
     }
 
+    /// Notes in the store what has become of claimed work.
+    fn settle_claim(&mut self, outcome: Outcome) {
+        let Some(claimed) = self.claimed.take() else {
+            return;
+        };
+        match (outcome, self.status) {
+            (Outcome::unknown, _) => claimed.unknown(),
+            (_, 0) => claimed.release(),
+            _ => claimed.done(),
+        }
+    }
+
     fn finish(&mut self, outcome: Outcome) {
+        self.settle_claim(outcome);
         let state = &self.state;
         for agent in &self.agents {
             state.links.unregister(agent, self.request);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -16,6 +16,7 @@
 use crate::burn::BurnKey;
 use crate::burn::BurnLog;
 use crate::burn_report::EntryBurn;
+use crate::claims::ClaimKeeper;
 use crate::clock::Clock;
 use crate::clock::Moment;
 use crate::config::EntryConfig;
@@ -33,6 +34,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::object_store::HttpObjectStore;
 use crate::outcome::Outcome;
 use crate::prefix::PrefixIndex;
 use crate::routing;
@@ -57,6 +59,8 @@
     pub current: Rc<Current>,
     /// The connections to agents.
     pub links: Rc<Links>,
+    /// The claims on idempotency keys; none without an object store.
+    pub claims: Option<Rc<ClaimKeeper>>,
     /// The metrics.
     pub metrics: EntryMetrics,
     /// The log.
@@ -87,8 +91,13 @@
         log: Logger,
     ) -> Self {
         let keys = Rc::new(KeyTable::new(&Settings::default()));
+        let claims = config.store.as_ref().map(|base| {
+            let store = Rc::new(HttpObjectStore::new(base));
+            Rc::new(ClaimKeeper::new(store))
+        });
         Self {
             config,
+            claims,
             incarnation,
             current,
             links,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,11 @@
 //! almondramp: a request scheduler for unlike upstreams.
 
 pub mod agent;
+pub mod agent_client;
+pub mod apply;
 pub mod burn;
 pub mod burn_report;
+pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/src/object_store/mod.rs
+++ b/src/object_store/mod.rs
@@ -13,6 +13,8 @@
 
 mod http;
 mod memory;
+#[cfg(test)]
+pub mod tests;
 
 pub use http::HttpObjectStore;
 pub use memory::MemoryObjectStore;
--- /dev/null
+++ b/src/object_store/tests.rs
@@ -0,0 +1,154 @@
+//! A store that fails by a seeded script, for the tests of its users, and the
+//! contract of the store inside the process.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures::FutureExt;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::*;
+
+/// The most times that a call gives way to others.
+const MAX_YIELDS: u32 = 4;
+
+/// How often, of all calls, each fault happens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultRates {
+    /// The call has no effect, and the caller knows.
+    pub unreachable: f64,
+    /// The call has no effect, and the caller does not know.
+    pub lost_call: f64,
+    /// The call takes effect, and the caller does not know.
+    pub lost_reply: f64,
+}
+
+impl FaultRates {
+    /// Each fault alone, then all together.
+    pub const TABLE: [Self; 5] = [
+        Self {
+            unreachable: 0.0,
+            lost_call: 0.0,
+            lost_reply: 0.0,
+        },
+        Self {
+            unreachable: 0.2,
+            lost_call: 0.0,
+            lost_reply: 0.0,
+        },
+        Self {
+            unreachable: 0.0,
+            lost_call: 0.2,
+            lost_reply: 0.0,
+        },
+        Self {
+            unreachable: 0.0,
+            lost_call: 0.0,
+            lost_reply: 0.3,
+        },
+        Self {
+            unreachable: 0.1,
+            lost_call: 0.1,
+            lost_reply: 0.2,
+        },
+    ];
+}
+
+/// A store in front of another that fails and lets others run in between.
+pub struct FaultyStore {
+    inner: Rc<MemoryObjectStore>,
+    rates: FaultRates,
+    rng: RefCell<SmallRng>,
+}
+
+enum Fault {
+    None,
+    Unreachable,
+    LostCall,
+    LostReply,
+}
+
+impl FaultyStore {
+    /// A store that draws its faults from `seed`.
+    pub fn new(inner: Rc<MemoryObjectStore>, rates: FaultRates, seed: u64) -> Self {
+        Self {
+            inner,
+            rates,
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    fn draw(&self) -> (Fault, u32) {
+        let mut rng = self.rng.borrow_mut();
+        let yields = rng.random_range(0..=MAX_YIELDS);
+        let at: f64 = rng.random();
+        let FaultRates {
+            unreachable,
+            lost_call,
+            lost_reply,
+        } = self.rates;
+        let fault = match at {
+            _ if at < unreachable => Fault::Unreachable,
+            _ if at < unreachable + lost_call => Fault::LostCall,
+            _ if at < unreachable + lost_call + lost_reply => Fault::LostReply,
+            _ => Fault::None,
+        };
+        (fault, yields)
+    }
+
+    async fn call<F, T>(&self, call: F) -> Result<T, StoreError>
+    where
+        F: FnOnce(&MemoryObjectStore) -> Result<T, StoreError>,
+    {
+        let (fault, yields) = self.draw();
+        for _ in 0..yields {
+            tokio::task::yield_now().await;
+        }
+        let result = match fault {
+            Fault::Unreachable => return Err(StoreError::Unreachable),
+            Fault::LostCall => return Err(StoreError::Unclear),
+            Fault::LostReply => {
+                let _ = call(&self.inner);
+                Err(StoreError::Unclear)
+            }
+            Fault::None => call(&self.inner),
+        };
+        tokio::task::yield_now().await;
+        result
+    }
+}
+
+impl ObjectStore for FaultyStore {
+    fn get(&self, name: Name) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
+        self.call(move |store| Ok(store.read(&name))).boxed_local()
+    }
+
+    fn put(
+        &self,
+        name: Name,
+        value: Bytes,
+        expected: Expected,
+    ) -> LocalBoxFuture<'_, Result<Version, StoreError>> {
+        self.call(move |store| store.write(name, value, &expected))
+            .boxed_local()
+    }
+
+    fn watch(
+        &self,
+        name: Name,
+        known: Option<Version>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
+        self.inner.watch(name, known, wait)
+    }
+}
+
+#[actix_rt::test]
+async fn a_value_that_is_too_large_is_refused() {
+    let store = MemoryObjectStore::new();
+    let value = Bytes::from(vec![0; MAX_OBJECT_BYTES + 1]);
+    let written = store.put(Name::new("x"), value, Expected::Absent).await;
+    assert_eq!(written, Err(StoreError::TooLarge));
+}
--- a/src/operator.rs
+++ b/src/operator/mod.rs
@@ -1,5 +1,8 @@
 //! What operators do from the command line.
 
+mod agents;
+mod store;
+
 use std::io::Write;
 use std::path::Path;
 use std::time::Duration;
@@ -36,6 +39,18 @@
             let lines: Vec<String> = changes.iter().map(|c| format!("{c}\n")).collect();
             print(&lines.concat())
         }
+        OperatorAction::Apply { folder, store } => store::apply_folder(&folder, &store),
+        OperatorAction::Fetch { folder, store } => store::fetch_folder(&folder, &store),
+        OperatorAction::Status {
+            folder,
+            site_key,
+            format,
+        } => agents::status(&folder, &site_key, format),
+        OperatorAction::Drain {
+            folder,
+            site_key,
+            upstream,
+        } => agents::drain(&folder, &site_key, &upstream),
         OperatorAction::ReportBurn { entries, format } => {
             let report = actix_rt::System::new().block_on(burn_report(&entries));
             print_burn(&report, format)
--- a/src/prefix/tests.rs
+++ b/src/prefix/tests.rs
@@ -1,1 +1,21 @@
+use super::*;
 
+#[test]
+fn prompts_share_the_hashes_of_their_common_prefix_only() {
+    let common = "c".repeat(3 * CHUNK_BYTES);
+    let first = chunk_hashes("m", format!("{common}{}", "x".repeat(600)).as_bytes());
+    let second = chunk_hashes("m", format!("{common}{}", "y".repeat(600)).as_bytes());
+    assert_eq!(first[..3], second[..3]);
+    assert_ne!(first[3], second[3]);
+    assert_ne!(first[0], chunk_hashes("other", common.as_bytes())[0]);
+}
+
+#[test]
+fn a_full_index_forgets_the_ends_of_old_prompts_first() {
+    let mut index = PrefixIndex::new(4);
+    index.touch(&[1, 2, 3]);
+    index.touch(&[7, 8]);
+    assert_eq!(index.len(), 4);
+    assert_eq!(index.matched(&[1, 2, 3]), 2);
+    assert_eq!(index.matched(&[7, 8]), 2);
+}
--- a/src/programs.rs
+++ b/src/programs.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 
 use crate::agent;
+use crate::apply::ApplyError;
 use crate::cli;
 use crate::cli::DaemonAction;
 use crate::cli::OperatorAction;
@@ -95,8 +96,10 @@
         eprintln!("{ERROR_PREFIX}: {line}");
     }
     let invalid = e.is::<ConfigError>() || e.is::<SettingsError>();
-    match invalid {
-        true => ExitCode::Invalid,
-        false => ExitCode::Failure,
+    let conflict = matches!(e.downcast_ref(), Some(ApplyError::Conflict(_)));
+    match (invalid, conflict) {
+        (true, _) => ExitCode::Invalid,
+        (_, true) => ExitCode::Conflict,
+        (false, false) => ExitCode::Failure,
     }
 }
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -1,1 +1,123 @@
+use std::time::Duration;
 
+use proptest::prelude::*;
+
+use super::*;
+use crate::ids::Incarnation;
+use crate::ticket::Work;
+
+fn ticket(sequence: u64, organisation: &str, order: u8, deadline: u64, prefill: u64) -> Ticket {
+    Ticket {
+        request: RequestId {
+            incarnation: Incarnation(1),
+            sequence,
+        },
+        organisation: Name::new(organisation),
+        order,
+        deadline: Moment::new(Duration::from_millis(deadline)),
+        work: Work {
+            prefill,
+            ..Work::default()
+        },
+        prefix: Vec::new(),
+        idempotent: false,
+    }
+}
+
+fn served(queue: &mut Queue) -> Vec<u64> {
+    std::iter::from_fn(|| queue.pop())
+        .map(|t| t.request.sequence)
+        .collect()
+}
+
+#[test]
+fn the_higher_tier_goes_first_and_then_the_earlier_deadline() {
+    let mut queue = Queue::new(10);
+    queue.push(ticket(1, "a", 1, 10, 1), 1);
+    queue.push(ticket(2, "a", 0, 90, 1), 1);
+    queue.push(ticket(3, "a", 0, 50, 1), 1);
+    assert_eq!(served(&mut queue), [3, 2, 1]);
+}
+
+#[test]
+fn a_small_organisation_waits_for_one_request_of_a_large_one_at_most() {
+    let mut queue = Queue::new(1000);
+    for sequence in 0..100 {
+        queue.push(ticket(sequence, "anchor", 0, 10, 100), 1);
+    }
+    queue.pop();
+    queue.push(ticket(500, "small", 0, 90, 100), 1);
+    let position = served(&mut queue).iter().position(|s| *s == 500);
+    assert!(position <= Some(1), "{position:?}");
+}
+
+#[test]
+fn weights_share_the_upstream_by_cost() {
+    let mut queue = Queue::new(1000);
+    for sequence in 0..200 {
+        queue.push(ticket(sequence, "heavy", 0, 10, 100), 3);
+        queue.push(ticket(1000 + sequence, "light", 0, 10, 100), 1);
+    }
+    let first = &served(&mut queue)[..80];
+    let heavy = first.iter().filter(|s| **s < 1000).count();
+    assert!((58..=62).contains(&heavy), "{heavy}");
+}
+
+#[test]
+fn a_full_queue_pushes_out_the_lowest_tier_only() {
+    let mut queue = Queue::new(2);
+    queue.push(ticket(1, "a", 1, 10, 1), 1);
+    queue.push(ticket(2, "a", 2, 10, 1), 1);
+    let pushed = queue.push(ticket(3, "a", 0, 10, 1), 1);
+    assert!(matches!(pushed, Pushed::Evicted(t) if t.request.sequence == 2));
+    let pushed = queue.push(ticket(4, "a", 1, 1, 1), 1);
+    assert!(matches!(pushed, Pushed::Full));
+}
+
+proptest! {
+    /// Whatever is pushed, popped, removed and expired: nothing is lost or
+    /// served twice, no lower tier is served while a higher one waits, and a
+    /// lower tier is always pushed out before a higher one.
+    #[test]
+    fn tickets_are_conserved_and_ordered(
+        steps in prop::collection::vec((0u8..5, 0u8..3, 0u8..4, 1u64..50), 1..200),
+    ) {
+        let mut queue = Queue::new(8);
+        let mut waiting: BTreeMap<u64, u8> = BTreeMap::new();
+        for (sequence, (step, order, organisation, cost)) in (0u64..).zip(steps) {
+            let lowest = waiting.values().max().copied();
+            match step {
+                0..=2 => {
+                    let name = format!("org-{organisation}");
+                    match queue.push(ticket(sequence, &name, order, cost, cost), 1) {
+                        Pushed::Queued => { waiting.insert(sequence, order); }
+                        Pushed::Evicted(victim) => {
+                            prop_assert_eq!(waiting.remove(&victim.request.sequence), lowest);
+                            prop_assert!(lowest > Some(order));
+                            waiting.insert(sequence, order);
+                        }
+                        Pushed::Full => prop_assert!(lowest <= Some(order)),
+                        Pushed::Duplicate => prop_assert!(false),
+                    }
+                }
+                3 => {
+                    let highest = waiting.values().min().copied();
+                    let popped = queue.pop();
+                    prop_assert_eq!(popped.as_ref().map(|t| t.order), highest);
+                    if let Some(t) = popped {
+                        prop_assert!(waiting.remove(&t.request.sequence).is_some());
+                    }
+                }
+                _ => {
+                    let now = Moment::new(Duration::from_millis(cost));
+                    for t in queue.expire(now) {
+                        prop_assert!(t.deadline <= now);
+                        prop_assert!(waiting.remove(&t.request.sequence).is_some());
+                    }
+                }
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert_eq!(queue.peek().is_none(), waiting.is_empty());
+        }
+    }
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -106,7 +106,7 @@
             self.report(path.to_owned(), expected_table());
             return None;
         }
-        let mut whole = true;
+        let mut removed: Vec<String> = Vec::new();
         let mut unknown: Vec<String> = Vec::new();
         loop {
             unknown.clear();
@@ -117,16 +117,20 @@
                 unknown
                     .iter()
                     .for_each(|key| self.report(format!("{path}.{key}"), Reason::UnknownKey));
-                return decoded.ok().filter(|_| whole);
+                return decoded.ok().filter(|_| removed.is_empty());
             };
-            whole = false;
             let first_key = track.path().iter().next().map(ToString::to_string);
             let reason = Reason::Value(first_line(&e));
             let Some(key) = first_key.filter(|k| remove(&mut value, k)) else {
-                self.report(path.to_owned(), reason);
+                // A key that was taken out is missing for that reason only.
+                let own = removed.iter().any(|key| is_missing(&reason, key));
+                if !own {
+                    self.report(path.to_owned(), reason);
+                }
                 return None;
             };
             self.report(join(path, &key), reason);
+            removed.push(key);
         }
     }
 
@@ -268,6 +272,10 @@
         .is_some_and(|t| t.remove(key).is_some())
 }
 
+fn is_missing(reason: &Reason, key: &str) -> bool {
+    matches!(reason, Reason::Value(text) if *text == format!("missing field `{key}`"))
+}
+
 fn expected_table() -> Reason {
     Reason::Value("expected a table".to_owned())
 }
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -184,6 +184,12 @@
     /// The time a stopping process gives to requests in flight.
     #[serde_as(as = "DurationText")]
     pub drain: Duration,
+    /// The time for which idempotency keys are remembered.
+    #[serde_as(as = "DurationText")]
+    pub keys_kept: Duration,
+    /// Objects over which claims on idempotency keys are spread. It must not
+    /// change while keys are remembered.
+    pub claim_shards: u32,
     /// Agents that receive a ticket of one request.
     pub probes: u32,
     /// How upstreams are chosen.
@@ -205,6 +211,8 @@
             resume: Duration::from_secs(10),
             run: Duration::from_secs(600),
             drain: Duration::from_secs(60),
+            keys_kept: Duration::from_secs(24 * 60 * 60),
+            claim_shards: 256,
             probes: 3,
             policy: Policy::default(),
         }
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -39,15 +39,22 @@
 /// Reads the settings and follows their changes.
 pub struct SettingsService {
     source: SettingsSource,
+    store: Option<Name>,
     current: Rc<Current>,
     log: Logger,
 }
 
 impl SettingsService {
     /// A service that puts the settings of `source` in force in `current`.
-    pub fn new(source: SettingsSource, current: Rc<Current>, log: Logger) -> Self {
+    pub fn new(
+        source: SettingsSource,
+        store: Option<Name>,
+        current: Rc<Current>,
+        log: Logger,
+    ) -> Self {
         Self {
             source,
+            store,
             current,
             log,
         }
@@ -80,8 +87,8 @@
                     let adopted = self.current.adopt(FOLDER_REVISION, document);
                     adopted.map_err(|e| self.failed(e))?;
                 }
-                SettingsSource::Store(base) => {
-                    let store = HttpObjectStore::new(base);
+                SettingsSource::Store => {
+                    let store = HttpObjectStore::new(self.store.as_deref().unwrap_or_default());
                     let current = Rc::clone(&self.current);
                     actix_rt::spawn(follow(store, current, self.log.clone()));
                 }
