--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -1,11 +1,9 @@
 //! Starts the shape of both users' deployments in small on the loopback
 //! address, sends each a short mixed load, and prints what came of it.
 
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
-use almondramp::name::Name;
 use almondramp::operator::burn_report;
 use almondramp::settings::Document;
 use almondramp_standins::EngineConfig;
@@ -43,12 +41,8 @@
         .join(deployment.name);
     let document = Document::read(&folder).expect("the example's settings can be read");
     println!("== {}: starting", deployment.name);
-    let site = Site::start(&SiteSpec {
-        document,
-        entry_zones: deployment.zones.iter().map(|z| Name::new(z)).collect(),
-        engines: BTreeMap::new(),
-        launcher: Launcher::Itself,
-    });
+    let spec = SiteSpec::new(document, Launcher::Itself).with_entries(deployment.zones);
+    let site = Site::start(&spec);
     wait_until_ready(&site).await;
     println!(
         "{} entries, {} agents; sending for {} s with seed {SEED}",
--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -2,7 +2,6 @@
 //! upstream that answers at once, requests a second through one entry, and
 //! the memory of each process.
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,7 +9,6 @@
 use std::time::Instant;
 
 use almondramp::http_client::new_client;
-use almondramp::name::Name;
 use almondramp::settings::Document;
 use almondramp_standins::Launcher;
 use almondramp_standins::Process;
@@ -36,12 +34,8 @@
 
 async fn measure() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/zobnik");
-    let site = Site::start(&SiteSpec {
-        document: Document::read(&folder).expect("the example's settings can be read"),
-        entry_zones: vec![Name::new("a")],
-        engines: BTreeMap::new(),
-        launcher: Launcher::Itself,
-    });
+    let document = Document::read(&folder).expect("the example's settings can be read");
+    let site = Site::start(&SiteSpec::new(document, Launcher::Itself));
     wait_until_ready(&site).await;
     let client = new_client();
     let service = site.services.values().next().expect("a service").address();
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -10,8 +10,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use almondramp::apply::Base;
+use almondramp::apply::apply;
 use almondramp::http_client::new_client;
 use almondramp::name::Name;
+use almondramp::object_store::HttpObjectStore;
 use almondramp::settings::Document;
 use almondramp::settings::File;
 use almondramp::settings::Settings;
@@ -24,9 +27,11 @@
 use crate::engine::Engine;
 use crate::engine::EngineConfig;
 use crate::engine::SeenPrefixes;
+use crate::platform::Platform;
 use crate::ports::Ports;
 use crate::process::Launcher;
 use crate::process::Process;
+use crate::relay::Relay;
 use crate::service::Service;
 
 /// The file by which the addresses of the settings are replaced.
@@ -48,10 +53,53 @@
     pub entry_zones: Vec<Name>,
     /// How engines behave, by upstream; the default for those not named.
     pub engines: BTreeMap<Name, EngineConfig>,
+    /// The address of the platform. With one, settings come from its store
+    /// and idempotency keys are kept there.
+    pub platform: Option<String>,
+    /// Whether a relay stands in front of each agent.
+    pub relays: bool,
     /// How the daemons are started.
     pub launcher: Launcher,
 }
 
+impl SiteSpec {
+    /// A site with one entry in zone `a`, without a platform and relays.
+    pub fn new(document: Document, launcher: Launcher) -> Self {
+        Self {
+            document,
+            entry_zones: vec![Name::new("a")],
+            engines: BTreeMap::new(),
+            platform: None,
+            relays: false,
+            launcher,
+        }
+    }
+
+    /// The same site with one entry in each of these zones.
+    pub fn with_entries(mut self, zones: &[&str]) -> Self {
+        self.entry_zones = zones.iter().map(|z| Name::new(z)).collect();
+        self
+    }
+
+    /// The same site with an engine that behaves as given.
+    pub fn with_engine(mut self, upstream: &str, config: EngineConfig) -> Self {
+        self.engines.insert(Name::new(upstream), config);
+        self
+    }
+
+    /// The same site with a platform.
+    pub fn with_platform(mut self, platform: &Platform) -> Self {
+        self.platform = Some(platform.url());
+        self
+    }
+
+    /// The same site with relays in front of the agents.
+    pub fn with_relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
+}
+
 /// A running site. Everything ends when it is dropped.
 pub struct Site {
     /// Stand-ins of model engines, by upstream.
@@ -66,8 +114,13 @@
     pub callers: Vec<SocketAddr>,
     /// Where each entry serves its metrics.
     pub admins: Vec<SocketAddr>,
+    /// The relays in front of the agents, by upstream.
+    pub relays: BTreeMap<Name, Relay>,
+    /// The operators' settings with the addresses in use.
+    pub document: Document,
     /// The files that the daemons read.
     pub folder: TempDir,
+    platform: Option<String>,
     launcher: Launcher,
     _ports: Ports,
 }
@@ -83,14 +136,17 @@
             entries: Vec::new(),
             callers: Vec::new(),
             admins: Vec::new(),
+            relays: BTreeMap::new(),
+            document: Document::default(),
             folder,
+            platform: spec.platform.clone(),
             launcher: spec.launcher.clone(),
             _ports: Ports::new(),
         };
-        write(&site.folder.path().join("site.key"), SITE_KEY);
+        write(&site.site_key_file(), SITE_KEY);
         let settings = Settings::new(&spec.document).expect("the settings are valid");
         site.start_upstreams(spec, &settings);
-        let overlay = site.start_agents(&settings);
+        let overlay = site.start_agents(spec, &settings);
         site.write_settings(&spec.document, overlay);
         for (i, zone) in spec.entry_zones.iter().enumerate() {
             site.start_entry(i, zone);
@@ -127,7 +183,7 @@
         }
     }
 
-    fn start_agents(&mut self, settings: &Settings) -> String {
+    fn start_agents(&mut self, spec: &SiteSpec, settings: &Settings) -> String {
         let mut overlay = String::new();
         for name in settings.upstreams.keys() {
             let (agent, admin) = (self._ports.reserve(), self._ports.reserve());
@@ -135,9 +191,15 @@
                 Some(engine) => engine.address(),
                 None => self.services[name].address(),
             };
+            let mut reached = agent;
+            if spec.relays {
+                let relay = Relay::start(agent);
+                reached = relay.address();
+                self.relays.insert(name.clone(), relay);
+            }
             let _ = write!(
                 overlay,
-                "[upstreams.{name}]\naddress = \"{address}\"\nagent = \"{agent}\"\n"
+                "[upstreams.{name}]\naddress = \"{address}\"\nagent = \"{reached}\"\n"
             );
             let text = format!(
                 "name = \"agent-{name}\"\nupstream = \"{name}\"\nlisten = \"{agent}\"\n\
@@ -151,24 +213,44 @@
         overlay
     }
 
-    fn write_settings(&self, document: &Document, overlay: String) {
-        let folder = self.folder.path().join("settings");
+    fn write_settings(&mut self, document: &Document, overlay: String) {
+        let folder = self.settings_folder();
         fs::create_dir(&folder).expect("a folder can be made");
-        let overlay = File {
+        let mut files = document.files.clone();
+        files.push(File {
             name: Name::new(OVERLAY),
             text: overlay,
-        };
-        for f in document.files.iter().chain([&overlay]) {
+        });
+        for f in &files {
             write(&folder.join(f.name.as_str()), &f.text);
         }
+        self.document = Document::new(files);
+        if let Some(platform) = self.platform.clone() {
+            apply_in_thread(platform, self.document.clone());
+        }
+    }
+
+    /// The folder of the operators' settings.
+    pub fn settings_folder(&self) -> PathBuf {
+        self.folder.path().join("settings")
+    }
+
+    /// The file of the site's key.
+    pub fn site_key_file(&self) -> PathBuf {
+        self.folder.path().join("site.key")
     }
 
     fn start_entry(&mut self, number: usize, zone: &Name) {
         let (listen, admin) = (self._ports.reserve(), self._ports.reserve());
+        let source = match &self.platform {
+            Some(url) => {
+                format!("settings = \"store\"\nstore = \"{url}\"\nhost_list = \"{url}\"\n")
+            }
+            None => "settings.folder = \"settings\"\n".to_owned(),
+        };
         let text = format!(
             "name = \"entry-{number}\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
-             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n\
-             settings.folder = \"settings\"\n"
+             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{source}"
         );
         let config = self.config_path(&format!("entry-{number}"));
         write(&config, &text);
@@ -182,6 +264,18 @@
     }
 }
 
+/// Applies settings to an empty store.
+fn apply_in_thread(platform: String, document: Document) {
+    let applying = std::thread::spawn(move || {
+        let store = HttpObjectStore::new(&platform);
+        let base = Base::default();
+        let applied = apply(&store, &base, &document, 1);
+        actix_rt::System::new().block_on(applied).map(drop)
+    });
+    let applied = applying.join().expect("the thread ends");
+    applied.expect("the settings are applied");
+}
+
 /// Waits until every entry is connected to every agent.
 pub async fn wait_until_ready(site: &Site) {
     let client = new_client();
--- a/tests/it/refusals.rs
+++ b/tests/it/refusals.rs
@@ -49,7 +49,7 @@
 
 #[actix_rt::test]
 async fn a_body_over_the_limit_is_refused() {
-    let env = Env::with(settings("limits.body = \"1KiB\""), 1).await;
+    let env = Env::with(settings("limits.body = \"1KiB\"")).await;
     let body = chat_body("u", false, 1, &"x".repeat(2000));
     let reply = env.post("/v1/chat/completions", &body).await;
     assert_eq!(
@@ -61,7 +61,7 @@
 #[actix_rt::test]
 async fn what_cannot_be_done_in_time_is_refused_with_when_to_come_back() {
     let more = "tiers.urgent.deadline = \"200ms\"\nupstreams.portal.slots = 1";
-    let env = Env::with(settings(more), 1).await;
+    let env = Env::with(settings(more)).await;
     for service in env.site.services.values() {
         service.set_delay(Duration::from_millis(600));
     }
--- a/tests/it/support.rs
+++ b/tests/it/support.rs
@@ -1,6 +1,5 @@
 //! The test environment: a small site of built programs, and a caller.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -10,11 +9,12 @@
 use almondramp::name::Name;
 use almondramp::settings::Document;
 use almondramp::settings::File;
-use almondramp_standins::EngineConfig;
 use almondramp_standins::Launcher;
 use almondramp_standins::Site;
 use almondramp_standins::SiteSpec;
 use almondramp_standins::key_digest;
+use almondramp_standins::metrics;
+use almondramp_standins::wait_until_ready;
 use awc::Client;
 use awc::ClientResponse;
 use serde_json::Value;
@@ -71,6 +71,11 @@
     }
 }
 
+/// A site of the built programs.
+pub fn spec(document: Document) -> SiteSpec {
+    SiteSpec::new(document, launcher())
+}
+
 /// Settings with two engines and one service, refined by `more`.
 pub fn settings(more: &str) -> Document {
     let text = format!(
@@ -135,33 +140,20 @@
 impl Env {
     /// A ready site with one entry.
     pub async fn new() -> Self {
-        Self::with(settings(""), 1).await
+        Self::with(settings("")).await
     }
 
-    /// A ready site with these settings and so many entries.
-    pub async fn with(document: Document, entries: usize) -> Self {
-        Self::with_engines(document, entries, BTreeMap::new()).await
+    /// A ready site with these settings and one entry.
+    pub async fn with(document: Document) -> Self {
+        Self::start(&spec(document)).await
     }
 
-    /// A ready site whose engines behave as given.
-    pub async fn with_engines(
-        document: Document,
-        entries: usize,
-        engines: BTreeMap<Name, EngineConfig>,
-    ) -> Self {
-        let site = Site::start(&SiteSpec {
-            document,
-            entry_zones: vec![Name::new("a"); entries],
-            engines,
-            launcher: launcher(),
-        });
+    /// A ready site.
+    pub async fn start(spec: &SiteSpec) -> Self {
+        let site = Site::start(spec);
+        wait_until_ready(&site).await;
         let client = new_client();
-        let env = Self { site, client };
-        let links = env.site.agents.len();
-        for entry in 0..entries {
-            env.wait_for_links(entry, links).await;
-        }
-        env
+        Self { site, client }
     }
 
     /// Waits until an entry is connected to so many agents.
@@ -188,12 +180,7 @@
     }
 
     pub async fn metrics(&self, entry: usize) -> String {
-        let url = format!("http://{}/metrics", self.site.admins[entry]);
-        let Ok(mut res) = self.client.get(url).send().await else {
-            return String::new();
-        };
-        let body = res.body().await.unwrap_or_default();
-        String::from_utf8_lossy(&body).into_owned()
+        metrics(&self.client, self.site.admins[entry]).await
     }
 
     /// Where the first entry listens.
