Learn the time of work by least squares and discount tickets served elsewhere

Cause: the pace was a mean of ratios, which small requests dominate, and a ticket that waits at three agents counted three times in the wait that each expected. Both made urgent work look late (seen in the agents' logs: waits of 2.7 s expected with 250 to 500 tickets, most of them duplicates). The load also sent the anchor's reviews as urgent: it now names its tier.

Change: time from dispatch to end is fitted over prompt and generated tokens; queues cost what work is expected to take in a slot, corrected by what it took; the part of tickets that is served here is learnt.

--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -40,6 +40,7 @@
 struct Quote {
   startMillis @0 :UInt64;     # expected wait until dispatch
   cachedTokens @1 :UInt64;    # prefix tokens the engine is believed to hold
+  savingMillis @2 :UInt64;    # time that not processing them again saves
 }
 
 struct Grant {
@@ -114,7 +115,7 @@
   running @4 :UInt64;
   slots @5 :UInt64;
   draining @6 :Bool;
-  secondsPerToken @7 :Float64;
+  secondsPerToken @7 :Float64;  # measured, for a generated token
 }
 
 interface Desk {
--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -52,7 +52,8 @@
     waiting: Gauge,
     running: Gauge,
     slots: Gauge,
-    seconds_per_cost: Gauge<f64, AtomicU64>,
+    seconds_per_prefill_token: Gauge<f64, AtomicU64>,
+    seconds_per_output_token: Gauge<f64, AtomicU64>,
 }
 
 impl AgentMetrics {
@@ -69,7 +70,8 @@
             waiting: Gauge::default(),
             running: Gauge::default(),
             slots: Gauge::default(),
-            seconds_per_cost: Gauge::default(),
+            seconds_per_prefill_token: Gauge::default(),
+            seconds_per_output_token: Gauge::default(),
             registry: Registry::default(),
         };
         let r = &mut registry;
@@ -103,9 +105,14 @@
         );
         r.register("slots", "Requests in flight at most", this.slots.clone());
         r.register(
-            "seconds_per_cost",
-            "Measured pace of the upstream, in seconds for a prefill token",
-            this.seconds_per_cost.clone(),
+            "seconds_per_prefill_token",
+            "Measured time for a prompt token",
+            this.seconds_per_prefill_token.clone(),
+        );
+        r.register(
+            "seconds_per_output_token",
+            "Measured time for a generated token",
+            this.seconds_per_output_token.clone(),
         );
         Self { registry, ..this }
     }
@@ -142,7 +149,9 @@
         self.waiting.set(desk.waiting() as i64);
         self.running.set(desk.running() as i64);
         self.slots.set(desk.slots() as i64);
-        self.seconds_per_cost.set(desk.pace().seconds_per_cost());
+        let (prefill, output) = desk.pace().fit();
+        self.seconds_per_prefill_token.set(prefill);
+        self.seconds_per_output_token.set(output);
     }
 
     /// The metrics as text.
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -195,7 +195,7 @@
             status.set_running(desk.running() as u64);
             status.set_slots(desk.slots() as u64);
             status.set_draining(desk.is_draining());
-            status.set_seconds_per_token(desk.pace().seconds_per_cost());
+            status.set_seconds_per_token(desk.pace().fit().1);
         });
         Ok(())
     }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt;
 use slog::Logger;
 use slog::debug;
 use slog::info;
@@ -331,11 +332,34 @@
         };
         let sent = self.upstream.send(address, &job.call, job.idempotent);
         match sent.await {
-            Ok(response) => receive(response, job, answering).await,
+            Ok(response) => self.receive(response, job, answering).await,
             Err(CallError::NotDispatched) => End::Failed(Failure::NotDispatched),
             Err(CallError::Failed) => End::Failed(Failure::Upstream),
         }
     }
+
+    async fn receive(&self, mut response: Response, job: &Job, answering: &Answering) -> End {
+        let mut usage = UsageReader::new(form_of(&response, job));
+        let headers = answer_headers(&response);
+        answering.head(response.status().as_u16(), headers);
+        let mut begun = false;
+        while let Some(part) = response.next().await {
+            let Ok(bytes) = part else {
+                return End::Failed(Failure::Upstream);
+            };
+            if !begun {
+                begun = true;
+                let notices = self.desk.borrow_mut().answering(self.now(), job.request);
+                self.tell(notices);
+            }
+            usage.push(&bytes);
+            answering.push(bytes).await;
+        }
+        if !usage.is_whole() {
+            return End::Failed(Failure::Upstream);
+        }
+        End::Whole(usage.work(job.work))
+    }
 }
 
 impl Observed for AgentState {
@@ -352,24 +376,6 @@
     }
 }
 
-async fn receive(mut response: Response, job: &Job, answering: &Answering) -> End {
-    use futures::StreamExt;
-
-    let mut usage = UsageReader::new(form_of(&response, job));
-    answering.head(response.status().as_u16(), answer_headers(&response));
-    while let Some(part) = response.next().await {
-        let Ok(bytes) = part else {
-            return End::Failed(Failure::Upstream);
-        };
-        usage.push(&bytes);
-        answering.push(bytes).await;
-    }
-    if !usage.is_whole() {
-        return End::Failed(Failure::Upstream);
-    }
-    End::Whole(usage.work(job.work))
-}
-
 fn form_of(response: &Response, job: &Job) -> AnswerForm {
     let is_model = job.work != Work::default();
     match (is_model && response.status().is_success(), job.call.stream) {
@@ -382,7 +388,10 @@
 fn desk_config(config: &AgentConfig, settings: &Settings) -> DeskConfig {
     let upstream = settings.upstreams.get(&config.upstream);
     let weights = settings.organisations.iter();
+    let top = settings.tiers.values().min_by_key(|t| t.order);
     DeskConfig {
+        top_order: top.map_or(0, |t| t.order),
+        top_deadline: top.map_or(Duration::ZERO, |t| t.deadline),
         slots: upstream.map_or(0, |u| u.slots as usize),
         tickets: settings.limits.agent_tickets as usize,
         grant_valid: settings.limits.grant_valid,
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -37,6 +37,15 @@
 /// The shortest time after which coming back is suggested.
 const RETRY_FLOOR: Duration = Duration::from_millis(100);
 
+/// One slot in so many is kept free for the highest tier.
+const HEADROOM_PART: usize = 8;
+
+/// Prompts of lower tiers may take this part of the highest tier's deadline.
+const PREFILL_PART: u32 = 8;
+
+/// The weight of one ticket in the part that is served here.
+const SERVED_GAIN: f64 = 0.05;
+
 /// The bounds of a desk.
 #[derive(Clone, Debug)]
 pub struct DeskConfig {
@@ -48,6 +57,10 @@
     pub grant_valid: Duration,
     /// Weights of organisations; 1 for those not named.
     pub weights: BTreeMap<Name, u32>,
+    /// The rank of the highest tier, for which room is kept.
+    pub top_order: u8,
+    /// The deadline of the highest tier.
+    pub top_deadline: Duration,
     /// Prompt tokens that the engine's cache is believed to hold at most;
     /// zero for an upstream without one.
     pub cache_tokens: u64,
@@ -90,6 +103,9 @@
     ended: VecDeque<(Moment, RequestId)>,
     pace: Pace,
     prefixes: PrefixIndex,
+    /// The part of the tickets that left the queue to be served here. The
+    /// others were served by another agent that held a ticket too.
+    served_part: f64,
     last_grant: u64,
     draining: bool,
 }
@@ -103,6 +119,10 @@
 struct Running {
     ticket: Ticket,
     since: Moment,
+    /// The cost for which the organisation was charged.
+    cost: u64,
+    /// Whether the upstream has begun to answer.
+    answering: bool,
 }
 
 impl Desk {
@@ -117,6 +137,7 @@
             finished: HashMap::new(),
             ended: VecDeque::new(),
             pace: Pace::new(),
+            served_part: 1.0,
             last_grant: 0,
             draining: false,
         }
@@ -141,8 +162,9 @@
         let request = ticket.request;
         let quote = self.quote(&ticket);
         let weight = self.weight(&ticket.organisation);
+        let cost = self.cost(&ticket);
         let mut notices = Vec::new();
-        match self.queue.push(ticket, weight) {
+        match self.queue.push(ticket, weight, cost) {
             Pushed::Queued => {}
             Pushed::Evicted(victim) => notices.push(Notice::HandedBack(
                 victim.request,
@@ -175,11 +197,13 @@
             _ => return Err(self.refuse_accept(request)),
         };
         let ticket = granted.ticket;
+        self.served_part += SERVED_GAIN * (1.0 - self.served_part);
         self.prefixes.touch(&ticket.prefix);
-        self.pace.started(now);
         let running = Running {
             ticket: ticket.clone(),
             since: now,
+            cost: self.cost(&ticket),
+            answering: false,
         };
         self.running.insert(request, running);
         Ok(ticket)
@@ -187,8 +211,19 @@
 
     /// Takes back a ticket or a grant that was not accepted.
     pub fn withdraw(&mut self, now: Moment, request: RequestId) -> Vec<Notice> {
-        self.queue.remove(request);
-        self.grants.remove(&request);
+        let waited = self.queue.remove(request).is_some();
+        let granted = self.grants.remove(&request).is_some();
+        if waited || granted {
+            self.served_part -= SERVED_GAIN * self.served_part;
+        }
+        self.grant(now)
+    }
+
+    /// Notes that the upstream has begun to answer: the prompt is processed.
+    pub fn answering(&mut self, now: Moment, request: RequestId) -> Vec<Notice> {
+        if let Some(running) = self.running.get_mut(&request) {
+            running.answering = true;
+        }
         self.grant(now)
     }
 
@@ -196,8 +231,14 @@
     /// where it ended without an answer.
     pub fn finish(&mut self, now: Moment, request: RequestId, work: Option<Work>) -> Vec<Notice> {
         if let Some(running) = self.running.remove(&request) {
-            let cost = work.unwrap_or(running.ticket.work).cost();
-            self.pace.finished(now, cost, now.since(running.since));
+            let took = now.since(running.since);
+            let ticket = running.ticket;
+            if let Some(work) = work {
+                self.pace.finished(now, work, took);
+            }
+            let real = micros(took);
+            self.queue
+                .correct(ticket.order, &ticket.organisation, running.cost, real);
             self.finished.insert(request, now);
             self.ended.push_back((now, request));
         }
@@ -300,8 +341,8 @@
         if self.grants.contains_key(&request) {
             return Some(self.refuse(RefusalCode::Duplicate));
         }
-        let ready = now + self.wait_for(ticket) + self.pace.time_for(ticket.work.cost());
-        if ready > ticket.deadline {
+        let service = self.pace.service_time(ticket.work);
+        if now + self.wait_for(ticket) + service > ticket.deadline {
             return Some(self.refuse(RefusalCode::Late));
         }
         None
@@ -321,33 +362,84 @@
     }
 
     fn quote(&self, ticket: &Ticket) -> Quote {
+        let free = Duration::from_micros(1);
         Quote {
-            start: self.wait_for(ticket),
+            start: match self.has_room_for(ticket) {
+                true => Duration::ZERO,
+                false => self.wait_for(ticket).max(free),
+            },
             cached: ticket.work.cached,
+            saving: self.pace.prefill_time(ticket.work.cached),
         }
     }
 
     /// The expected time until a ticket would be granted.
     fn wait_for(&self, ticket: &Ticket) -> Duration {
-        if self.has_room() && self.queue.is_empty() {
-            return Duration::ZERO;
+        let weight = self.weight(&ticket.organisation);
+        let ahead = self
+            .queue
+            .cost_ahead(ticket.order, &ticket.organisation, weight);
+        let next_slot = match self.has_room_for(ticket) {
+            true => Duration::ZERO,
+            false => self.pace.mean_time() / self.slots_divisor(),
+        };
+        next_slot + self.drain_time(ahead)
+    }
+
+    /// The expected time until waiting work of this cost has left the queue.
+    fn drain_time(&self, cost: u64) -> Duration {
+        let here = Duration::from_micros(cost).mul_f64(self.served_part);
+        here / self.slots_divisor()
+    }
+
+    fn slots_divisor(&self) -> u32 {
+        u32::try_from(self.config.slots).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// The cost of a ticket: the expected time in one of the slots, in
+    /// microseconds. While that is unknown, its tokens stand in for it.
+    fn cost(&self, ticket: &Ticket) -> u64 {
+        match self.pace.is_known() {
+            true => micros(self.pace.service_time(ticket.work)).max(1),
+            false => ticket.work.cost(),
+        }
+    }
+
+    fn in_flight(&self) -> usize {
+        self.grants.len() + self.running.len()
+    }
+
+    /// Whether `ticket` may be granted now. Tiers below the highest leave
+    /// room free for it: slots, and time until its prompt is processed.
+    fn has_room_for(&self, ticket: &Ticket) -> bool {
+        let slots = self.config.slots;
+        if ticket.order <= self.config.top_order {
+            return self.in_flight() < slots;
         }
-        self.pace.time_for(self.queue.cost_ahead(ticket.order))
+        let kept = slots / HEADROOM_PART;
+        self.in_flight() < slots - kept && self.prefill_fits(ticket)
     }
 
-    fn has_room(&self) -> bool {
-        self.grants.len() + self.running.len() < self.config.slots
+    /// Whether the prompts in flight, with that of `ticket`, leave an urgent
+    /// request enough of its deadline.
+    fn prefill_fits(&self, ticket: &Ticket) -> bool {
+        let granted = self.grants.values().map(|g| &g.ticket);
+        let running = self.running.values().filter(|r| !r.answering);
+        let ahead = granted.chain(running.map(|r| &r.ticket));
+        let tokens: u64 = ahead.map(|t| t.work.uncached()).sum();
+        if tokens == 0 {
+            return true;
+        }
+        let time = self.pace.prefill_time(tokens + ticket.work.uncached());
+        time <= self.config.top_deadline / PREFILL_PART
     }
 
     fn grant(&mut self, now: Moment) -> Vec<Notice> {
         let mut notices = Vec::new();
-        while self.has_room() {
-            let Some(ticket) = self.queue.pop() else {
-                break;
-            };
+        while let Some(ticket) = self.pop_if_room() {
             let request = ticket.request;
-            if ticket.deadline <= now {
-                let refusal = self.refuse(RefusalCode::Expired);
+            if now + self.pace.service_time(ticket.work) > ticket.deadline {
+                let refusal = self.refuse(RefusalCode::Late);
                 notices.push(Notice::HandedBack(request, refusal));
                 continue;
             }
@@ -366,12 +458,20 @@
         notices
     }
 
+    fn pop_if_room(&mut self) -> Option<Ticket> {
+        let next = self.queue.get(self.queue.peek()?)?;
+        match self.has_room_for(next) {
+            true => self.queue.pop(),
+            false => None,
+        }
+    }
+
     fn refused(&self, code: RefusalCode) -> Offered {
         Offered::Refused(self.refuse(code))
     }
 
     fn refuse(&self, code: RefusalCode) -> Refusal {
-        let backlog = self.pace.time_for(self.queue.cost_ahead(u8::MAX));
+        let backlog = self.drain_time(self.queue.cost());
         Refusal::new(code, backlog.max(RETRY_FLOOR))
     }
 
@@ -393,3 +493,7 @@
 fn cache_chunks(config: &DeskConfig) -> usize {
     usize::try_from(config.cache_tokens / CHUNK_TOKENS).unwrap_or(usize::MAX)
 }
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/desk/tests.rs
+++ b/src/desk/tests.rs
@@ -32,6 +32,8 @@
         tickets: 8,
         grant_valid: GRANT_VALID,
         weights: BTreeMap::new(),
+        top_order: 0,
+        top_deadline: Duration::from_secs(2),
         cache_tokens: 0,
     })
 }
@@ -88,10 +90,15 @@
 #[test]
 fn work_that_cannot_be_done_in_time_is_refused_at_once() {
     let mut desk = desk(1);
-    let id = offer_granted(&mut desk, 1, at(0));
-    assert!(desk.accept(at(0), request(1), id).is_ok());
-    desk.finish(at(1000), request(1), None);
-    let refused = desk.offer(at(1000), ticket(2, 0, at(1500))).0;
+    let mut now = at(0);
+    for sequence in 1..9 {
+        let id = offer_granted(&mut desk, sequence, now);
+        assert!(desk.accept(now, request(sequence), id).is_ok());
+        now = now + Duration::from_secs(1);
+        desk.finish(now, request(sequence), Some(Work::default()));
+    }
+    let deadline = now + Duration::from_millis(500);
+    let refused = desk.offer(now, ticket(99, 0, deadline)).0;
     assert!(matches!(refused, Offered::Refused(r) if r.code == RefusalCode::Late));
 }
 
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -49,6 +49,7 @@
 struct Waiting {
     ticket: Ticket,
     weight: u32,
+    cost: u64,
 }
 
 #[derive(Default)]
@@ -57,7 +58,10 @@
     ready: BTreeSet<(u64, Name)>,
     /// The virtual time of the last ticket served; never falls.
     now: u64,
+    /// The cost of all waiting tickets.
     cost: u64,
+    /// The weights of the organisations that have tickets waiting.
+    weight: u64,
     count: usize,
     /// Every ticket of the tier by deadline, to choose whom to evict.
     deadlines: BTreeSet<(Moment, RequestId)>,
@@ -67,6 +71,8 @@
 struct OrganisationQueue {
     /// The virtual time up to which the organisation has been served.
     served: u64,
+    weight: u32,
+    cost: u64,
     waiting: BTreeSet<(Moment, RequestId)>,
 }
 
@@ -101,9 +107,27 @@
         self.tiers.get(&order).map_or(0, |t| t.count)
     }
 
-    /// The cost of all waiting work of the tier of rank `order` and above.
-    pub fn cost_ahead(&self, order: u8) -> u64 {
-        self.tiers.range(..=order).map(|(_, t)| t.cost).sum()
+    /// The cost of all waiting work.
+    pub fn cost(&self) -> u64 {
+        self.tiers.values().map(|t| t.cost).sum()
+    }
+
+    /// The cost of the waiting work that goes before a new ticket of this
+    /// tier, organisation and weight: all of the higher tiers, and of its own
+    /// tier what fair queueing lets pass while its organisation's own waiting
+    /// work is served.
+    pub fn cost_ahead(&self, order: u8, organisation: &Name, weight: u32) -> u64 {
+        let higher: u64 = self.tiers.range(..order).map(|(_, t)| t.cost).sum();
+        let tier = self.tiers.get(&order);
+        higher + tier.map_or(0, |t| t.cost_ahead(organisation, weight))
+    }
+
+    /// Charges an organisation for cost beyond what was expected of its work,
+    /// or returns what was not needed.
+    pub fn correct(&mut self, order: u8, organisation: &Name, expected: u64, real: u64) {
+        if let Some(tier) = self.tiers.get_mut(&order) {
+            tier.correct(organisation, expected, real);
+        }
     }
 
     /// Whether a ticket of `request` waits.
@@ -111,21 +135,21 @@
         self.tickets.contains_key(&request)
     }
 
-    /// Adds a ticket. When the queue is full, the ticket with the latest
+    /// Adds a ticket of this weight and cost. When the queue is full, the ticket with the latest
     /// deadline in the lowest tier gives way, if that tier is lower.
-    pub fn push(&mut self, ticket: Ticket, weight: u32) -> Pushed {
+    pub fn push(&mut self, ticket: Ticket, weight: u32, cost: u64) -> Pushed {
         if self.contains(ticket.request) {
             return Pushed::Duplicate;
         }
         if self.len() < self.capacity {
-            self.insert(ticket, weight);
+            self.insert(ticket, weight, cost);
             return Pushed::Queued;
         }
         match self.lowest().filter(|(order, _)| *order > ticket.order) {
             None => Pushed::Full,
             Some((_, victim)) => {
                 let evicted = self.remove(victim);
-                self.insert(ticket, weight);
+                self.insert(ticket, weight, cost);
                 evicted.map_or(Pushed::Queued, |t| Pushed::Evicted(Box::new(t)))
             }
         }
@@ -135,8 +159,7 @@
     pub fn pop(&mut self) -> Option<Ticket> {
         let request = self.peek()?;
         let waiting = self.tickets.get(&request)?;
-        let cost = waiting.ticket.work.cost();
-        let step = cost.saturating_mul(VIRTUAL_SCALE) / u64::from(waiting.weight.max(1));
+        let step = step(waiting.cost, waiting.weight);
         let (order, name) = (waiting.ticket.order, waiting.ticket.organisation.clone());
         let ticket = self.remove(request)?;
         let tier = self.tiers.get_mut(&order)?;
@@ -159,12 +182,13 @@
 
     /// Takes out the ticket of `request`.
     pub fn remove(&mut self, request: RequestId) -> Option<Ticket> {
-        let ticket = self.tickets.remove(&request)?.ticket;
-        self.deadlines.remove(&(ticket.deadline, request));
-        if let Some(tier) = self.tiers.get_mut(&ticket.order) {
-            tier.remove(&ticket);
+        let waiting = self.tickets.remove(&request)?;
+        let deadline = waiting.ticket.deadline;
+        self.deadlines.remove(&(deadline, request));
+        if let Some(tier) = self.tiers.get_mut(&waiting.ticket.order) {
+            tier.remove(&waiting);
         }
-        Some(ticket)
+        Some(waiting.ticket)
     }
 
     /// Takes out every ticket whose deadline is not after `now`.
@@ -199,43 +223,84 @@
         Some((*order, *request))
     }
 
-    fn insert(&mut self, ticket: Ticket, weight: u32) {
-        self.deadlines.insert((ticket.deadline, ticket.request));
-        self.tiers.entry(ticket.order).or_default().insert(&ticket);
-        let waiting = Waiting { ticket, weight };
-        self.tickets.insert(waiting.ticket.request, waiting);
+    fn insert(&mut self, ticket: Ticket, weight: u32, cost: u64) {
+        let request = ticket.request;
+        let weight = weight.max(1);
+        let waiting = Waiting {
+            ticket,
+            weight,
+            cost,
+        };
+        self.deadlines.insert((waiting.ticket.deadline, request));
+        let tier = self.tiers.entry(waiting.ticket.order).or_default();
+        tier.insert(&waiting);
+        self.tickets.insert(request, waiting);
     }
 }
 
 impl TierQueue {
-    fn insert(&mut self, ticket: &Ticket) {
+    fn insert(&mut self, waiting: &Waiting) {
+        let ticket = &waiting.ticket;
         let name = &ticket.organisation;
         let queue = self.organisations.entry(name.clone()).or_default();
         if queue.waiting.is_empty() {
             // An organisation that was away gets no credit for that time.
             queue.served = queue.served.max(self.now);
+            queue.weight = waiting.weight;
+            self.weight += u64::from(waiting.weight);
             self.ready.insert((queue.served, name.clone()));
         }
         queue.waiting.insert((ticket.deadline, ticket.request));
+        queue.cost += waiting.cost;
         self.deadlines.insert((ticket.deadline, ticket.request));
-        self.cost = self.cost.saturating_add(ticket.work.cost());
+        self.cost += waiting.cost;
         self.count += 1;
     }
 
-    fn remove(&mut self, ticket: &Ticket) {
+    fn remove(&mut self, waiting: &Waiting) {
+        let ticket = &waiting.ticket;
         let name = &ticket.organisation;
         let Some(queue) = self.organisations.get_mut(name) else {
             return;
         };
         queue.waiting.remove(&(ticket.deadline, ticket.request));
+        queue.cost -= waiting.cost;
         self.deadlines.remove(&(ticket.deadline, ticket.request));
-        self.cost = self.cost.saturating_sub(ticket.work.cost());
+        self.cost -= waiting.cost;
         self.count -= 1;
         if queue.waiting.is_empty() {
+            self.weight -= u64::from(queue.weight);
             self.ready.remove(&(queue.served, name.clone()));
         }
     }
 
+    fn cost_ahead(&self, organisation: &Name, weight: u32) -> u64 {
+        let queue = self.organisations.get(organisation);
+        let (own, others) = match queue.filter(|q| !q.waiting.is_empty()) {
+            Some(queue) => (queue.cost, self.weight - u64::from(queue.weight)),
+            None => (0, self.weight),
+        };
+        // While its own work is served, every other organisation is served
+        // in the proportion of the weights.
+        let passing = own.saturating_mul(others) / u64::from(weight.max(1));
+        own + passing.min(self.cost - own)
+    }
+
+    fn correct(&mut self, name: &Name, expected: u64, real: u64) {
+        let Some(queue) = self.organisations.get_mut(name) else {
+            return;
+        };
+        let waits = !queue.waiting.is_empty();
+        if waits {
+            self.ready.remove(&(queue.served, name.clone()));
+        }
+        let charged = queue.served.saturating_add(step(real, queue.weight));
+        queue.served = charged.saturating_sub(step(expected, queue.weight));
+        if waits {
+            self.ready.insert((queue.served, name.clone()));
+        }
+    }
+
     /// Charges one organisation for served work and moves virtual time on.
     fn advance(&mut self, name: &Name, step: u64) {
         let Some(queue) = self.organisations.get_mut(name) else {
@@ -259,3 +324,8 @@
         self.organisations.retain(|_, queue| queue.served > now);
     }
 }
+
+/// The virtual time that work of this cost takes at this weight.
+fn step(cost: u64, weight: u32) -> u64 {
+    cost.saturating_mul(VIRTUAL_SCALE) / u64::from(weight.max(1))
+}
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -24,6 +24,11 @@
     }
 }
 
+fn push(queue: &mut Queue, ticket: Ticket, weight: u32) -> Pushed {
+    let cost = ticket.work.cost();
+    queue.push(ticket, weight, cost)
+}
+
 fn served(queue: &mut Queue) -> Vec<u64> {
     std::iter::from_fn(|| queue.pop())
         .map(|t| t.request.sequence)
@@ -33,9 +38,9 @@
 #[test]
 fn the_higher_tier_goes_first_and_then_the_earlier_deadline() {
     let mut queue = Queue::new(10);
-    queue.push(ticket(1, "a", 1, 10, 1), 1);
-    queue.push(ticket(2, "a", 0, 90, 1), 1);
-    queue.push(ticket(3, "a", 0, 50, 1), 1);
+    push(&mut queue, ticket(1, "a", 1, 10, 1), 1);
+    push(&mut queue, ticket(2, "a", 0, 90, 1), 1);
+    push(&mut queue, ticket(3, "a", 0, 50, 1), 1);
     assert_eq!(served(&mut queue), [3, 2, 1]);
 }
 
@@ -43,10 +48,10 @@
 fn a_small_organisation_waits_for_one_request_of_a_large_one_at_most() {
     let mut queue = Queue::new(1000);
     for sequence in 0..100 {
-        queue.push(ticket(sequence, "anchor", 0, 10, 100), 1);
+        push(&mut queue, ticket(sequence, "anchor", 0, 10, 100), 1);
     }
     queue.pop();
-    queue.push(ticket(500, "small", 0, 90, 100), 1);
+    push(&mut queue, ticket(500, "small", 0, 90, 100), 1);
     let position = served(&mut queue).iter().position(|s| *s == 500);
     assert!(position <= Some(1), "{position:?}");
 }
@@ -55,8 +60,8 @@
 fn weights_share_the_upstream_by_cost() {
     let mut queue = Queue::new(1000);
     for sequence in 0..200 {
-        queue.push(ticket(sequence, "heavy", 0, 10, 100), 3);
-        queue.push(ticket(1000 + sequence, "light", 0, 10, 100), 1);
+        push(&mut queue, ticket(sequence, "heavy", 0, 10, 100), 3);
+        push(&mut queue, ticket(1000 + sequence, "light", 0, 10, 100), 1);
     }
     let first = &served(&mut queue)[..80];
     let heavy = first.iter().filter(|s| **s < 1000).count();
@@ -66,11 +71,11 @@
 #[test]
 fn a_full_queue_pushes_out_the_lowest_tier_only() {
     let mut queue = Queue::new(2);
-    queue.push(ticket(1, "a", 1, 10, 1), 1);
-    queue.push(ticket(2, "a", 2, 10, 1), 1);
-    let pushed = queue.push(ticket(3, "a", 0, 10, 1), 1);
+    push(&mut queue, ticket(1, "a", 1, 10, 1), 1);
+    push(&mut queue, ticket(2, "a", 2, 10, 1), 1);
+    let pushed = push(&mut queue, ticket(3, "a", 0, 10, 1), 1);
     assert!(matches!(pushed, Pushed::Evicted(t) if t.request.sequence == 2));
-    let pushed = queue.push(ticket(4, "a", 1, 1, 1), 1);
+    let pushed = push(&mut queue, ticket(4, "a", 1, 1, 1), 1);
     assert!(matches!(pushed, Pushed::Full));
 }
 
@@ -89,7 +94,7 @@
             match step {
                 0..=2 => {
                     let name = format!("org-{organisation}");
-                    match queue.push(ticket(sequence, &name, order, cost, cost), 1) {
+                    match push(&mut queue, ticket(sequence, &name, order, cost, cost), 1) {
                         Pushed::Queued => { waiting.insert(sequence, order); }
                         Pushed::Evicted(victim) => {
                             prop_assert_eq!(waiting.remove(&victim.request.sequence), lowest);
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -42,11 +42,15 @@
 }
 
 impl Work {
+    /// Prompt tokens to process that the engine does not hold.
+    pub fn uncached(&self) -> u64 {
+        self.prefill.saturating_sub(self.cached)
+    }
+
     /// The cost in prefill tokens; at least 1.
     pub fn cost(&self) -> u64 {
-        let prefill = self.prefill.saturating_sub(self.cached);
         let output = self.output.saturating_mul(OUTPUT_TOKEN_COST);
-        prefill.saturating_add(output).max(1)
+        self.uncached().saturating_add(output).max(1)
     }
 }
 
@@ -105,6 +109,8 @@
     pub start: Duration,
     /// Prompt tokens that the engine is believed to hold.
     pub cached: u64,
+    /// The time that not processing them again saves.
+    pub saving: Duration,
 }
 
 /// An agent's immediate answer to a ticket.
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -1107,11 +1107,15 @@
         pub fn get_cached_tokens(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_saving_millis(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1177,6 +1181,14 @@
         pub fn set_cached_tokens(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_saving_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_saving_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1188,38 +1200,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(117, 35, 255, 57, 228, 226, 123, 134),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
             ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 81, 117, 111, 116, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 114, 116, 77, 105, 108),
             ::capnp::word(108, 105, 115, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1238,11 +1257,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 97, 118, 105, 110, 103, 77, 105),
+            ::capnp::word(108, 108, 105, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1256,9 +1285,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
         pub(crate) const TYPE_ID: u64 = 0x867b_e2e4_39ff_2375;
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -149,6 +149,7 @@
             Offered::Queued(Quote {
                 start: Duration::from_millis(quote.get_start_millis()),
                 cached: quote.get_cached_tokens(),
+                saving: Duration::from_millis(quote.get_saving_millis()),
             })
         }
         Which::Granted(grant) => Offered::Granted(read_grant(grant?)),
@@ -163,6 +164,7 @@
             let mut builder = builder.init_queued();
             builder.set_start_millis(millis(quote.start));
             builder.set_cached_tokens(quote.cached);
+            builder.set_saving_millis(millis(quote.saving));
         }
         Offered::Granted(grant) => write_grant(grant, builder.init_granted()),
         Offered::Refused(refusal) => write_refusal(refusal, builder.init_refused()),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use almondramp::entry::TIER_HEADER;
 use almondramp::http_client::new_client;
 use almondramp::name::Name;
 use awc::Client;
@@ -47,7 +48,7 @@
 pub struct LoadClass {
     /// The name of the class.
     pub name: &'static str,
-    /// The tier that the settings give it.
+    /// The tier that it asks for; the settings must allow it.
     pub tier: &'static str,
     /// The organisation that sends it.
     pub organisation: &'static str,
