--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -207,6 +207,7 @@
     let sent = client
         .post(url)
         .bearer_auth(&class.key)
+        .insert_header((TIER_HEADER, class.tier))
         .send_json(&planned.body);
     let mut text = Vec::new();
     let mut whole = false;
