Ask the holder of a prompt's prefix alone while waiting for it pays

Change: the holder is asked alone; its quote tells the expected start and the time that the cached prefix saves. The others are asked when waiting costs more, or when that time has passed.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::GrantId;
 use crate::name::Name;
+use crate::ticket::Quote;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
@@ -22,7 +23,9 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// An agent queued the ticket.
-    Queued(Name),
+    Queued(Name, Quote),
+    /// Waiting for the holder of the prompt's prefix has lasted long enough.
+    PatienceEnded,
     /// An agent refused the ticket or handed it back.
     Refused(Name, Refusal),
     /// An agent has room.
@@ -46,6 +49,8 @@
 pub enum Action {
     /// Offer a ticket to an agent.
     Offer(Name),
+    /// Tell `PatienceEnded` after this time.
+    WaitFor(Duration),
     /// Accept a grant and send the request.
     Accept(Name, GrantId),
     /// Find out from the same incarnation of an agent whether it dispatched.
@@ -103,6 +108,8 @@
     spare: Vec<Name>,
     /// Tickets that are out at most.
     width: usize,
+    /// Whether the only ticket so far went to the holder of the prefix.
+    narrow: bool,
     refusal: Option<Refusal>,
     retry_after: Option<Duration>,
 }
@@ -118,11 +125,20 @@
             tickets: BTreeMap::new(),
             spare,
             width,
+            narrow: false,
             refusal: None,
             retry_after: None,
         }
     }
 
+    /// The same request, of which the first candidate holds the prompt's
+    /// prefix. It is asked alone, and the others only once waiting for it
+    /// costs more than processing the prefix again.
+    pub fn with_holder(mut self) -> Self {
+        self.narrow = true;
+        self
+    }
+
     /// Sends out the first tickets.
     pub fn start(&mut self) -> Vec<Action> {
         self.seek()
@@ -136,7 +152,9 @@
     /// Takes in an event and says what is to be done.
     pub fn on(&mut self, event: Event) -> Vec<Action> {
         match (self.state.clone(), event) {
-            (State::Done, _) | (_, Event::Queued(_)) => Vec::new(),
+            (State::Done, _) => Vec::new(),
+            (State::Seeking, Event::Queued(_, quote)) => self.queued(quote),
+            (State::Seeking, Event::PatienceEnded) => self.widen(),
             (State::Seeking, Event::Granted(agent, grant)) => self.accept(agent, grant),
             (State::Seeking, Event::Refused(agent, refusal)) => self.refused(agent, refusal),
             (State::Seeking, Event::Lost(agent)) => self.lost(agent),
@@ -196,6 +214,21 @@
         }
     }
 
+    fn queued(&mut self, quote: Quote) -> Vec<Action> {
+        if !self.narrow {
+            return Vec::new();
+        }
+        match quote.saving.checked_sub(quote.start) {
+            Some(patience) => vec![Action::WaitFor(patience)],
+            None => self.widen(),
+        }
+    }
+
+    fn widen(&mut self) -> Vec<Action> {
+        self.narrow = false;
+        self.seek()
+    }
+
     fn accept(&mut self, agent: Name, grant: GrantId) -> Vec<Action> {
         if self.tickets.get(&agent) != Some(&TicketState::Offered) {
             return vec![Action::Withdraw(agent)];
@@ -207,6 +240,7 @@
     }
 
     fn refused(&mut self, agent: Name, refusal: Refusal) -> Vec<Action> {
+        self.narrow = false;
         self.tickets.insert(agent, TicketState::Gone);
         self.refusal = Some(match self.refusal {
             // The caller should hear of load rather than of a detail.
@@ -219,13 +253,15 @@
     }
 
     fn lost(&mut self, agent: Name) -> Vec<Action> {
+        self.narrow = false;
         self.tickets.insert(agent, TicketState::Gone);
         self.seek()
     }
 
     fn seek(&mut self) -> Vec<Action> {
+        let width = if self.narrow { 1 } else { self.width };
         let mut actions = Vec::new();
-        while self.out() < self.width {
+        while self.out() < width {
             let Some(agent) = self.spare.pop() else {
                 break;
             };
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -12,6 +12,39 @@
     Refusal::new(code, Duration::from_millis(250))
 }
 
+fn quote(start: u64, saving: u64) -> Quote {
+    Quote {
+        start: Duration::from_millis(start),
+        cached: 0,
+        saving: Duration::from_millis(saving),
+    }
+}
+
+#[test]
+fn the_holder_of_the_prefix_is_asked_alone_while_waiting_for_it_pays() {
+    let holder = Name::new("agent-0");
+    for (start, saving, asked) in [(50, 80, 1), (80, 50, 3)] {
+        let mut dispatch = Dispatch::new(names(4), 3).with_holder();
+        let mut offers = dispatch.start().len();
+        let actions = dispatch.on(Event::Queued(holder.clone(), quote(start, saving)));
+        offers += actions
+            .iter()
+            .filter(|a| matches!(a, Action::Offer(_)))
+            .count();
+        assert_eq!(offers, asked);
+        let patience = Action::WaitFor(Duration::from_millis(30));
+        assert_eq!(actions.contains(&patience), asked == 1);
+    }
+}
+
+#[test]
+fn the_others_are_asked_when_patience_ends() {
+    let mut dispatch = Dispatch::new(names(4), 3).with_holder();
+    dispatch.start();
+    dispatch.on(Event::Queued(Name::new("agent-0"), quote(50, 80)));
+    assert_eq!(dispatch.on(Event::PatienceEnded).len(), 2);
+}
+
 #[test]
 fn the_first_grant_is_accepted_and_the_other_tickets_are_withdrawn() {
     let mut dispatch = Dispatch::new(names(4), 3);
@@ -72,7 +105,8 @@
         Just(RefusalCode::Draining),
     ];
     prop_oneof![
-        agent.clone().prop_map(Event::Queued),
+        (agent.clone(), 0u64..9, 0u64..9).prop_map(|(a, s, w)| Event::Queued(a, quote(s, w))),
+        Just(Event::PatienceEnded),
         (agent.clone(), code.clone()).prop_map(|(a, c)| Event::Refused(a, refusal(c))),
         (agent.clone(), 0u64..9).prop_map(|(a, g)| Event::Granted(a, GrantId(g))),
         agent.clone().prop_map(Event::Lost),
@@ -90,7 +124,7 @@
     /// is done after it but to take back room.
     #[test]
     fn one_accept_at_a_time_and_one_final_answer(events in prop::collection::vec(event(), 1..80)) {
-        let mut dispatch = Dispatch::new(names(4), 2);
+        let mut dispatch = Dispatch::new(names(4), 2).with_holder();
         let mut accepted: Option<Name> = None;
         let mut finished = false;
         let mut actions = dispatch.start();
@@ -112,7 +146,7 @@
                     Action::AskFate(agent) | Action::Resume(agent) => {
                         prop_assert_eq!(Some(agent), accepted.clone());
                     }
-                    Action::Withdraw(_) => {}
+                    Action::Withdraw(_) | Action::WaitFor(_) => {}
                 }
             }
             if let Event::NotDispatched(agent, _) = &event
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -125,12 +125,17 @@
             Policy::LateBinding => limits.probes as usize,
             Policy::RoundRobin | Policy::TwoChoices => 1,
         };
+        let order = state.candidates(&job);
+        let mut dispatch = Dispatch::new(order.upstreams, width);
+        if order.holder_first {
+            dispatch = dispatch.with_holder();
+        }
         let (parts, received) = mpsc::channel(PARTS_AHEAD);
         Self {
             request,
             arrived,
             deadline: arrived + job.admission.deadline,
-            dispatch: Dispatch::new(state.candidates(&job), width),
+            dispatch,
             job: Rc::new(job),
             agents: BTreeSet::new(),
             accepted: None,
@@ -193,6 +198,7 @@
         for action in actions {
             match action {
                 Action::Offer(agent) => self.offer(agent),
+                Action::WaitFor(patience) => self.wait_for(patience),
                 Action::Accept(agent, grant) => self.accept(agent, grant),
                 Action::Withdraw(agent) => self.withdraw(&agent),
                 Action::AskFate(agent) => {
@@ -233,7 +239,7 @@
                 wire::read_offered(offered)
             });
             let _ = events.send(match offered {
-                Ok(Offered::Queued(_)) => Event::Queued(agent),
+                Ok(Offered::Queued(quote)) => Event::Queued(agent, quote),
                 Ok(Offered::Granted(grant)) => Event::Granted(agent, grant.id),
                 Ok(Offered::Refused(refusal)) => Event::Refused(agent, refusal),
                 Err(_) => Event::Lost(agent),
@@ -241,6 +247,15 @@
         });
     }
 
+    fn wait_for(&self, patience: Duration) {
+        let events = self.events.clone();
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(patience).await;
+            // A request that has ended no longer listens.
+            let _ = events.send(Event::PatienceEnded);
+        });
+    }
+
     fn ticket(&self) -> Ticket {
         let admission = &self.job.admission;
         Ticket {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -39,6 +39,7 @@
 use crate::prefix::PrefixIndex;
 use crate::routing;
 use crate::routing::Candidate;
+use crate::routing::Order;
 use crate::settings::Settings;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
@@ -220,7 +221,7 @@
     }
 
     /// The connected upstreams that could run `job`, the best first.
-    pub fn candidates(&self, job: &Job) -> Vec<Name> {
+    pub fn candidates(&self, job: &Job) -> Order {
         let settings = self.current.settings();
         let affinity = self.affinity.borrow();
         let outstanding = self.outstanding.borrow();
