--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -188,6 +188,7 @@
         prefill_budget: 512,
         cache_tokens: 16 << 10,
         load_lag: Duration::from_secs(2),
+        checks_fencing: true,
     };
     let fast = EngineConfig {
         step: slow.step / 2,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod listener;
 mod metrics;
+mod orders;
 mod rpc;
 mod state;
 mod upstream;
@@ -16,6 +17,7 @@
 
 pub use listener::reader_options;
 
+use crate::agent::orders::Orders;
 use crate::agent::state::AgentState;
 use crate::config::AgentConfig;
 use crate::current::Current;
@@ -28,6 +30,7 @@
 use crate::kernel::Registry;
 use crate::kernel::Service;
 use crate::name::Name;
+use crate::object_store::HttpObjectStore;
 use crate::settings_service::SETTINGS;
 use crate::settings_service::SettingsService;
 
@@ -75,6 +78,10 @@
             let state = Rc::new(state);
             actix_rt::spawn(Rc::clone(&state).run_timer());
             actix_rt::spawn(Rc::clone(&state).follow_settings());
+            if let Some(base) = &self.config.store {
+                let store = HttpObjectStore::new(base);
+                actix_rt::spawn(Orders::new(Rc::clone(&state), store).run());
+            }
             registry.publish(self.name(), state)
         }
         .boxed_local()
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -35,6 +35,7 @@
 use crate::ids::GrantId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::name::Name;
 use crate::settings::Limits;
 use crate::settings::Settings;
 use crate::ticket::Offered;
@@ -269,7 +270,15 @@
         self.current.settings().limits.clone()
     }
 
-    fn address(&self) -> Option<SocketAddr> {
+    /// The models that the engine is ordered to load.
+    pub fn wanted_models(&self) -> Vec<Name> {
+        let settings = self.current.settings();
+        let upstream = settings.upstreams.get(&self.config.upstream);
+        upstream.map_or_else(Vec::new, |u| u.loads.clone())
+    }
+
+    /// Where the upstream listens; none while there are no settings.
+    pub fn address(&self) -> Option<SocketAddr> {
         let settings = self.current.settings();
         let upstream = settings.upstreams.get(&self.config.upstream)?;
         Some(upstream.address)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod http;
 mod keyed;
 mod links;
+mod membership;
 mod metrics;
 mod prompt;
 mod request;
@@ -22,6 +23,7 @@
 use futures::future::LocalBoxFuture;
 use slog::Logger;
 use slog::warn;
+use tokio::sync::watch;
 
 pub use error::CallerError;
 pub use error::Run;
@@ -36,6 +38,7 @@
 use crate::entry::state::EntryState;
 use crate::health::HealthService;
 use crate::health::Observed;
+use crate::host_list::HttpHostList;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpServer;
 use crate::ids::Incarnation;
@@ -46,6 +49,7 @@
 use crate::name::Name;
 use crate::settings_service::SETTINGS;
 use crate::settings_service::SettingsService;
+use crate::settings_service::WATCHES;
 
 /// The name under which `EntryState` is published.
 const STATE: &str = "entry-state";
@@ -85,6 +89,7 @@
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
             let current = registry.find::<Current>(SETTINGS)?;
+            let watches = registry.find::<watch::Sender<bool>>(WATCHES)?;
             let incarnation = Incarnation::new(&mut rand::rng());
             let links = Rc::new(Links::new(
                 self.config.clone(),
@@ -98,9 +103,15 @@
                 incarnation,
                 current,
                 links,
+                watches,
                 self.log.clone(),
             );
-            registry.publish(self.name(), Rc::new(state))
+            let state = Rc::new(state);
+            if let Some(base) = &self.config.host_list {
+                let hosts = HttpHostList::new(base);
+                actix_rt::spawn(membership::follow(Rc::clone(&state), hosts));
+            }
+            registry.publish(self.name(), state)
         }
         .boxed_local()
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 
 use crate::burn::BurnKey;
 use crate::burn::BurnLog;
@@ -60,12 +62,16 @@
     pub current: Rc<Current>,
     /// The connections to agents.
     pub links: Rc<Links>,
+    /// Whether this entry watches the platform for the others.
+    pub watches: Rc<watch::Sender<bool>>,
     /// The claims on idempotency keys; none without an object store.
     pub claims: Option<Rc<ClaimKeeper>>,
     /// The metrics.
     pub metrics: EntryMetrics,
     /// The log.
     pub log: Logger,
+    /// Hosts that are about to be taken away.
+    leaving: RefCell<BTreeSet<Name>>,
     clock: Clock,
     keys: RefCell<(Revision, Rc<KeyTable>)>,
     requests: Cell<u64>,
@@ -89,6 +95,7 @@
         incarnation: Incarnation,
         current: Rc<Current>,
         links: Rc<Links>,
+        watches: Rc<watch::Sender<bool>>,
         log: Logger,
     ) -> Self {
         let keys = Rc::new(KeyTable::new(&Settings::default()));
@@ -99,6 +106,8 @@
         Self {
             config,
             claims,
+            watches,
+            leaving: RefCell::default(),
             incarnation,
             current,
             links,
@@ -225,11 +234,13 @@
         let settings = self.current.settings();
         let affinity = self.affinity.borrow();
         let outstanding = self.outstanding.borrow();
+        let leaving = self.leaving.borrow();
         let kind = job.admission.route.kind;
         let candidates = settings
             .upstreams
             .iter()
             .filter(|(name, u)| serves(u, kind, &job.target) && self.links.is_up(name))
+            .filter(|(name, _)| !leaving.contains(*name))
             .map(|(name, u)| Candidate {
                 upstream: name.clone(),
                 near: u.zone == self.config.zone,
@@ -242,6 +253,11 @@
         routing::order(policy, candidates, turn, &mut *self.rng.borrow_mut())
     }
 
+    /// Notes which hosts are about to be taken away.
+    pub fn set_leaving(&self, leaving: BTreeSet<Name>) {
+        self.leaving.replace(leaving);
+    }
+
     /// Notes that the prompt of a request was sent to `upstream`.
     pub fn sent(&self, upstream: &Name, prefix: &[u64]) {
         let mut affinity = self.affinity.borrow_mut();
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -93,6 +93,9 @@
     pub agent: SocketAddr,
     /// The models or services it serves.
     pub serves: Vec<Name>,
+    /// The models that it is ordered to load.
+    #[serde(default)]
+    pub loads: Vec<Name>,
     /// Requests in flight at most.
     pub slots: u32,
     /// Prompt tokens that its prefix cache holds; zero without such a cache.
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -5,10 +5,12 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use rand::RngExt;
 use slog::Logger;
 use slog::error;
 use slog::info;
 use slog::warn;
+use tokio::sync::watch;
 
 use crate::config::SettingsSource;
 use crate::current::Current;
@@ -20,6 +22,8 @@
 use crate::object_store::HttpObjectStore;
 use crate::object_store::Object;
 use crate::object_store::ObjectStore;
+use crate::object_store::StoreError;
+use crate::object_store::Version;
 use crate::settings::Document;
 use crate::stored_settings::CONFIG_OBJECT;
 use crate::stored_settings::StoredSettings;
@@ -27,12 +31,19 @@
 /// The name under which `Current` is published.
 pub const SETTINGS: &str = "settings";
 
+/// The name under which is published whether this process watches the store.
+pub const WATCHES: &str = "watches";
+
 /// The revision of a folder, which is read once.
 const FOLDER_REVISION: Revision = Revision(1);
 
 /// The time for which one watch waits at the store.
 const WATCH: Duration = Duration::from_secs(30);
 
+/// The time between two looks of a process for which others watch. It hears
+/// of changes from its peers long before.
+const UNWATCHED_POLL: Duration = Duration::from_secs(60);
+
 /// The time between tries while the store can't be reached.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -81,6 +92,8 @@
         registry: &'a mut Registry,
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
+            // A process without a list of hosts watches for itself.
+            let watches = Rc::new(watch::Sender::new(true));
             match &self.source {
                 SettingsSource::Folder(folder) => {
                     let document = Document::read(folder).map_err(|e| self.failed(e))?;
@@ -89,11 +102,17 @@
                 }
                 SettingsSource::Store => {
                     let store = HttpObjectStore::new(self.store.as_deref().unwrap_or_default());
-                    let current = Rc::clone(&self.current);
-                    actix_rt::spawn(follow(store, current, self.log.clone()));
+                    let follower = Follower {
+                        store,
+                        current: Rc::clone(&self.current),
+                        watches: watches.subscribe(),
+                        log: self.log.clone(),
+                    };
+                    actix_rt::spawn(follower.run());
                 }
                 SettingsSource::Peers => {}
             }
+            registry.publish(Name::new(WATCHES), watches)?;
             registry.publish(self.name(), Rc::clone(&self.current))
         }
         .boxed_local()
@@ -104,30 +123,63 @@
     }
 }
 
-/// Watches the store for new settings. While it can't be reached, those in
-/// force stay so.
-async fn follow<S>(store: S, current: Rc<Current>, log: Logger)
+/// Brings settings from the store into force.
+struct Follower<S> {
+    store: S,
+    current: Rc<Current>,
+    watches: watch::Receiver<bool>,
+    log: Logger,
+}
+
+impl<S> Follower<S>
 where
     S: ObjectStore,
 {
-    let mut known = None;
-    let mut reachable = true;
-    loop {
-        let watched = store.watch(Name::new(CONFIG_OBJECT), known.clone(), WATCH);
-        match watched.await {
-            Ok(Some(object)) => {
-                adopt(&object, &current, &log);
-                known = Some(object.version);
-                reachable = true;
-            }
-            Ok(None) => reachable = true,
-            Err(e) => {
-                if reachable {
-                    warn!(log, "settings cannot be watched"; "error" => %e);
+    /// Watches the store, or looks now and then while others watch it. While
+    /// it can't be reached, the settings in force stay so.
+    async fn run(mut self) {
+        let mut known = None;
+        let mut reachable = true;
+        loop {
+            let wait = match *self.watches.borrow_and_update() {
+                true => WATCH,
+                false => Duration::ZERO,
+            };
+            match self.look(known.clone(), wait).await {
+                Ok(object) => {
+                    reachable = true;
+                    if let Some(object) = object {
+                        adopt(&object, &self.current, &self.log);
+                        known = Some(object.version);
+                    }
+                }
+                Err(e) => {
+                    if reachable {
+                        warn!(self.log, "settings cannot be read"; "error" => %e);
+                    }
+                    reachable = false;
+                    actix_rt::time::sleep(RETRY).await;
+                    continue;
                 }
-                reachable = false;
-                actix_rt::time::sleep(RETRY).await;
             }
+            if wait.is_zero() {
+                let pause = UNWATCHED_POLL.mul_f64(rand::rng().random_range(0.75..1.0));
+                let changed = self.watches.changed();
+                // Becoming a watcher ends the pause early.
+                let _ = actix_rt::time::timeout(pause, changed).await;
+            }
+        }
+    }
+
+    async fn look(
+        &self,
+        known: Option<Version>,
+        wait: Duration,
+    ) -> Result<Option<Object>, StoreError> {
+        let name = Name::new(CONFIG_OBJECT);
+        match wait.is_zero() {
+            true => self.store.get(name).await,
+            false => self.store.watch(name, known, wait).await,
         }
     }
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -54,6 +54,8 @@
     pub cache_tokens: u64,
     /// How far the load report lags.
     pub load_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
 }
 
 impl Default for EngineConfig {
@@ -65,6 +67,7 @@
             prefill_budget: 512,
             cache_tokens: 64 << 10,
             load_lag: Duration::from_secs(2),
+            checks_fencing: true,
         }
     }
 }
@@ -89,6 +92,19 @@
     pub whole: u64,
     /// Requests that were cut off.
     pub cancelled: u64,
+    /// Orders, in the order in which they came.
+    pub orders: Vec<EngineOrder>,
+}
+
+/// An order to load a model.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineOrder {
+    /// The model.
+    pub model: String,
+    /// The fencing number that it carried.
+    pub fencing: u64,
+    /// Whether it was obeyed.
+    pub obeyed: bool,
 }
 
 #[derive(Default)]
@@ -153,6 +169,12 @@
     prompt: Option<Box<serde_json::value::RawValue>>,
 }
 
+#[derive(Deserialize)]
+struct OrderBody {
+    load: String,
+    fencing: u64,
+}
+
 struct Sequence {
     hashes: Vec<u64>,
     prefill_left: u64,
@@ -273,6 +295,34 @@
         due.map_or(0, |(_, count)| *count)
     }
 
+    fn models(&self) -> Value {
+        let controls = lock(&self.controls);
+        let loaded = controls.ledger.orders.iter().filter(|o| o.obeyed);
+        let data: Vec<Value> = loaded.map(|o| json!({ "id": o.model })).collect();
+        json!({ "object": "list", "data": data })
+    }
+
+    fn order(&self, body: &[u8]) -> Response<BoxBody> {
+        let Ok(order) = serde_json::from_slice::<OrderBody>(body) else {
+            return Response::bad_request().map_into_boxed_body();
+        };
+        let mut controls = lock(&self.controls);
+        let highest = controls.ledger.orders.iter().map(|o| o.fencing).max();
+        let old = highest.is_some_and(|highest| order.fencing < highest);
+        let obeyed = !(old && self.config.checks_fencing);
+        controls.ledger.orders.push(EngineOrder {
+            model: order.load,
+            fencing: order.fencing,
+            obeyed,
+        });
+        let status = if obeyed {
+            StatusCode::OK
+        } else {
+            StatusCode::CONFLICT
+        };
+        Response::build(status).finish().map_into_boxed_body()
+    }
+
     /// Adds a request to the batch and returns its prompt tokens, how many of
     /// them are cached, and its tokens as they come.
     fn add(&self, body: &Body) -> (u64, u64, mpsc::UnboundedReceiver<Token>) {
@@ -304,6 +354,11 @@
 async fn handle(batch: Rc<Batch>, mut req: Request) -> Response<BoxBody> {
     match req.path() {
         "/v1/chat/completions" | "/v1/completions" => {}
+        "/v1/models" => return json_answer(&batch.models()),
+        "/orders" => {
+            let body = read_body(&mut req).await;
+            return batch.order(&body);
+        }
         "/load" => return json_answer(&json!({ "running": batch.load() })),
         _ => return Response::not_found().map_into_boxed_body(),
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub use engine::Engine;
 pub use engine::EngineConfig;
 pub use engine::EngineLedger;
+pub use engine::EngineOrder;
 pub use engine::SeenPrefixes;
 pub use load::LoadClass;
 pub use load::LoadRecord;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -41,6 +41,8 @@
     },
     /// A call to a plain service that may not be repeated.
     Save,
+    /// The same with an idempotency key.
+    KeyedSave,
 }
 
 /// A class of requests.
@@ -85,6 +87,8 @@
     pub code: String,
     /// What a refusal says of the run.
     pub run: String,
+    /// Whether the answer was ended as whole.
+    pub whole: bool,
     /// Whether the answer was whole and its own.
     pub valid: bool,
     /// Whether it was valid in time.
@@ -115,6 +119,7 @@
     let classes = Rc::new(classes);
     let client = new_client();
     let records: Rc<RefCell<Vec<LoadRecord>>> = Rc::default();
+    let mut unanswered: BTreeMap<String, (usize, Duration)> = BTreeMap::new();
     let started = Instant::now();
     let mut told = started;
     for (i, planned) in plan.into_iter().enumerate() {
@@ -125,6 +130,7 @@
             progress(i, records.borrow().len());
         }
         let caller = callers[i % callers.len()];
+        unanswered.insert(planned.id.clone(), (planned.class, planned.at));
         let (classes, records) = (Rc::clone(&classes), Rc::clone(&records));
         let client = client.clone();
         actix_rt::spawn(async move {
@@ -137,7 +143,31 @@
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
     progress(total, records.borrow().len());
-    records.take()
+    let mut records = records.take();
+    for record in &records {
+        unanswered.remove(&record.id);
+    }
+    let unanswered = unanswered.into_iter();
+    records.extend(unanswered.map(|(id, (class, at))| hung(&classes[class], id, at)));
+    records
+}
+
+/// The record of a request that got no answer in the time of the tail.
+fn hung(class: &LoadClass, id: String, sent: Duration) -> LoadRecord {
+    LoadRecord {
+        class: class.name,
+        tier: class.tier,
+        organisation: class.organisation,
+        id,
+        sent,
+        took: TAIL,
+        status: 0,
+        code: "hung".to_owned(),
+        run: String::new(),
+        whole: false,
+        valid: false,
+        good: false,
+    }
 }
 
 fn plan(classes: &[LoadClass], length: Duration, seed: u64) -> Vec<Planned> {
@@ -167,7 +197,7 @@
 
 fn body(load: &LoadClass, id: &str, rng: &mut StdRng) -> Value {
     match &load.work {
-        LoadWork::Save => json!({ "id": id }),
+        LoadWork::Save | LoadWork::KeyedSave => json!({ "id": id }),
         LoadWork::Chat {
             model,
             own_bytes,
@@ -204,11 +234,14 @@
 ) -> LoadRecord {
     let started = Instant::now();
     let url = format!("http://{caller}{}", class.path);
-    let sent = client
+    let mut req = client
         .post(url)
         .bearer_auth(&class.key)
-        .insert_header((TIER_HEADER, class.tier))
-        .send_json(&planned.body);
+        .insert_header((TIER_HEADER, class.tier));
+    if matches!(class.work, LoadWork::KeyedSave) {
+        req = req.insert_header(("idempotency-key", planned.id.as_str()));
+    }
+    let sent = req.send_json(&planned.body);
     let mut text = Vec::new();
     let mut whole = false;
     let mut status = 0;
@@ -218,7 +251,11 @@
         while let Some(part) = res.next().await {
             match part {
                 Ok(bytes) => text.extend_from_slice(&bytes),
-                Err(_) => whole = false,
+                // A stream that has failed may never end.
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
             }
         }
     }
@@ -235,6 +272,7 @@
         status,
         code: error_text("code"),
         run: error_text("run"),
+        whole,
         valid,
         good: valid && took <= class.deadline,
         id: planned.id,
@@ -245,7 +283,7 @@
 fn is_own(class: &LoadClass, planned: &Planned, text: &[u8]) -> bool {
     let text = String::from_utf8_lossy(text);
     match class.work {
-        LoadWork::Save => {
+        LoadWork::Save | LoadWork::KeyedSave => {
             let answer: Value = serde_json::from_str(&text).unwrap_or_default();
             answer["id"] == planned.id.as_str()
         }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -201,9 +201,14 @@
                 overlay,
                 "[upstreams.{name}]\naddress = \"{address}\"\nagent = \"{reached}\"\n"
             );
+            let store = self
+                .platform
+                .iter()
+                .map(|url| format!("store = \"{url}\"\n"));
+            let store: String = store.collect();
             let text = format!(
                 "name = \"agent-{name}\"\nupstream = \"{name}\"\nlisten = \"{agent}\"\n\
-                 admin = \"{admin}\"\nsite_key_file = \"site.key\"\n"
+                 admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{store}"
             );
             let config = self.config_path(&format!("agent-{name}"));
             write(&config, &text);
