Connect entries to a subset of agents and measure capacity slopes

Change: for each model an entry connects to 16 agents at most, chosen by rendezvous hashing, half of them near; examples/capacity measures slopes.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -33,6 +33,7 @@
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::settings::Document;
+use crate::subset;
 
 /// The shortest time between two tries to connect.
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
@@ -142,7 +143,14 @@
         let mut tasks: BTreeMap<(Name, SocketAddr), JoinHandle<()>> = BTreeMap::new();
         loop {
             let settings = self.current.settings();
+            let chosen = subset::choose(
+                &self.config.name,
+                &self.config.zone,
+                &settings.upstreams,
+                settings.limits.links as usize,
+            );
             let wanted = settings.upstreams.iter();
+            let wanted = wanted.filter(|(name, _)| chosen.contains(*name));
             let wanted: BTreeMap<_, _> = wanted.map(|(n, u)| ((n.clone(), u.agent), ())).collect();
             tasks.retain(|key, task| {
                 let keep = wanted.contains_key(key);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod site_key;
 pub mod stored_settings;
 mod strict_connector;
+pub mod subset;
 pub mod ticket;
 pub mod units;
 pub mod usage;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -18,6 +18,9 @@
 
 const SECTIONS: [&str; 5] = ["tiers", "organisations", "upstreams", "routes", "limits"];
 
+/// The largest body that fits a message between processes, in bytes.
+const MAX_BODY_BYTES: u64 = 24 << 20;
+
 impl Settings {
     /// Merges and checks the files of `document`.
     pub fn new(document: &Document) -> Result<Self, SettingsError> {
@@ -248,6 +251,14 @@
             let reason = Reason::Value("must be at least 1".to_owned());
             self.report("limits.probes".to_owned(), reason);
         }
+        if limits.links < limits.probes {
+            let reason = Reason::Contradiction("limits.probes".to_owned());
+            self.report("limits.links".to_owned(), reason);
+        }
+        if limits.body > MAX_BODY_BYTES {
+            let reason = Reason::Value(format!("must be at most {MAX_BODY_BYTES} bytes"));
+            self.report("limits.body".to_owned(), reason);
+        }
         if limits.body > limits.entry_bodies {
             let reason = Reason::Contradiction("limits.entry_bodies".to_owned());
             self.report("limits.body".to_owned(), reason);
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -193,6 +193,8 @@
     /// Objects over which claims on idempotency keys are spread. It must not
     /// change while keys are remembered.
     pub claim_shards: u32,
+    /// Agents of one model or service to which an entry connects at most.
+    pub links: u32,
     /// Agents that receive a ticket of one request.
     pub probes: u32,
     /// How upstreams are chosen.
@@ -216,6 +218,7 @@
             drain: Duration::from_secs(60),
             keys_kept: Duration::from_secs(24 * 60 * 60),
             claim_shards: 256,
+            links: 16,
             probes: 3,
             policy: Policy::default(),
         }
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -2,6 +2,9 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -31,6 +34,7 @@
 pub struct Relay {
     address: SocketAddr,
     state: watch::Sender<State>,
+    passed: Arc<AtomicU64>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -42,6 +46,8 @@
         let (started, address) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
         let seen = state.subscribe();
+        let passed = Arc::<AtomicU64>::default();
+        let counted = Arc::clone(&passed);
         let thread = thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -50,7 +56,7 @@
                 let address = listener.local_addr().expect("it has an address");
                 started.send(address).expect("the starter waits");
                 tokio::select! {
-                    () = accept(listener, target, seen) => {}
+                    () = accept(listener, target, seen, counted) => {}
                     _ = stopped => {}
                 }
             });
@@ -58,6 +64,7 @@
         Self {
             address: address.recv().expect("the relay starts"),
             state,
+            passed,
             stop: Some(stop),
             thread: Some(thread),
         }
@@ -68,6 +75,11 @@
         self.address
     }
 
+    /// The bytes passed on so far, in both directions.
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
     /// Cuts all open connections; new ones are passed on.
     pub fn cut(&self) {
         self.state.send_modify(|s| s.generation += 1);
@@ -98,28 +110,39 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Receiver<State>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: watch::Receiver<State>,
+    counted: Arc<AtomicU64>,
+) {
     while let Ok((caller, _)) = listener.accept().await {
         if state.borrow().refusing {
             continue;
         }
         let state = state.clone();
+        let counted = Arc::clone(&counted);
         actix_rt::spawn(async move {
             if let Ok(process) = TcpStream::connect(target).await {
-                pass(caller, process, state).await;
+                pass(caller, process, state, &counted).await;
             }
         });
     }
 }
 
-async fn pass(caller: TcpStream, process: TcpStream, mut state: watch::Receiver<State>) {
+async fn pass(
+    caller: TcpStream,
+    process: TcpStream,
+    mut state: watch::Receiver<State>,
+    counted: &AtomicU64,
+) {
     let _ = caller.set_nodelay(true);
     let _ = process.set_nodelay(true);
     let generation = state.borrow().generation;
     let (caller_read, caller_write) = caller.into_split();
     let (process_read, process_write) = process.into_split();
-    let forth = copy(caller_read, process_write, state.clone());
-    let back = copy(process_read, caller_write, state.clone());
+    let forth = copy(caller_read, process_write, state.clone(), counted);
+    let back = copy(process_read, caller_write, state.clone(), counted);
     tokio::select! {
         () = forth => {}
         () = back => {}
@@ -127,7 +150,12 @@
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut state: watch::Receiver<State>) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<State>,
+    counted: &AtomicU64,
+) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let Ok(count @ 1..) = from.read(&mut buf).await else {
@@ -136,6 +164,7 @@
         if state.wait_for(|s| !s.frozen).await.is_err() {
             return;
         }
+        counted.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&buf[..count]).await.is_err() {
             return;
         }
