--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -128,9 +128,14 @@
   attach @5 (request :RequestId, offset :UInt64, answer :Answer) -> (attached :Bool);
   status @6 () -> (status :AgentStatus);
   drain @7 () -> ();
-  settings @8 () -> (revision :UInt64, document :Data);
-  adopt @9 (revision :UInt64, document :Data) -> (revision :UInt64);
-  heartbeat @10 (revision :UInt64) -> (revision :UInt64);
+  settings @8 (have :UInt64) -> (handover :Data);
+  # What a process with revision `have` needs, in JSON.
+
+  adopt @9 (handover :Data) -> (revision :UInt64);
+  # Answers with the revision in force afterwards.
+
+  heartbeat @10 (revision :UInt64, holdMillis :UInt64) -> (revision :UInt64);
+  # Answered when the agent's revision is another one, or after the hold.
 }
 
 struct Hello {
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use capnp::Error;
 use slog::warn;
@@ -11,16 +12,20 @@
 use crate::almondramp_capnp as schema;
 use crate::almondramp_capnp::desk;
 use crate::almondramp_capnp::gate;
+use crate::current::AdoptError;
+use crate::current::Handover;
 use crate::current::Revision;
 use crate::desk::Fate;
 use crate::ids::GrantId;
-use crate::settings::Document;
 use crate::site_key::Nonce;
 use crate::site_key::Role;
 use crate::site_key::nonce;
 use crate::wire;
 use crate::wire::PROTOCOL_VERSION;
 
+/// The longest time for which a heartbeat is held.
+const MAX_HOLD: Duration = Duration::from_secs(30);
+
 /// The first interface of a connection. It leads on only to a peer that
 /// proves that it holds the site's key.
 pub struct Gate {
@@ -211,14 +216,13 @@
 
     async fn settings(
         self: Rc<Self>,
-        _params: desk::SettingsParams,
+        params: desk::SettingsParams,
         mut results: desk::SettingsResults,
     ) -> Result<(), Error> {
-        let accepted = self.state.current.get();
-        let document = serde_json::to_vec(&*accepted.document);
-        let document = document.map_err(|e| Error::failed(e.to_string()))?;
-        results.get().set_revision(accepted.revision.0);
-        results.get().set_document(&document);
+        let have = Revision(params.get()?.get_have());
+        let handover = serde_json::to_vec(&self.state.current.handover(have));
+        let handover = handover.map_err(|e| Error::failed(e.to_string()))?;
+        results.get().set_handover(&handover);
         Ok(())
     }
 
@@ -227,23 +231,31 @@
         params: desk::AdoptParams,
         mut results: desk::AdoptResults,
     ) -> Result<(), Error> {
-        let params = params.get()?;
-        let document = serde_json::from_slice::<Document>(params.get_document()?);
-        let document = document.map_err(|e| Error::failed(e.to_string()))?;
+        let handover = serde_json::from_slice::<Handover>(params.get()?.get_handover()?);
+        let handover = handover.map_err(|e| Error::failed(e.to_string()))?;
         let current = &self.state.current;
-        let adopted = current.adopt(Revision(params.get_revision()), document);
-        adopted.map_err(|e| Error::failed(e.to_string()))?;
+        match current.take_over(&handover) {
+            // The peer sees by the revision that it has to hand over more.
+            Ok(_) | Err(AdoptError::Base(_)) => {}
+            Err(AdoptError::Invalid(e)) => return Err(Error::failed(e.to_string())),
+        }
         results.get().set_revision(current.revision().0);
         Ok(())
     }
 
     async fn heartbeat(
         self: Rc<Self>,
-        _params: desk::HeartbeatParams,
+        params: desk::HeartbeatParams,
         mut results: desk::HeartbeatResults,
     ) -> Result<(), Error> {
-        let revision = self.state.current.revision();
-        results.get().set_revision(revision.0);
+        let params = params.get()?;
+        let theirs = Revision(params.get_revision());
+        let hold = Duration::from_millis(params.get_hold_millis()).min(MAX_HOLD);
+        let mut revisions = self.state.current.subscribe();
+        let changed = revisions.wait_for(|ours| *ours != theirs);
+        // A heartbeat without a change is answered when its hold is over.
+        let _ = actix_rt::time::timeout(hold, changed).await;
+        results.get().set_revision(self.state.current.revision().0);
         Ok(())
     }
 }
--- a/src/current.rs
+++ b/src/current.rs
@@ -1,17 +1,23 @@
 //! The settings in force in this process.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 use tokio::sync::watch;
 
+use crate::settings::Delta;
 use crate::settings::Document;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
 
+#[cfg(test)]
+mod tests;
+
 /// The number of an accepted configuration; it only grows.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -36,9 +42,36 @@
     pub document: Rc<Document>,
 }
 
+/// Revisions of which the files are kept, to hand over only what changed.
+const HISTORY: usize = 8;
+
+/// Settings as they are handed to a process that has an older revision.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Handover {
+    /// The revision that the receiver has to have; 0 for any.
+    pub base: Revision,
+    /// The revision that it will have.
+    pub revision: Revision,
+    /// What has changed from the base.
+    pub delta: Delta,
+}
+
+/// Why settings were not adopted.
+#[derive(Debug, Error)]
+pub enum AdoptError {
+    /// They are not valid.
+    #[error(transparent)]
+    Invalid(#[from] SettingsError),
+    /// They change a revision that this process does not have.
+    #[error("the settings change revision {0}, which is not in force here")]
+    Base(Revision),
+}
+
 /// Holds the configuration in force. Its revision never falls.
 pub struct Current {
     accepted: RefCell<Accepted>,
+    /// The last revisions before the one in force, the oldest first.
+    history: RefCell<VecDeque<(Revision, Rc<Document>)>>,
     revisions: watch::Sender<Revision>,
 }
 
@@ -52,6 +85,7 @@
         };
         Self {
             accepted: RefCell::new(accepted),
+            history: RefCell::default(),
             revisions: watch::Sender::new(Revision::default()),
         }
     }
@@ -83,15 +117,52 @@
             return Ok(false);
         }
         let settings = Settings::new(&document)?;
-        self.accepted.replace(Accepted {
+        let before = self.accepted.replace(Accepted {
             revision,
             settings: Rc::new(settings),
             document: Rc::new(document),
         });
+        let mut history = self.history.borrow_mut();
+        history.push_back((before.revision, before.document));
+        if history.len() > HISTORY {
+            history.pop_front();
+        }
         self.revisions.send_replace(revision);
         Ok(true)
     }
 
+    /// What a process with revision `theirs` needs to have the one in force:
+    /// what has changed since, or everything where that is not known.
+    pub fn handover(&self, theirs: Revision) -> Handover {
+        let accepted = self.accepted.borrow();
+        let history = self.history.borrow();
+        let known = history.iter().find(|(revision, _)| *revision == theirs);
+        let empty = Rc::<Document>::default();
+        let (base, before) = match known {
+            Some((revision, document)) => (*revision, document),
+            None => (Revision::default(), &empty),
+        };
+        Handover {
+            base,
+            revision: accepted.revision,
+            delta: Delta::new(before, &accepted.document),
+        }
+    }
+
+    /// Adopts what another process has handed over.
+    pub fn take_over(&self, handover: &Handover) -> Result<bool, AdoptError> {
+        let base = handover.base;
+        let document = match base == Revision::default() {
+            true => handover.delta.apply(&Document::default()),
+            false if base == self.revision() => {
+                let before = Rc::clone(&self.accepted.borrow().document);
+                handover.delta.apply(&before)
+            }
+            false => return Err(AdoptError::Base(base)),
+        };
+        Ok(self.adopt(handover.revision, document)?)
+    }
+
     /// A receiver that is told of every new revision.
     pub fn subscribe(&self) -> watch::Receiver<Revision> {
         self.revisions.subscribe()
--- /dev/null
+++ b/src/current/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+use crate::name::Name;
+use crate::settings::File;
+
+fn document(tickets: u32) -> Document {
+    let file = |name: &str, text: String| File {
+        name: Name::new(name),
+        text,
+    };
+    Document::new(vec![
+        file(
+            "10.toml",
+            "tiers.urgent.order = 0\ntiers.urgent.deadline = \"1s\"".to_owned(),
+        ),
+        file("20.toml", format!("limits.agent_tickets = {tickets}")),
+    ])
+}
+
+fn adopted(revisions: std::ops::RangeInclusive<u64>) -> Current {
+    let current = Current::new();
+    for revision in revisions {
+        let document = document(u32::try_from(revision).unwrap_or(1));
+        let adopted = current.adopt(Revision(revision), document);
+        assert!(adopted.expect("the settings are valid"));
+    }
+    current
+}
+
+#[test]
+fn an_old_revision_is_never_adopted_again() {
+    let current = adopted(1..=3);
+    assert!(
+        !current
+            .adopt(Revision(2), document(2))
+            .expect("it is ignored")
+    );
+    assert_eq!(current.revision(), Revision(3));
+    assert_eq!(current.settings().limits.agent_tickets, 3);
+}
+
+#[test]
+fn only_changed_files_are_handed_to_a_peer_with_a_known_revision() {
+    let (ours, theirs) = (adopted(1..=5), adopted(1..=2));
+    let handover = ours.handover(theirs.revision());
+    assert_eq!(
+        (handover.base, handover.delta.changed.len()),
+        (Revision(2), 1)
+    );
+    assert!(theirs.take_over(&handover).expect("it fits"));
+    assert_eq!(theirs.get().document, ours.get().document);
+}
+
+#[test]
+fn a_peer_with_an_unknown_revision_gets_everything() {
+    let (ours, theirs) = (adopted(1..=20), adopted(1..=2));
+    let handover = ours.handover(theirs.revision());
+    assert_eq!(
+        (handover.base, handover.delta.changed.len()),
+        (Revision(0), 2)
+    );
+    assert!(theirs.take_over(&handover).expect("it fits"));
+    assert_eq!(theirs.revision(), Revision(20));
+}
+
+#[test]
+fn a_change_of_another_revision_is_refused_and_changes_nothing() {
+    let (ours, theirs) = (adopted(1..=5), adopted(1..=3));
+    let handover = ours.handover(Revision(2));
+    assert!(matches!(
+        theirs.take_over(&handover),
+        Err(AdoptError::Base(Revision(2)))
+    ));
+    assert_eq!(theirs.revision(), Revision(3));
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -44,6 +44,9 @@
 /// Parts of an answer that wait for a slow caller.
 const REPLIES_AHEAD: usize = 4;
 
+/// When an organisation that has used up its limit may come back.
+const LIMITED_RETRY: Duration = Duration::from_secs(1);
+
 /// When a caller may come back if the entry is full.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
@@ -128,6 +131,8 @@
         admission: Some(admitted.clone()),
         error,
     };
+    let limited = || refused(CallerError::Limited(LIMITED_RETRY));
+    let entered = state.enter(&admission.organisation).ok_or_else(limited)?;
     let bytes = declared_length(req, settings.limits.body).map_err(&refused)?;
     let (events, heard) = mpsc::unbounded_channel();
     let deadline = arrived + admission.deadline;
@@ -154,6 +159,7 @@
         job,
         arrived,
         claimed,
+        entered,
     };
     Ok(answer(state, accepted, (events, heard)).await)
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,12 +3,14 @@
 //! One task for each agent keeps its connection up, exchanges heartbeats and
 //! hands newer settings over in both directions.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
 use rand::RngExt;
@@ -24,7 +26,9 @@
 use crate::almondramp_capnp::desk;
 use crate::almondramp_capnp::gate;
 use crate::config::EntryConfig;
+use crate::current::AdoptError;
 use crate::current::Current;
+use crate::current::Handover;
 use crate::current::Revision;
 use crate::dispatch::Event;
 use crate::handshake::Admitted;
@@ -32,7 +36,6 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
-use crate::settings::Document;
 use crate::subset;
 
 /// The shortest time between two tries to connect.
@@ -41,9 +44,14 @@
 /// The longest time between two tries to connect.
 const RECONNECT_MAX: Duration = Duration::from_secs(2);
 
-const HEARTBEAT: Duration = Duration::from_secs(1);
+/// The time for which an agent holds a heartbeat while the connection is used.
+const BUSY_HOLD: Duration = Duration::from_secs(1);
 
-/// The time without an answer after which a connection is given up.
+/// The time for which an agent holds a heartbeat of an idle connection.
+const IDLE_HOLD: Duration = Duration::from_secs(10);
+
+/// The time without an answer, beyond the hold of a heartbeat, after which a
+/// connection is given up.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A connection in use.
@@ -53,6 +61,34 @@
     pub desk: desk::Client,
     /// The life of the agent at the other end.
     pub incarnation: Incarnation,
+    /// When it was used last.
+    pub usage: Rc<LinkUsage>,
+}
+
+/// Whether a connection is in use.
+#[derive(Default)]
+pub struct LinkUsage {
+    last: Cell<Option<Instant>>,
+    begun: Notify,
+}
+
+impl LinkUsage {
+    /// Notes a use, and has an idle connection tested at once.
+    pub fn touch(&self) {
+        let idle = !self.is_recent();
+        self.last.set(Some(Instant::now()));
+        if idle {
+            self.begun.notify_waiters();
+        }
+    }
+
+    fn is_recent(&self) -> bool {
+        self.last.get().is_some_and(|at| at.elapsed() < BUSY_HOLD)
+    }
+
+    async fn begun(&self) {
+        self.begun.notified().await;
+    }
 }
 
 /// The connections of an entry, by upstream.
@@ -177,7 +213,7 @@
     async fn keep(self: Rc<Self>, upstream: Name, address: SocketAddr) {
         let mut pause = RECONNECT_MIN;
         loop {
-            let since = std::time::Instant::now();
+            let since = Instant::now();
             self.connect(&upstream, address).await;
             if since.elapsed() > RECONNECT_MAX {
                 pause = RECONNECT_MIN;
@@ -226,32 +262,35 @@
             warn!(self.log, "settings not handed over"; "upstream" => %upstream, "error" => %e);
         }
         let link = Link {
-            desk: desk.clone(),
+            desk,
             incarnation,
+            usage: Rc::default(),
         };
-        self.up.borrow_mut().insert(upstream.clone(), link);
+        self.up.borrow_mut().insert(upstream.clone(), link.clone());
         self.connected.notify_waiters();
-        if let Err(e) = self.beat(&desk).await {
+        if let Err(e) = self.beat(&link).await {
             debug!(self.log, "connection lost"; "upstream" => %upstream, "error" => %e);
         }
     }
 
-    async fn beat(&self, desk: &desk::Client) -> Result<(), capnp::Error> {
+    /// Exchanges heartbeats. The agent holds each until its revision changes,
+    /// so that new settings spread at once; the hold is long while the
+    /// connection is not used, and ends early when it is.
+    async fn beat(&self, link: &Link) -> Result<(), capnp::Error> {
         let mut revisions = self.current.subscribe();
         loop {
-            let mut req = desk.heartbeat_request();
-            req.get().set_revision(self.current.revision().0);
-            let beat = actix_rt::time::timeout(HEARTBEAT_TIMEOUT, req.send().promise);
-            let reply = beat
-                .await
-                .map_err(|_| capnp::Error::disconnected("no heartbeat".to_owned()))??;
-            let revision = Revision(reply.get()?.get_revision());
-            self.exchange_settings(desk, revision).await?;
-            // A new revision is handed on at once.
-            tokio::select! {
-                () = actix_rt::time::sleep(HEARTBEAT) => {}
-                _ = revisions.changed() => {}
-            }
+            let hold = match link.usage.is_recent() {
+                true => BUSY_HOLD,
+                false => IDLE_HOLD,
+            };
+            let ours = *revisions.borrow_and_update();
+            let theirs = tokio::select! {
+                revision = heartbeat(&link.desk, ours, hold) => revision?,
+                () = link.usage.begun() => heartbeat(&link.desk, ours, Duration::ZERO).await?,
+                // A new revision is handed on at once.
+                _ = revisions.changed() => heartbeat(&link.desk, ours, Duration::ZERO).await?,
+            };
+            self.exchange_settings(&link.desk, theirs).await?;
         }
     }
 
@@ -261,27 +300,40 @@
         desk: &desk::Client,
         theirs: Revision,
     ) -> Result<(), capnp::Error> {
-        let ours = self.current.get();
-        if theirs < ours.revision {
-            let document = serde_json::to_vec(&*ours.document);
-            let document = document.map_err(|e| capnp::Error::failed(e.to_string()))?;
-            let mut req = desk.adopt_request();
-            req.get().set_revision(ours.revision.0);
-            req.get().set_document(&document);
-            req.send().promise.await?;
+        let ours = self.current.revision();
+        if theirs < ours && self.hand_over(desk, theirs).await? < ours {
+            // The agent has changed meanwhile; everything fits any revision.
+            self.hand_over(desk, Revision::default()).await?;
         }
-        if theirs > ours.revision {
-            let reply = desk.settings_request().send().promise.await?;
-            let reply = reply.get()?;
-            let document = serde_json::from_slice::<Document>(reply.get_document()?);
-            let document = document.map_err(|e| capnp::Error::failed(e.to_string()))?;
-            let revision = Revision(reply.get_revision());
-            let adopted = self.current.adopt(revision, document);
-            adopted.map_err(|e| capnp::Error::failed(e.to_string()))?;
+        if theirs > ours {
+            let mut req = desk.settings_request();
+            req.get().set_have(ours.0);
+            let reply = req.send().promise.await?;
+            let handover = serde_json::from_slice::<Handover>(reply.get()?.get_handover()?);
+            let handover = handover.map_err(|e| capnp::Error::failed(e.to_string()))?;
+            match self.current.take_over(&handover) {
+                // This entry has changed meanwhile; the next heartbeat tells.
+                Ok(_) | Err(AdoptError::Base(_)) => {}
+                Err(AdoptError::Invalid(e)) => return Err(capnp::Error::failed(e.to_string())),
+            }
         }
         Ok(())
     }
 
+    /// Hands settings to an agent of revision `theirs`; gives its new one.
+    async fn hand_over(
+        &self,
+        desk: &desk::Client,
+        theirs: Revision,
+    ) -> Result<Revision, capnp::Error> {
+        let handover = serde_json::to_vec(&self.current.handover(theirs));
+        let handover = handover.map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let mut req = desk.adopt_request();
+        req.get().set_handover(&handover);
+        let reply = req.send().promise.await?;
+        Ok(Revision(reply.get()?.get_revision()))
+    }
+
     fn down(&self, upstream: &Name) {
         self.up.borrow_mut().remove(upstream);
         let requests = self.waiting.borrow_mut().remove(upstream);
@@ -291,3 +343,19 @@
         }
     }
 }
+
+/// Sends a heartbeat and gives the agent's revision.
+async fn heartbeat(
+    desk: &desk::Client,
+    revision: Revision,
+    hold: Duration,
+) -> Result<Revision, capnp::Error> {
+    let mut req = desk.heartbeat_request();
+    req.get().set_revision(revision.0);
+    let hold_millis = u64::try_from(hold.as_millis()).unwrap_or(u64::MAX);
+    req.get().set_hold_millis(hold_millis);
+    let answered = actix_rt::time::timeout(hold + HEARTBEAT_TIMEOUT, req.send().promise);
+    let late = |_| capnp::Error::disconnected("no heartbeat".to_owned());
+    let reply = answered.await.map_err(late)??;
+    Ok(Revision(reply.get()?.get_revision()))
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod auth;
+mod calls;
 mod error;
 mod http;
 mod keyed;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -15,7 +15,6 @@
 use crate::almondramp_capnp as schema;
 use crate::almondramp_capnp::FailureCode;
 use crate::almondramp_capnp::answer;
-use crate::almondramp_capnp::desk;
 use crate::burn::BurnKey;
 use crate::clock::Moment;
 use crate::dispatch::Action;
@@ -25,10 +24,12 @@
 use crate::entry::answer::AnswerReceiver;
 use crate::entry::answer::Part;
 use crate::entry::answer::Progress;
+use crate::entry::calls;
 use crate::entry::error::CallerError;
 use crate::entry::keyed::Claimed;
 use crate::entry::links::Link;
 use crate::entry::request::Job;
+use crate::entry::state::Entered;
 use crate::entry::state::EntryState;
 use crate::entry::waiter::TicketWaiter;
 use crate::ids::GrantId;
@@ -41,7 +42,6 @@
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
-use crate::wire;
 use crate::wire::Header;
 
 /// Parts of an answer that wait between an agent and the caller.
@@ -50,6 +50,9 @@
 /// When to try again after an upstream could not be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
 
+/// The time between two tries to resume an answer.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
+
 /// What goes back to the caller, in order.
 #[derive(Debug)]
 pub enum Reply {
@@ -75,6 +78,8 @@
     pub arrived: Moment,
     /// The claim on its idempotency key, where it has one.
     pub claimed: Option<Claimed>,
+    /// Its place within the limit of its organisation.
+    pub entered: Entered,
 }
 
 /// One request on its way.
@@ -97,6 +102,7 @@
     replies: Sender<Reply>,
     status: u16,
     claimed: Option<Claimed>,
+    _entered: Entered,
 }
 
 /// What a step of a request leads to.
@@ -119,6 +125,7 @@
             job,
             arrived,
             claimed,
+            entered,
         } = accepted;
         let limits = &state.current.settings().limits;
         let width = match limits.policy {
@@ -147,6 +154,7 @@
             replies,
             status: 0,
             claimed,
+            _entered: entered,
             state,
         }
     }
@@ -206,7 +214,8 @@
                     let _ = self.events.send(event);
                 }
                 Action::Resume(agent) => {
-                    if !self.resume(&agent, None).await {
+                    let until = self.resume_until();
+                    if !self.resume(&agent, until).await {
                         return self.broken(CallerError::Unknown).await;
                     }
                 }
@@ -228,17 +237,11 @@
         self.state
             .links
             .register(&agent, self.request, events.clone());
-        let mut req = link.desk.offer_request();
-        wire::write_ticket(&self.ticket(), self.state.now(), req.get().init_ticket());
+        link.usage.touch();
         let waiter = TicketWaiter::new(agent.clone(), events.clone());
-        req.get().set_waiter(capnp_rpc::new_client(waiter));
-        let sent = req.send();
+        let offered = calls::offer(&link.desk, &self.ticket(), self.state.now(), waiter);
         actix_rt::spawn(async move {
-            let offered = sent.promise.await.and_then(|reply| {
-                let offered = reply.get()?.get_offered()?;
-                wire::read_offered(offered)
-            });
-            let _ = events.send(match offered {
+            let _ = events.send(match offered.await {
                 Ok(Offered::Queued(quote)) => Event::Queued(agent, quote),
                 Ok(Offered::Granted(grant)) => Event::Granted(agent, grant.id),
                 Ok(Offered::Refused(refusal)) => Event::Refused(agent, refusal),
@@ -276,14 +279,15 @@
             let _ = self.events.send(Event::NotDispatched(agent, refusal));
             return;
         };
+        link.usage.touch();
         self.accepted = Some((agent.clone(), link.incarnation));
         self.state.dispatched(self.request);
         self.state.sent(&agent, &self.job.prefix);
-        let sent = self.send_accept(&link, grant);
+        let answer = self.new_receiver();
+        let accepted = calls::accept(&link.desk, self.request, grant, &self.job.call, answer);
         let events = self.events.clone();
         actix_rt::spawn(async move {
-            let accepted = sent.await;
-            let _ = events.send(match accepted {
+            let _ = events.send(match accepted.await {
                 Ok(None) => Event::Dispatched(agent),
                 Ok(Some(refusal)) => Event::NotDispatched(agent, refusal),
                 Err(_) => Event::Lost(agent),
@@ -291,29 +295,6 @@
         });
     }
 
-    /// Sends the request with a grant. The future gives the refusal, if any.
-    fn send_accept(
-        &self,
-        link: &Link,
-        grant: GrantId,
-    ) -> impl Future<Output = Result<Option<Refusal>, capnp::Error>> + use<> {
-        use schema::accepted::Which;
-
-        let mut req = link.desk.accept_request();
-        wire::write_request(self.request, req.get().init_request());
-        req.get().set_grant(grant.0);
-        wire::write_call(&self.job.call, req.get().init_call());
-        req.get().set_answer(self.new_receiver());
-        let sent = req.send();
-        async move {
-            let reply = sent.promise.await?;
-            match reply.get()?.get_accepted()?.which()? {
-                Which::Dispatched(()) => Ok(None),
-                Which::Refused(refusal) => wire::read_refusal(refusal?).map(Some),
-            }
-        }
-    }
-
     fn new_receiver(&self) -> answer::Client {
         let receiver = AnswerReceiver::new(self.parts.clone(), Rc::clone(&self.progress));
         capnp_rpc::new_client(receiver)
@@ -322,63 +303,67 @@
     fn withdraw(&self, agent: &Name) {
         self.state.links.unregister(agent, self.request);
         if let Some(link) = self.state.links.get(agent) {
-            let mut req = link.desk.withdraw_request();
-            wire::write_request(self.request, req.get().init_request());
-            let sent = req.send();
-            // A ticket whose withdrawal is lost ends with its connection.
-            actix_rt::spawn(async move { sent.promise.await.map(drop) });
+            calls::withdraw(&link.desk, self.request);
         }
     }
 
     /// Asks the life of the agent that was sent an accept whether it has
-    /// dispatched the request.
+    /// dispatched the request, again after further cuts.
     async fn ask_fate(&mut self, agent: &Name) -> Event {
-        let Some(link) = self.same_again(agent).await else {
-            return Event::Unclear(agent.clone());
-        };
-        match ask(&link.desk, self.request).await {
-            Ok(schema::Fate::NeverDispatched) => {
-                let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
-                Event::NotDispatched(agent.clone(), refusal)
-            }
-            Ok(schema::Fate::Running | schema::Fate::Finished) => {
-                match self.resume(agent, Some(link)).await {
-                    true => Event::Dispatched(agent.clone()),
-                    false => Event::Unclear(agent.clone()),
+        let until = self.resume_until();
+        while let Some(link) = self.same_again(agent, until).await {
+            match calls::fate(&link.desk, self.request).await {
+                Ok(schema::Fate::NeverDispatched) => {
+                    let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
+                    return Event::NotDispatched(agent.clone(), refusal);
                 }
+                Ok(schema::Fate::Running | schema::Fate::Finished) => {
+                    return match self.resume(agent, until).await {
+                        true => Event::Dispatched(agent.clone()),
+                        false => Event::Unclear(agent.clone()),
+                    };
+                }
+                Err(_) => actix_rt::time::sleep(RESUME_PAUSE).await,
             }
-            Err(_) => Event::Unclear(agent.clone()),
         }
+        Event::Unclear(agent.clone())
+    }
+
+    /// Until when a lost connection may be made up for.
+    fn resume_until(&self) -> Moment {
+        self.state.now() + self.state.current.settings().limits.resume
     }
 
-    async fn same_again(&self, agent: &Name) -> Option<Link> {
+    /// The connection to the life of the agent whose grant was accepted, once
+    /// it is up; none when that life has ended or the time is over.
+    async fn same_again(&self, agent: &Name, until: Moment) -> Option<Link> {
         let (accepted, incarnation) = self.accepted.as_ref()?;
-        let within = self.state.current.settings().limits.resume;
         debug_assert_eq!(accepted, agent);
+        let within = self.state.now().until(until);
+        if within.is_zero() {
+            return None;
+        }
         let links = &self.state.links;
         links.same_again(agent, *incarnation, within).await
     }
 
     /// Has the rest of the answer sent on a new connection to the same life
-    /// of the agent.
-    async fn resume(&mut self, agent: &Name, link: Option<Link>) -> bool {
-        let link = match link {
-            Some(link) => Some(link),
-            None => self.same_again(agent).await,
-        };
-        let Some(link) = link else {
-            return false;
-        };
-        let events = self.events.clone();
-        self.state.links.register(agent, self.request, events);
-        let mut req = link.desk.attach_request();
-        wire::write_request(self.request, req.get().init_request());
-        req.get().set_answer(self.new_receiver());
-        req.get().set_offset(self.progress.offset.get());
-        let reply = req.send().promise.await;
-        let attached = reply.and_then(|reply| Ok(reply.get()?.get_attached()));
-        debug!(self.state.log, "resumed"; "request" => %self.request, "ok" => ?attached);
-        attached.unwrap_or(false)
+    /// of the agent, again after further cuts.
+    async fn resume(&mut self, agent: &Name, until: Moment) -> bool {
+        while let Some(link) = self.same_again(agent, until).await {
+            let events = self.events.clone();
+            self.state.links.register(agent, self.request, events);
+            let offset = self.progress.offset.get();
+            let receiver = self.new_receiver();
+            match calls::attach(&link.desk, self.request, offset, receiver).await {
+                Ok(attached) => {
+                    debug!(self.state.log, "resumed"; "request" => %self.request, "ok" => attached);
+                    return attached;
+                }
+                Err(_) => actix_rt::time::sleep(RESUME_PAUSE).await,
+            }
+        }
+        false
     }
 
     /// Passes a part of the answer on to the caller.
@@ -468,10 +453,7 @@
         if let Some((agent, _)) = &self.accepted
             && let Some(link) = self.state.links.get(agent)
         {
-            let mut req = link.desk.cancel_request();
-            wire::write_request(self.request, req.get().init_request());
-            let sent = req.send();
-            actix_rt::spawn(async move { sent.promise.await.map(drop) });
+            calls::cancel(&link.desk, self.request);
         }
         Step::Ended(Outcome::cancelled)
     }
@@ -515,10 +497,3 @@
         state.release(self.request);
     }
 }
-
-async fn ask(desk: &desk::Client, request: RequestId) -> Result<schema::Fate, capnp::Error> {
-    let mut req = desk.fate_request();
-    wire::write_request(request, req.get().init_request());
-    let reply = req.send().promise.await?;
-    Ok(reply.get()?.get_fate()?)
-}
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -81,6 +81,8 @@
     /// What was sent to each upstream.
     affinity: RefCell<HashMap<Name, PrefixIndex>>,
     outstanding: RefCell<HashMap<Name, usize>>,
+    /// Requests held, by organisation; none of them is zero.
+    present: RefCell<HashMap<Name, u32>>,
     rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
     released: Notify,
@@ -120,6 +122,7 @@
             events: RefCell::default(),
             affinity: RefCell::default(),
             outstanding: RefCell::default(),
+            present: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             stopping: Cell::new(false),
             released: Notify::new(),
@@ -164,6 +167,33 @@
         Rc::clone(&keys.1)
     }
 
+    /// Counts a request of an organisation; none if it has as many here as it
+    /// may. The count ends when the result is dropped.
+    pub fn enter(self: &Rc<Self>, organisation: &Name) -> Option<Entered> {
+        let settings = self.current.settings();
+        let limit = settings.organisations.get(organisation)?.concurrency;
+        let mut present = self.present.borrow_mut();
+        let count = present.entry(organisation.clone()).or_default();
+        if limit.is_some_and(|limit| *count >= limit) {
+            return None;
+        }
+        *count += 1;
+        Some(Entered {
+            state: Rc::clone(self),
+            organisation: organisation.clone(),
+        })
+    }
+
+    fn leave(&self, organisation: &Name) {
+        let mut present = self.present.borrow_mut();
+        if let Some(count) = present.get_mut(organisation) {
+            *count -= 1;
+            if *count == 0 {
+                present.remove(organisation);
+            }
+        }
+    }
+
     /// Takes in a request of which the body is yet to come, and has requests
     /// of lower tiers give way where there is no room. None if there is none.
     pub fn hold(
@@ -315,3 +345,15 @@
         self.metrics.render()
     }
 }
+
+/// A request that counts towards its organisation's limit while this lives.
+pub struct Entered {
+    state: Rc<EntryState>,
+    organisation: Name,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.state.leave(&self.organisation);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,28 @@
 //! almondramp: a request scheduler for unlike upstreams.
+//!
+//! A request meets the modules in this order:
+//!
+//! 1. [`programs`], [`cli`] and [`config`] start a daemon; [`daemon`] runs the
+//!    services of its [`kernel`] until it is told to stop.
+//! 2. [`entry`] takes the request in over [`http_server`]. [`holding`] says
+//!    whether there is room, [`claims`] whether its idempotency key is free.
+//! 3. [`routing`] orders the upstreams among those of the [`subset`] that the
+//!    entry is connected to; [`dispatch`] decides which agent gets a
+//!    [`ticket`] and which grant is accepted.
+//! 4. [`wire`] carries messages to the [`agent`] and back, after a
+//!    [`handshake`] with the [`site_key`].
+//! 5. At the agent [`desk`] decides who waits in the [`queue`] and who is
+//!    granted room, by the measured [`pace`] and the [`prefix`] chunks that
+//!    the engine is believed to hold.
+//! 6. The agent calls the upstream by [`http_client`], reads its [`usage`] and
+//!    streams the answer back; the entry counts the [`outcome`] in [`metrics`]
+//!    and [`burn`].
+//!
+//! Beside that way: [`settings`] are merged and checked, kept as
+//! [`stored_settings`] in the [`object_store`], changed by [`apply`], brought
+//! in by [`settings_service`] and in force as [`current`]. [`membership`]
+//! reads the [`host_list`]; a [`lease`] covers orders to engines. [`operator`]
+//! is the operators' program, with the [`burn_report`].
 
 pub mod agent;
 pub mod agent_client;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 //! of their names and checked whole.
 
 mod check;
+mod delta;
 mod error;
 mod merge;
 mod model;
@@ -9,6 +10,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use delta::Delta;
 pub use error::Problem;
 pub use error::Reason;
 pub use error::SettingsError;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -55,7 +55,7 @@
     /// Tiers by route.
     #[serde(default)]
     pub tiers: BTreeMap<Name, Name>,
-    /// Requests in flight at most, over all entries.
+    /// Requests that each entry holds of it at most.
     pub concurrency: Option<u32>,
 }
 
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -112,6 +112,23 @@
 }
 
 proptest! {
+    #[test]
+    fn a_delta_makes_the_later_document_of_the_earlier(
+        before in prop::collection::btree_map(0u8..6, 0u8..3, 0..6),
+        after in prop::collection::btree_map(0u8..6, 0u8..3, 0..6),
+    ) {
+        let made = |files: &std::collections::BTreeMap<u8, u8>| {
+            let files = files.iter().map(|(name, text)| File {
+                name: Name::new(&name.to_string()),
+                text: text.to_string(),
+            });
+            Document::new(files.collect())
+        };
+        let (before, after) = (made(&before), made(&after));
+        let delta = Delta::new(&before, &after);
+        prop_assert_eq!(delta.apply(&before), after);
+    }
+
     #[test]
     fn hostile_files_are_refused_or_accepted_without_a_panic(
         text in "(\\[?[a-z]{0,6}[.=\\]\"'{} \n0-9]{0,8}){0,12}",
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -9651,11 +9651,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_have(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9705,6 +9709,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_have(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_have(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9716,17 +9728,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(2, 69, 119, 185, 14, 109, 106, 220),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
@@ -9734,9 +9746,28 @@
                 ::capnp::word(58, 68, 101, 115, 107, 46, 115, 101),
                 ::capnp::word(116, 116, 105, 110, 103, 115, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 118, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -9748,9 +9779,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xdc6a_6d0e_b977_4502;
         }
     }
@@ -9817,22 +9848,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_document(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_document(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9883,27 +9910,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_revision(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_document(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_document(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_handover(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_document(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_handover(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_document(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -9917,17 +9936,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(222, 57, 78, 83, 203, 38, 218, 130),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
@@ -9935,31 +9954,15 @@
                 ::capnp::word(58, 68, 101, 115, 107, 46, 115, 101),
                 ::capnp::word(116, 116, 105, 110, 103, 115, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9971,8 +9974,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9986,9 +9988,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x82da_26cb_534e_39de;
         }
     }
@@ -10055,22 +10057,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_document(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_document(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10121,27 +10119,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_revision(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_document(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_document(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_handover(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_document(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_handover(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_document(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -10155,17 +10145,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(144, 75, 139, 219, 203, 107, 95, 250),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
@@ -10173,31 +10163,15 @@
                 ::capnp::word(58, 68, 101, 115, 107, 46, 97, 100),
                 ::capnp::word(111, 112, 116, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10209,8 +10183,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10224,9 +10197,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xfa5f_6bcb_db8b_4b90;
         }
     }
@@ -10493,11 +10466,15 @@
             pub fn get_revision(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_hold_millis(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10555,6 +10532,14 @@
             pub fn set_revision(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_hold_millis(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_hold_millis(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10566,17 +10551,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(128, 53, 229, 1, 220, 17, 248, 222),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
@@ -10584,14 +10569,21 @@
                 ::capnp::word(58, 68, 101, 115, 107, 46, 104, 101),
                 ::capnp::word(97, 114, 116, 98, 101, 97, 116, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10601,10 +10593,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 111, 108, 100, 77, 105, 108, 108),
+                ::capnp::word(105, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10618,9 +10620,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xdef8_11dc_01e5_3580;
         }
     }
--- a/tests/it/refusals.rs
+++ b/tests/it/refusals.rs
@@ -91,3 +91,27 @@
     assert_eq!((reply.status, reply.code().as_str()), (503, "unavailable"));
     assert_eq!(reply.run(), "not-run");
 }
+
+#[actix_rt::test]
+async fn an_organisation_over_its_limit_is_refused_and_others_are_not() {
+    let env = Env::with(settings("organisations.anchor.concurrency = 2")).await;
+    let slow =
+        |service: &almondramp_standins::Service| service.set_delay(Duration::from_millis(300));
+    env.site.services.values().for_each(slow);
+    let ids = ["a", "b", "c", "d"].map(|id| json!({ "id": id }));
+    let sent = ids
+        .iter()
+        .map(|body| env.post_as(0, ANCHOR_KEY, "/portal/logs", body));
+    let small = json!({ "id": "small" });
+    let other = env.post("/portal/logs", &small);
+    let (anchor, other) = futures::join!(futures::future::join_all(sent), other);
+    let served = anchor.iter().filter(|r| r.status == 200).count();
+    let limited = anchor
+        .iter()
+        .filter(|r| (r.status, r.code().as_str()) == (429, "limited"));
+    assert_eq!(
+        (served, limited.count(), other.status),
+        (2, 2, 200),
+        "{anchor:?}"
+    );
+}
