--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use capnp::Error;
+use tokio::sync::mpsc::Permit;
 use tokio::sync::mpsc::Sender;
 
 use crate::almondramp_capnp::FailureCode;
@@ -13,6 +14,9 @@
 use crate::wire;
 use crate::wire::Header;
 
+#[cfg(test)]
+mod tests;
+
 /// A part of an answer, in order.
 #[derive(Debug)]
 pub enum Part {
@@ -57,9 +61,13 @@
         }
     }
 
-    async fn pass(&self, part: Part) -> Result<(), Error> {
-        let sent = self.parts.send(part).await;
-        sent.map_err(|_| Error::failed("the caller has gone".to_owned()))
+    /// Waits for room for one part. Nothing may be noted as received before:
+    /// a call that waits here ends without a trace when its connection does.
+    async fn room(&self) -> Result<Permit<'_, Part>, Error> {
+        let room = self.parts.reserve().await;
+        let room = room.map_err(|_| Error::failed("the caller has gone".to_owned()))?;
+        self.check_latest()?;
+        Ok(room)
     }
 
     fn check_latest(&self) -> Result<(), Error> {
@@ -76,13 +84,13 @@
         params: answer::HeadParams,
         _results: answer::HeadResults,
     ) -> Result<(), Error> {
-        self.check_latest()?;
-        if self.progress.headed.replace(true) {
-            return Ok(());
-        }
         let params = params.get()?;
         let headers = wire::read_headers(params.get_headers()?)?;
-        self.pass(Part::Head(params.get_status(), headers)).await
+        let room = self.room().await?;
+        if !self.progress.headed.replace(true) {
+            room.send(Part::Head(params.get_status(), headers));
+        }
+        Ok(())
     }
 
     async fn chunk(
@@ -90,20 +98,20 @@
         params: answer::ChunkParams,
         _results: answer::ChunkResults,
     ) -> Result<(), Error> {
-        self.check_latest()?;
         let params = params.get()?;
         let data = params.get_data()?;
+        let room = self.room().await?;
         let have = self.progress.offset.get();
         let known = have.checked_sub(params.get_offset());
         let known = known.and_then(|n| usize::try_from(n).ok());
         let Some(known) = known else {
             return Err(Error::failed("a part of the answer is missing".to_owned()));
         };
-        let Some(fresh) = data.get(known..).filter(|f| !f.is_empty()) else {
-            return Ok(());
-        };
-        self.progress.offset.set(have + fresh.len() as u64);
-        self.pass(Part::Bytes(Bytes::copy_from_slice(fresh))).await
+        if let Some(fresh) = data.get(known..).filter(|f| !f.is_empty()) {
+            self.progress.offset.set(have + fresh.len() as u64);
+            room.send(Part::Bytes(Bytes::copy_from_slice(fresh)));
+        }
+        Ok(())
     }
 
     async fn end(
@@ -111,14 +119,15 @@
         params: answer::EndParams,
         _results: answer::EndResults,
     ) -> Result<(), Error> {
-        self.check_latest()?;
         let params = params.get()?;
         let work = wire::read_usage(params.get_usage()?);
+        let room = self.room().await?;
         let whole = self.progress.headed.get() && params.get_total() == self.progress.offset.get();
-        match whole {
-            true => self.pass(Part::End(work)).await,
-            false => self.pass(Part::Failed(FailureCode::AnswerLost)).await,
-        }
+        room.send(match whole {
+            true => Part::End(work),
+            false => Part::Failed(FailureCode::AnswerLost),
+        });
+        Ok(())
     }
 
     async fn fail(
@@ -126,8 +135,9 @@
         params: answer::FailParams,
         _results: answer::FailResults,
     ) -> Result<(), Error> {
-        self.check_latest()?;
         let code = params.get()?.get_code()?;
-        self.pass(Part::Failed(code)).await
+        let room = self.room().await?;
+        room.send(Part::Failed(code));
+        Ok(())
     }
 }
--- a/tests/it/cuts.rs
+++ b/tests/it/cuts.rs
@@ -1,5 +1,11 @@
 //! Connections between entries and agents that are cut or frozen.
 
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
 use crate::support::Env;
 use crate::support::expected_text;
 use crate::support::settings;
@@ -18,7 +24,7 @@
         for _ in 0..3 {
             env.wait_until(|| async { env.engine_runs("resumed") == 1 })
                 .await;
-            actix_rt::time::sleep(std::time::Duration::from_millis(60)).await;
+            actix_rt::time::sleep(Duration::from_millis(60)).await;
             env.site.relays.values().for_each(|r| r.cut());
         }
     };
@@ -77,3 +83,26 @@
         "{reply:?}, {runs} runs"
     );
 }
+
+#[actix_rt::test]
+async fn an_answer_survives_cuts_while_it_is_being_resumed() {
+    let mut rng = StdRng::seed_from_u64(7);
+    for round in 0..6 {
+        let env = relayed_env().await;
+        let user = format!("again-{round}");
+        let reply = env.chat(&user, true, 300);
+        let cut = async {
+            env.wait_until(|| async { env.engine_runs(&user) == 1 })
+                .await;
+            for _ in 0..12 {
+                let pause = Duration::from_millis(rng.random_range(1..40));
+                actix_rt::time::sleep(pause).await;
+                env.site.relays.values().for_each(|r| r.cut());
+            }
+        };
+        let (reply, ()) = futures::join!(reply, cut);
+        assert!(reply.whole, "round {round}: {reply:?}");
+        assert_eq!(streamed_text(&reply.body), expected_text(&user, 300));
+        assert_eq!(env.engine_runs(&user), 1);
+    }
+}
