Return charges of grants not used, and keep claims of work that may have run

Cause, found by reading: an organisation was charged when its ticket was granted, and kept the charge when the grant was withdrawn or lapsed, which with three tickets a request is most of the time. And a caller that left while the accept of its keyed save was unanswered had the save cancelled and its claim released, so that a repeat could have run it again.

Change: the charge is returned; work that may not be repeated goes on without its caller once it may have been dispatched, and a claim is released only where nothing was accepted. A refused accept also makes the request sheddable again.

--- a/src/desk.rs
+++ b/src/desk.rs
@@ -114,6 +114,8 @@
     id: GrantId,
     expires: Moment,
     ticket: Ticket,
+    /// The cost for which the organisation was charged.
+    cost: u64,
 }
 
 struct Running {
@@ -202,7 +204,7 @@
         let running = Running {
             ticket: ticket.clone(),
             since: now,
-            cost: self.cost(&ticket),
+            cost: granted.cost,
             answering: false,
         };
         self.running.insert(request, running);
@@ -212,7 +214,7 @@
     /// Takes back a ticket or a grant that was not accepted.
     pub fn withdraw(&mut self, now: Moment, request: RequestId) -> Vec<Notice> {
         let waited = self.queue.remove(request).is_some();
-        let granted = self.grants.remove(&request).is_some();
+        let granted = self.take_back(request);
         if waited || granted {
             self.served_part -= SERVED_GAIN * self.served_part;
         }
@@ -256,7 +258,7 @@
             return Fate::Finished;
         }
         self.queue.remove(request);
-        self.grants.remove(&request);
+        self.take_back(request);
         Fate::NeverDispatched
     }
 
@@ -276,7 +278,7 @@
             .map(|(request, _)| *request)
             .collect();
         for request in lapsed {
-            self.grants.remove(&request);
+            self.take_back(request);
             notices.push(Notice::HandedBack(request, refusal));
         }
         notices.extend(self.grant(now));
@@ -436,9 +438,10 @@
 
     fn grant(&mut self, now: Moment) -> Vec<Notice> {
         let mut notices = Vec::new();
-        while let Some(ticket) = self.pop_if_room() {
+        while let Some((ticket, cost)) = self.pop_if_room() {
             let request = ticket.request;
             if now + self.pace.service_time(ticket.work) > ticket.deadline {
+                self.return_charge(&ticket, cost);
                 let refusal = self.refuse(RefusalCode::Late);
                 notices.push(Notice::HandedBack(request, refusal));
                 continue;
@@ -451,6 +454,7 @@
                 id,
                 expires,
                 ticket,
+                cost,
             };
             self.grants.insert(request, granted);
             notices.push(Notice::Granted(request, Grant { id, valid }));
@@ -458,7 +462,22 @@
         notices
     }
 
-    fn pop_if_room(&mut self) -> Option<Ticket> {
+    /// Takes back a grant that was not accepted, if there is one.
+    fn take_back(&mut self, request: RequestId) -> bool {
+        let Some(granted) = self.grants.remove(&request) else {
+            return false;
+        };
+        self.return_charge(&granted.ticket, granted.cost);
+        true
+    }
+
+    /// Returns what an organisation was charged for work that did not run.
+    fn return_charge(&mut self, ticket: &Ticket, cost: u64) {
+        self.queue
+            .correct(ticket.order, &ticket.organisation, cost, 0);
+    }
+
+    fn pop_if_room(&mut self) -> Option<(Ticket, u64)> {
         let next = self.queue.get(self.queue.peek()?)?;
         match self.has_room_for(next) {
             true => self.queue.pop(),
--- a/src/desk/tests.rs
+++ b/src/desk/tests.rs
@@ -181,3 +181,29 @@
         }
     }
 }
+
+fn offered_by(organisation: &str, sequence: u64) -> Ticket {
+    Ticket {
+        organisation: Name::new(organisation),
+        ..ticket(sequence, 0, at(60_000))
+    }
+}
+
+#[test]
+fn grants_that_are_withdrawn_or_lapse_cost_their_organisation_nothing() {
+    let mut desk = desk(1);
+    offer_granted(&mut desk, 1, at(0));
+    desk.offer(at(0), offered_by("small", 2));
+    desk.offer(at(0), offered_by("other", 3));
+    let charged = |desk: &Desk, name: &str| desk.queue.charged(0, &Name::new(name));
+    desk.withdraw(at(0), request(1));
+    assert_eq!(charged(&desk, "small"), 0);
+    assert!(charged(&desk, "other") > 0);
+    desk.withdraw(at(0), request(3));
+    assert_eq!(charged(&desk, "other"), 0);
+    assert!(charged(&desk, "small") > 0);
+    desk.offer(at(0), offered_by("last", 4));
+    // The small organisation's grant lapses.
+    desk.tick(at(200));
+    assert_eq!(charged(&desk, "small"), 0);
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -144,7 +144,12 @@
         self.seek()
     }
 
-    /// Whether the request may have been dispatched.
+    /// Whether the request surely was not dispatched so far.
+    pub fn is_seeking(&self) -> bool {
+        self.state == State::Seeking
+    }
+
+    /// Whether the request has been dispatched.
     pub fn is_dispatched(&self) -> bool {
         matches!(self.state, State::Dispatched(_))
     }
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -87,6 +87,18 @@
     assert_eq!(unclear, [Action::Finish(Failure::Unknown)]);
 }
 
+#[test]
+fn a_request_with_an_unanswered_accept_does_not_count_as_surely_not_dispatched() {
+    let mut dispatch = Dispatch::new(names(1), 1);
+    dispatch.start();
+    assert!(dispatch.is_seeking());
+    let agent = Name::new("agent-0");
+    dispatch.on(Event::Granted(agent.clone(), GrantId(1)));
+    assert!(!dispatch.is_seeking());
+    dispatch.on(Event::Lost(agent));
+    assert!(!dispatch.is_seeking());
+}
+
 #[test]
 fn what_surely_was_not_dispatched_goes_elsewhere() {
     let mut dispatch = Dispatch::new(names(2), 1);
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -176,13 +176,15 @@
     async fn step(&mut self) -> Step {
         let deadline = self.state.instant(self.deadline);
         let waits = !self.dispatch.is_dispatched();
+        // Work that may not be repeated goes on without its caller once it
+        // may have been dispatched.
+        let abandons = self.job.cancellable || self.dispatch.is_seeking();
         tokio::select! {
             Some(event) = self.heard.recv() => {
-                let actions = self.dispatch.on(event);
-                self.perform(actions).await
+                self.hear(event).await
             }
             Some(part) = self.received.recv() => self.pass_on(part).await,
-            () = self.replies.closed(), if self.job.cancellable || waits => self.caller_gone(),
+            () = self.replies.closed(), if abandons => self.caller_gone(),
             () = actix_rt::time::sleep_until(deadline.into()), if waits => {
                 let actions = self.dispatch.on(Event::DeadlinePassed);
                 match actions.is_empty() {
@@ -198,6 +200,14 @@
         let Some(event) = self.heard.recv().await else {
             return Step::Ended(Outcome::unknown);
         };
+        self.hear(event).await
+    }
+
+    async fn hear(&mut self, event: Event) -> Step {
+        if let Event::NotDispatched(..) = &event {
+            self.accepted = None;
+            self.state.waits_again(self.request);
+        }
         let actions = self.dispatch.on(event);
         self.perform(actions).await
     }
@@ -397,13 +407,12 @@
     /// The agent dispatched the request, but the upstream surely did not
     /// receive it.
     async fn not_dispatched(&mut self) -> Step {
-        let Some((agent, _)) = self.accepted.take() else {
+        let Some((agent, _)) = &self.accepted else {
             return self.broken(CallerError::Unknown).await;
         };
-        self.state.waits_again(self.request);
         let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
-        let actions = self.dispatch.on(Event::NotDispatched(agent, refusal));
-        self.perform(actions).await
+        let event = Event::NotDispatched(agent.clone(), refusal);
+        self.hear(event).await
     }
 
     fn outcome_of_whole(&self) -> Outcome {
@@ -463,10 +472,12 @@
         let Some(claimed) = self.claimed.take() else {
             return;
         };
-        match (outcome, self.status) {
-            (Outcome::unknown, _) => claimed.unknown(),
-            (_, 0) => claimed.release(),
-            _ => claimed.done(),
+        let may_have_run = self.accepted.is_some();
+        match outcome {
+            Outcome::good | Outcome::late | Outcome::failed => claimed.done(),
+            Outcome::invalid if may_have_run => claimed.done(),
+            _ if may_have_run => claimed.unknown(),
+            _ => claimed.release(),
         }
     }
 
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -155,16 +155,16 @@
         }
     }
 
-    /// Takes out the ticket that is to be served next.
-    pub fn pop(&mut self) -> Option<Ticket> {
+    /// Takes out the ticket that is to be served next and charges its
+    /// organisation for its cost, which is given too.
+    pub fn pop(&mut self) -> Option<(Ticket, u64)> {
         let request = self.peek()?;
         let waiting = self.tickets.get(&request)?;
-        let step = step(waiting.cost, waiting.weight);
-        let (order, name) = (waiting.ticket.order, waiting.ticket.organisation.clone());
+        let (cost, weight) = (waiting.cost, waiting.weight);
         let ticket = self.remove(request)?;
-        let tier = self.tiers.get_mut(&order)?;
-        tier.advance(&name, step);
-        Some(ticket)
+        let tier = self.tiers.get_mut(&ticket.order)?;
+        tier.advance(&ticket.organisation, step(cost, weight));
+        Some((ticket, cost))
     }
 
     /// The request that is to be served next.
@@ -212,6 +212,17 @@
             .collect()
     }
 
+    /// The virtual time for which an organisation was charged in a tier beyond
+    /// the tier's own.
+    #[cfg(test)]
+    pub fn charged(&self, order: u8, organisation: &Name) -> u64 {
+        let Some(tier) = self.tiers.get(&order) else {
+            return 0;
+        };
+        let queue = tier.organisations.get(organisation);
+        queue.map_or(0, |q| q.served.saturating_sub(tier.now))
+    }
+
     /// The earliest deadline among the waiting tickets.
     pub fn next_deadline(&self) -> Option<Moment> {
         self.deadlines.first().map(|(deadline, _)| *deadline)
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -31,7 +31,7 @@
 
 fn served(queue: &mut Queue) -> Vec<u64> {
     std::iter::from_fn(|| queue.pop())
-        .map(|t| t.request.sequence)
+        .map(|(t, _)| t.request.sequence)
         .collect()
 }
 
@@ -107,7 +107,7 @@
                 }
                 3 => {
                     let highest = waiting.values().min().copied();
-                    let popped = queue.pop();
+                    let popped = queue.pop().map(|(t, _)| t);
                     prop_assert_eq!(popped.as_ref().map(|t| t.order), highest);
                     if let Some(t) = popped {
                         prop_assert!(waiting.remove(&t.request.sequence).is_some());
