Show the engine's own report of its load and use the fencing setting

Change: agents read GET /load every 2 s into a gauge, and no decision rests on it; for engines that ignore the fencing number the lease has to outlast the call. A caller that never ends its head is cut off (new test).

--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -51,6 +51,7 @@
     output: Counter,
     waiting: Gauge,
     running: Gauge,
+    reported: Gauge,
     slots: Gauge,
     seconds_per_prefill_token: Gauge<f64, AtomicU64>,
     seconds_per_output_token: Gauge<f64, AtomicU64>,
@@ -69,6 +70,7 @@
             output: Counter::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
+            reported: Gauge::default(),
             slots: Gauge::default(),
             seconds_per_prefill_token: Gauge::default(),
             seconds_per_output_token: Gauge::default(),
@@ -103,6 +105,11 @@
             "Requests in flight",
             this.running.clone(),
         );
+        r.register(
+            "reported_requests",
+            "Requests in flight by the engine's own, lagging report",
+            this.reported.clone(),
+        );
         r.register("slots", "Requests in flight at most", this.slots.clone());
         r.register(
             "seconds_per_prefill_token",
@@ -144,6 +151,12 @@
         self.finished.get_or_create(&EndLabels { end }).inc();
     }
 
+    /// Shows what the engine reports of its load.
+    pub fn reported(&self, running: u64) {
+        self.reported
+            .set(i64::try_from(running).unwrap_or(i64::MAX));
+    }
+
     /// Shows the present state of the desk.
     pub fn desk(&self, desk: &Desk) {
         self.waiting.set(desk.waiting() as i64);
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod listener;
+mod load;
 mod metrics;
 mod orders;
 mod rpc;
@@ -78,6 +79,7 @@
             let state = Rc::new(state);
             actix_rt::spawn(Rc::clone(&state).run_timer());
             actix_rt::spawn(Rc::clone(&state).follow_settings());
+            actix_rt::spawn(load::follow(Rc::clone(&state)));
             if let Some(base) = &self.config.store {
                 let store = HttpObjectStore::new(base);
                 actix_rt::spawn(Orders::new(Rc::clone(&state), store).run());
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -18,6 +18,7 @@
 use thiserror::Error;
 
 use crate::agent::state::AgentState;
+use crate::clock::Moment;
 use crate::http_client::new_client;
 use crate::lease::FencingNumber;
 use crate::lease::Lease;
@@ -27,6 +28,7 @@
 use crate::object_store::Expected;
 use crate::object_store::ObjectStore;
 use crate::object_store::StoreError;
+use crate::settings::Fencing;
 
 /// The time between two looks at what the engine has loaded.
 const LOOK: Duration = Duration::from_secs(5);
@@ -143,13 +145,13 @@
     }
 
     async fn order(&mut self, address: SocketAddr, model: &Name) -> Result<(), OrderError> {
-        if self.lease.number(self.state.now()).is_none() {
+        if self.lease.number(self.needed_until()).is_none() {
             self.take_lease().await?;
         }
         let url = format!("http://{address}/orders");
         let req = self.client.post(url).force_close();
         // Nothing is awaited between this check and the start of the call.
-        let number = self.lease.number(self.state.now());
+        let number = self.lease.number(self.needed_until());
         let fencing = number.ok_or(OrderError::Lapsed)?;
         let sent = req.send_json(&Order {
             load: model,
@@ -163,6 +165,16 @@
         }
     }
 
+    /// Until when the lease has to last for an order that is given now. An
+    /// engine that ignores the number may act on an order as long as it can be
+    /// on its way.
+    fn needed_until(&self) -> Moment {
+        match self.state.fencing() {
+            Fencing::Checked => self.state.now(),
+            Fencing::Ignored => self.state.now() + ENGINE_TIMEOUT,
+        }
+    }
+
     async fn take_lease(&mut self) -> Result<(), OrderError> {
         let name = Name::new(&format!("almondramp-lease-{}", self.state.config.upstream));
         let object = self.store.get(name.clone()).await?;
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -36,8 +36,10 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::settings::Fencing;
 use crate::settings::Limits;
 use crate::settings::Settings;
+use crate::settings::UpstreamKind;
 use crate::ticket::Offered;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
@@ -277,6 +279,20 @@
         upstream.map_or_else(Vec::new, |u| u.loads.clone())
     }
 
+    /// Whether the upstream is a model engine.
+    pub fn is_model(&self) -> bool {
+        let settings = self.current.settings();
+        let upstream = settings.upstreams.get(&self.config.upstream);
+        upstream.is_some_and(|u| u.kind == UpstreamKind::Model)
+    }
+
+    /// Whether the engine checks fencing numbers.
+    pub fn fencing(&self) -> Fencing {
+        let settings = self.current.settings();
+        let upstream = settings.upstreams.get(&self.config.upstream);
+        upstream.map_or(Fencing::Ignored, |u| u.fencing)
+    }
+
     /// Where the upstream listens; none while there are no settings.
     pub fn address(&self) -> Option<SocketAddr> {
         let settings = self.current.settings();
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -112,6 +112,8 @@
     pub entries: Vec<Process>,
     /// Where each entry listens for callers.
     pub callers: Vec<SocketAddr>,
+    /// Where each agent serves its metrics, by upstream.
+    pub agent_admins: BTreeMap<Name, SocketAddr>,
     /// Where each entry serves its metrics.
     pub admins: Vec<SocketAddr>,
     /// The relays in front of the agents, by upstream.
@@ -135,6 +137,7 @@
             agents: BTreeMap::new(),
             entries: Vec::new(),
             callers: Vec::new(),
+            agent_admins: BTreeMap::new(),
             admins: Vec::new(),
             relays: BTreeMap::new(),
             document: Document::default(),
@@ -191,6 +194,7 @@
                 Some(engine) => engine.address(),
                 None => self.services[name].address(),
             };
+            self.agent_admins.insert(name.clone(), admin);
             let mut reached = agent;
             if spec.relays {
                 let relay = Relay::start(agent);
--- a/tests/it/end_to_end.rs
+++ b/tests/it/end_to_end.rs
@@ -1,9 +1,13 @@
 //! Requests through separate processes: caller, entry, agent, upstream.
 
+use almondramp_standins::EngineConfig;
+use almondramp_standins::metrics;
 use serde_json::json;
 
 use crate::support::Env;
 use crate::support::expected_text;
+use crate::support::settings;
+use crate::support::spec;
 use crate::support::streamed_text;
 
 #[actix_rt::test]
@@ -32,3 +36,26 @@
     assert_eq!(reply.json()["path"], "/portal/logs");
     assert_eq!(env.service_runs("log-1"), 1);
 }
+
+#[actix_rt::test]
+async fn the_engines_own_report_of_its_load_is_shown() {
+    let engine = EngineConfig {
+        load_lag: std::time::Duration::ZERO,
+        ..EngineConfig::default()
+    };
+    let env = Env::start(&spec(settings("")).with_engine("engine-a", engine)).await;
+    let holders: Vec<_> = (0..6).map(|i| format!("busy-{i}")).collect();
+    let busy = holders.iter().map(|user| env.chat(user, true, 2000));
+    let shown = async {
+        let admin = env.site.agent_admins["engine-a"];
+        env.wait_until(|| async {
+            let metrics = metrics(&env.client, admin).await;
+            let reported = metrics
+                .lines()
+                .find(|l| l.starts_with("almondramp_agent_reported_requests "));
+            reported.is_some_and(|l| !l.ends_with(" 0"))
+        })
+        .await;
+    };
+    futures::join!(futures::future::join_all(busy), shown);
+}
--- a/tests/it/refusals.rs
+++ b/tests/it/refusals.rs
@@ -4,6 +4,9 @@
 
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::support::ANCHOR_KEY;
 use crate::support::Env;
@@ -115,3 +118,15 @@
         "{anchor:?}"
     );
 }
+
+#[actix_rt::test]
+async fn a_caller_that_never_ends_its_head_is_cut_off() {
+    let env = Env::with(settings("limits.caller_timeout = \"300ms\"")).await;
+    let mut stream = TcpStream::connect(env.caller()).await.expect("it connects");
+    let half = b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n";
+    stream.write_all(half).await.expect("it is sent");
+    let mut answer = Vec::new();
+    // This returns only once the entry has closed the connection.
+    let _ = stream.read_to_end(&mut answer).await;
+    assert!(!answer.starts_with(b"HTTP/1.1 200"));
+}
