--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -17,6 +17,8 @@
   prefixChunks @6 :List(UInt64);  # chained hashes, longest prefix last
   idempotent @7 :Bool;
   bodyBytes @8 :UInt64;
+  objectiveMillis @9 :UInt64;     # until the answer should begin
+  patienceMillis @10 :UInt64;     # until waiting is given up
 }
 
 enum RefusalCode {
@@ -41,21 +43,14 @@
   startMillis @0 :UInt64;     # expected wait until dispatch
   cachedTokens @1 :UInt64;    # prefix tokens the engine is believed to hold
   savingMillis @2 :UInt64;    # time that not processing them again saves
+  beginMillis @3 :UInt64;     # expected time from dispatch to the answer's begin
+  endMillis @4 :UInt64;       # expected time from dispatch to the answer's end
 }
 
 struct Grant {
   id @0 :UInt64;              # unique within the agent's incarnation
   validMillis @1 :UInt64;     # by the agent's own clock
-}
-
-struct Header { name @0 :Text; value @1 :Data; }
-
-struct Call {
-  method @0 :Text;
-  path @1 :Text;
-  headers @2 :List(Header);
-  body @3 :Data;
-  stream @4 :Bool;            # the answer comes as server-sent events
+  quote @2 :Quote;
 }
 
 struct Usage {
@@ -64,22 +59,6 @@
   outputTokens @2 :UInt64;
 }
 
-enum FailureCode {
-  upstreamFailed @0;          # the upstream died or cut the answer short
-  cancelled @1;
-  timedOut @2;
-  answerLost @3;              # the entry came back too late for a part of the answer
-  notDispatched @4;           # the upstream surely did not receive the request
-}
-
-interface Answer {
-  # Implemented by the entry, called by the agent. Offsets count body bytes.
-  head @0 (status :UInt16, headers :List(Header)) -> ();
-  chunk @1 (offset :UInt64, data :Data) -> ();
-  end @2 (total :UInt64, usage :Usage) -> ();
-  fail @3 (code :FailureCode) -> ();
-}
-
 interface Waiter {
   # Implemented by the entry; one per ticket.
   granted @0 (grant :Grant) -> ();
@@ -94,19 +73,6 @@
   }
 }
 
-struct Accepted {
-  union {
-    dispatched @0 :Void;
-    refused @1 :Refusal;
-  }
-}
-
-enum Fate {
-  neverDispatched @0;         # and never will be: the agent now refuses this request
-  running @1;
-  finished @2;
-}
-
 struct AgentStatus {
   upstream @0 :Text;
   incarnation @1 :UInt64;
@@ -121,20 +87,23 @@
 interface Desk {
   # What an agent does for an entry.
   offer @0 (ticket :Ticket, waiter :Waiter) -> (offered :Offered);
-  accept @1 (request :RequestId, grant :UInt64, call :Call, answer :Answer) -> (accepted :Accepted);
+  begin @1 (request :RequestId, grant :UInt64) -> ();
+  # The entry accepts the grant and sends the request to the upstream.
+
   withdraw @2 (request :RequestId) -> ();
-  cancel @3 (request :RequestId) -> ();
-  fate @4 (request :RequestId) -> (fate :Fate);
-  attach @5 (request :RequestId, offset :UInt64, answer :Answer) -> (attached :Bool);
-  status @6 () -> (status :AgentStatus);
-  drain @7 () -> ();
-  settings @8 (have :UInt64) -> (handover :Data);
+  answering @3 (request :RequestId) -> ();
+  # The upstream has begun to answer.
+
+  finish @4 (request :RequestId, whole :Bool, usage :Usage) -> ();
+  status @5 () -> (status :AgentStatus);
+  drain @6 () -> ();
+  settings @7 (have :UInt64) -> (handover :Data);
   # What a process with revision `have` needs, in JSON.
 
-  adopt @9 (handover :Data) -> (revision :UInt64);
+  adopt @8 (handover :Data) -> (revision :UInt64);
   # Answers with the revision in force afterwards.
 
-  heartbeat @10 (revision :UInt64, holdMillis :UInt64) -> (revision :UInt64);
+  heartbeat @9 (revision :UInt64, holdMillis :UInt64) -> (revision :UInt64);
   # Answered when the agent's revision is another one, or after the hold.
 }
 
@@ -159,3 +128,16 @@
   challenge @0 () -> (nonce :Data, version :UInt32);
   hello @1 (hello :Hello) -> (welcome :Welcome, desk :Desk);
 }
+
+struct Spend {
+  organisation @0 :Text;
+  spent @1 :Float64;          # units since the entry's start
+  level @2 :Float64;          # units left in its bucket
+}
+
+struct SpendReport {
+  # Sent between entries as datagrams, each followed by a tag made with the site key.
+  incarnation @0 :UInt64;     # of the entry that reports
+  ageMillis @1 :UInt64;       # since its start
+  spends @2 :List(Spend);
+}
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -1,52 +1,90 @@
-//! Reads the engine's own report of its load.
-//!
-//! The report lags, so no decision rests on it; it is shown beside what the
-//! agent knows, where a difference points to callers that go past the agent.
+//! Reads the upstream's own report of its load.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use serde::Deserialize;
 
 use crate::agent::state::AgentState;
 use crate::http_client::new_client;
 
-/// The time between two looks.
-const LOOK: Duration = Duration::from_secs(2);
+/// The time between two looks at a report that lags.
+const LAGGING_LOOK: Duration = Duration::from_secs(2);
 
-/// The time that the engine gets to answer.
-const ENGINE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time that the upstream gets to answer.
+const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The engine's answer to `GET /load`.
+/// How an upstream tells its load.
+pub trait LoadSource {
+    /// The requests that the upstream at `address` holds; none if it can't
+    /// be read.
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<usize>>;
+
+    /// The time between two looks.
+    fn interval(&self) -> Duration;
+
+    /// Whether the report is as of now, so that decisions may rest on it.
+    fn is_fresh(&self) -> bool;
+}
+
+/// The report of an engine at `GET /load`. It lags, so it is only shown.
+pub struct EngineLoad {
+    client: Client,
+}
+
+/// The engine's answer.
 #[derive(Deserialize)]
 struct Load {
-    running: u64,
+    running: usize,
 }
 
-/// Reads the report of a model engine until the task ends.
-pub async fn follow(state: Rc<AgentState>) {
-    let client = new_client();
-    loop {
-        if let Some(address) = state.address().filter(|_| state.is_model())
-            && let Some(load) = read(&client, address).await
-        {
-            state.metrics.reported(load.running);
+impl EngineLoad {
+    /// A reader of reports.
+    pub fn new() -> Self {
+        Self {
+            client: new_client(),
         }
-        actix_rt::time::sleep(LOOK).await;
     }
 }
 
-async fn read(client: &Client, address: SocketAddr) -> Option<Load> {
-    let asked = async {
-        let mut res = client
-            .get(format!("http://{address}/load"))
-            .send()
-            .await
-            .ok()?;
-        res.json::<Load>().await.ok()
-    };
-    let answered = actix_rt::time::timeout(ENGINE_TIMEOUT, asked).await;
-    answered.ok().flatten()
+impl Default for EngineLoad {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl LoadSource for EngineLoad {
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<usize>> {
+        let req = self.client.get(format!("http://{address}/load"));
+        async move {
+            let mut res = req.send().await.ok()?;
+            res.json::<Load>().await.ok().map(|load| load.running)
+        }
+        .boxed_local()
+    }
+
+    fn interval(&self) -> Duration {
+        LAGGING_LOOK
+    }
+
+    fn is_fresh(&self) -> bool {
+        false
+    }
+}
+
+/// Reads the report of a model engine until the task ends.
+pub async fn follow(state: Rc<AgentState>, source: Rc<dyn LoadSource>) {
+    loop {
+        if let Some(address) = state.address().filter(|_| state.is_model()) {
+            let read = actix_rt::time::timeout(ENGINE_TIMEOUT, source.read(address));
+            if let Ok(Some(held)) = read.await {
+                state.reported(held, source.is_fresh());
+            }
+        }
+        actix_rt::time::sleep(source.interval()).await;
+    }
 }
--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -9,7 +9,6 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use crate::agent::answer::End;
 use crate::desk::Desk;
 use crate::metrics;
 use crate::ticket::Offered;
@@ -134,27 +133,28 @@
         self.offers.get_or_create(&OfferLabels { answer }).inc();
     }
 
-    /// Counts the end of a request that was expected to take `expected`.
-    pub fn finished(&self, end: End, expected: Work) {
-        let end = match end {
-            End::Whole(work) => {
+    /// Counts the end of a request and what it took, if its answer was whole.
+    pub fn finished(&self, work: Option<Work>) {
+        let end = match work {
+            Some(work) => {
                 self.prefill.inc_by(work.prefill);
                 self.cached.inc_by(work.cached);
                 self.output.inc_by(work.output);
                 EndLabel::whole
             }
-            End::Failed(_) => {
-                self.wasted_prefill.inc_by(expected.prefill);
-                EndLabel::failed
-            }
+            None => EndLabel::failed,
         };
         self.finished.get_or_create(&EndLabels { end }).inc();
     }
 
+    /// Counts prompt tokens of a request that brought no whole answer.
+    pub fn wasted(&self, expected: Work) {
+        self.wasted_prefill.inc_by(expected.prefill);
+    }
+
     /// Shows what the engine reports of its load.
-    pub fn reported(&self, running: u64) {
-        self.reported
-            .set(i64::try_from(running).unwrap_or(i64::MAX));
+    pub fn reported(&self, held: usize) {
+        self.reported.set(held as i64);
     }
 
     /// Shows the present state of the desk.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,13 +1,11 @@
 //! The agent: the only way to the upstream beside which it runs.
 
-mod answer;
 mod listener;
 mod load;
 mod metrics;
 mod orders;
 mod rpc;
 mod state;
-mod upstream;
 
 use std::rc::Rc;
 
@@ -17,6 +15,8 @@
 use slog::warn;
 
 pub use listener::reader_options;
+pub use load::EngineLoad;
+pub use load::LoadSource;
 
 use crate::agent::orders::Orders;
 use crate::agent::state::AgentState;
@@ -24,6 +24,7 @@
 use crate::current::Current;
 use crate::daemon;
 use crate::daemon::DaemonError;
+use crate::directory::Directory;
 use crate::health::HealthService;
 use crate::ids::Incarnation;
 use crate::kernel::Kernel;
@@ -32,19 +33,51 @@
 use crate::kernel::Service;
 use crate::name::Name;
 use crate::object_store::HttpObjectStore;
-use crate::settings_service::SETTINGS;
 use crate::settings_service::SettingsService;
 
 /// The name under which `AgentState` is published.
 const STATE: &str = "agent-state";
 
-/// Runs an agent until it is told to stop.
+/// The parts of an agent that differ between the product alone and a platform.
+pub struct AgentParts {
+    /// The operators' settings.
+    pub current: Rc<Current>,
+    /// Holds the agent's own upstream.
+    pub directory: Rc<Directory>,
+    /// How the upstream tells its load.
+    pub load: Rc<dyn LoadSource>,
+}
+
+/// Runs an agent of the product alone until it is told to stop.
 pub async fn run(config: AgentConfig, log: Logger) -> Result<(), DaemonError> {
     let current = Rc::new(Current::new());
+    let directory = Rc::new(Directory::new());
     let (source, store) = (config.settings.clone(), config.store.clone());
+    let source = SettingsService::new(source, store, Rc::clone(&current), log.clone())
+        .with_directory(Rc::clone(&directory));
+    let parts = AgentParts {
+        current,
+        directory,
+        load: Rc::new(EngineLoad::new()),
+    };
+    run_with(config, parts, Box::new(source), log).await
+}
+
+/// Runs an agent of these parts until it is told to stop. `source` brings in
+/// settings and upstream.
+pub async fn run_with(
+    config: AgentConfig,
+    parts: AgentParts,
+    source: Box<dyn Service>,
+    log: Logger,
+) -> Result<(), DaemonError> {
     let kernel = Kernel::new()
-        .with_service(SettingsService::new(source, store, current, log.clone()))
-        .with_service(StateService::new(config, log.clone()))
+        .with_boxed(source)
+        .with_service(StateService {
+            config,
+            parts,
+            log: log.clone(),
+        })
         .with_service(HealthService::<AgentState>::new(STATE))
         .with_service(ListenerService::new());
     daemon::run(kernel, log).await
@@ -53,15 +86,10 @@
 /// Holds the state of the agent and runs its timers.
 struct StateService {
     config: AgentConfig,
+    parts: AgentParts,
     log: Logger,
 }
 
-impl StateService {
-    fn new(config: AgentConfig, log: Logger) -> Self {
-        Self { config, log }
-    }
-}
-
 impl Service for StateService {
     fn name(&self) -> Name {
         Name::new(STATE)
@@ -72,14 +100,17 @@
         registry: &'a mut Registry,
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
-            let current = registry.find::<Current>(SETTINGS)?;
-            let incarnation = Incarnation::new(&mut rand::rng());
-            let state =
-                AgentState::new(self.config.clone(), incarnation, current, self.log.clone());
+            let state = AgentState::new(
+                self.config.clone(),
+                Incarnation::new(&mut rand::rng()),
+                Rc::clone(&self.parts.current),
+                Rc::clone(&self.parts.directory),
+                self.log.clone(),
+            );
             let state = Rc::new(state);
             actix_rt::spawn(Rc::clone(&state).run_timer());
             actix_rt::spawn(Rc::clone(&state).follow_settings());
-            actix_rt::spawn(load::follow(Rc::clone(&state)));
+            actix_rt::spawn(load::follow(Rc::clone(&state), Rc::clone(&self.parts.load)));
             if let Some(base) = &self.config.store {
                 let store = HttpObjectStore::new(base);
                 actix_rt::spawn(Orders::new(Rc::clone(&state), store).run());
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -15,10 +15,10 @@
 use crate::current::AdoptError;
 use crate::current::Handover;
 use crate::current::Revision;
-use crate::desk::Fate;
 use crate::ids::GrantId;
 use crate::site_key::Nonce;
 use crate::site_key::Role;
+use crate::site_key::SiteKey;
 use crate::site_key::nonce;
 use crate::wire;
 use crate::wire::PROTOCOL_VERSION;
@@ -52,7 +52,7 @@
             let text = format!("protocol version {PROTOCOL_VERSION} is needed");
             return Err(Error::unimplemented(text));
         }
-        let key = &self.state.config.site_key;
+        let key = self.key()?;
         let proof = hello.get_proof()?;
         if key.verify(Role::Entry, hello.get_nonce()?, &self.nonce, proof) {
             return Ok(());
@@ -62,6 +62,13 @@
     }
 }
 
+impl Gate {
+    fn key(&self) -> Result<SiteKey, Error> {
+        let key = self.state.config.site_key.get();
+        key.ok_or_else(|| Error::overloaded("the site key is not known yet".to_owned()))
+    }
+}
+
 impl gate::Server for Gate {
     async fn challenge(
         self: Rc<Self>,
@@ -82,10 +89,8 @@
         self.check(hello)?;
         self.admitted.set(true);
         let state = &self.state;
-        let proof = state
-            .config
-            .site_key
-            .prove(Role::Agent, hello.get_nonce()?, &self.nonce);
+        let key = self.key()?;
+        let proof = key.prove(Role::Agent, hello.get_nonce()?, &self.nonce);
         let mut welcome = results.get().init_welcome();
         welcome.set_version(PROTOCOL_VERSION);
         welcome.set_incarnation(state.incarnation.0);
@@ -119,23 +124,14 @@
         Ok(())
     }
 
-    async fn accept(
+    async fn begin(
         self: Rc<Self>,
-        params: desk::AcceptParams,
-        mut results: desk::AcceptResults,
+        params: desk::BeginParams,
+        _results: desk::BeginResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
         let request = wire::read_request(params.get_request()?);
-        let call = wire::read_call(params.get_call()?)?;
-        let grant = GrantId(params.get_grant());
-        let accepted = self
-            .state
-            .accept(request, grant, call, params.get_answer()?);
-        let mut builder = results.get().init_accepted();
-        match accepted {
-            Ok(()) => builder.set_dispatched(()),
-            Err(refusal) => wire::write_refusal(refusal, builder.init_refused()),
-        }
+        self.state.begin(request, GrantId(params.get_grant()));
         Ok(())
     }
 
@@ -145,44 +141,30 @@
         _results: desk::WithdrawResults,
     ) -> Result<(), Error> {
         let request = wire::read_request(params.get()?.get_request()?);
-        self.state.withdraw(request);
-        Ok(())
-    }
-
-    async fn cancel(
-        self: Rc<Self>,
-        params: desk::CancelParams,
-        _results: desk::CancelResults,
-    ) -> Result<(), Error> {
-        let request = wire::read_request(params.get()?.get_request()?);
-        self.state.cancel(request);
+        self.state.withdraw(self.session, request);
         Ok(())
     }
 
-    async fn fate(
+    async fn answering(
         self: Rc<Self>,
-        params: desk::FateParams,
-        mut results: desk::FateResults,
+        params: desk::AnsweringParams,
+        _results: desk::AnsweringResults,
     ) -> Result<(), Error> {
         let request = wire::read_request(params.get()?.get_request()?);
-        results.get().set_fate(match self.state.fate(request) {
-            Fate::NeverDispatched => schema::Fate::NeverDispatched,
-            Fate::Running => schema::Fate::Running,
-            Fate::Finished => schema::Fate::Finished,
-        });
+        self.state.answering(request);
         Ok(())
     }
 
-    async fn attach(
+    async fn finish(
         self: Rc<Self>,
-        params: desk::AttachParams,
-        mut results: desk::AttachResults,
+        params: desk::FinishParams,
+        _results: desk::FinishResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
         let request = wire::read_request(params.get_request()?);
-        let answer = params.get_answer()?;
-        let attached = self.state.attach(request, params.get_offset(), answer);
-        results.get().set_attached(attached);
+        let work = wire::read_usage(params.get_usage()?);
+        let work = params.get_whole().then_some(work);
+        self.state.finish(self.session, request, work);
         Ok(())
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::name::Name;
+use crate::site_key::KeyHolder;
 use crate::site_key::SiteKey;
 use crate::site_key::SiteKeyError;
 
@@ -76,13 +77,17 @@
     /// Where health and metrics are served.
     pub admin: SocketAddr,
     /// The key shared by all processes of the site.
-    pub site_key: SiteKey,
+    pub site_key: KeyHolder,
     /// Where the operators' settings come from.
     pub settings: SettingsSource,
     /// The address of the object API; none if the site has none.
     pub store: Option<Name>,
     /// The address of the host list; none if the platform has none.
     pub host_list: Option<Name>,
+    /// Where other entries reach this one; none if it is alone.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where the other entries are reached.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// The settled settings of an agent.
@@ -97,7 +102,7 @@
     /// Where health and metrics are served.
     pub admin: SocketAddr,
     /// The key shared by all processes of the site.
-    pub site_key: SiteKey,
+    pub site_key: KeyHolder,
     /// Where the operators' settings come from.
     pub settings: SettingsSource,
     /// The address of the object API; none if the site has none.
@@ -118,6 +123,9 @@
     settings: SettingsSource,
     store: Option<Name>,
     host_list: Option<Name>,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
 }
 
 #[derive(Deserialize)]
@@ -139,7 +147,7 @@
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let f: EntryFile = parse(path)?;
         Ok(Self {
-            site_key: read_site_key(&beside(path, &f.site_key_file))?,
+            site_key: read_site_key(&beside(path, &f.site_key_file))?.into(),
             settings: settle(path, f.settings, f.store.as_ref())?,
             store: f.store,
             name: f.name,
@@ -147,6 +155,8 @@
             listen: f.listen,
             admin: f.admin,
             host_list: f.host_list,
+            peer_listen: f.peer_listen,
+            peers: f.peers,
         })
     }
 }
@@ -156,7 +166,7 @@
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let f: AgentFile = parse(path)?;
         Ok(Self {
-            site_key: read_site_key(&beside(path, &f.site_key_file))?,
+            site_key: read_site_key(&beside(path, &f.site_key_file))?.into(),
             settings: settle(path, f.settings, f.store.as_ref())?,
             store: f.store,
             name: f.name,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,10 +25,19 @@
     Interrupted,
 }
 
+/// Settings are followed as they change, so a hangup only has to be survived.
+async fn log_hangups(mut hangup: Signal, log: Logger) {
+    while hangup.recv().await.is_some() {
+        info!(log, "told to reload; settings are followed as they change");
+    }
+}
+
 /// Starts the services, waits for SIGTERM or SIGINT, and stops them again.
 /// A second signal ends the wait for requests in flight.
 pub async fn run(mut kernel: Kernel, log: Logger) -> Result<(), DaemonError> {
     let mut stop = StopSignals::new().map_err(DaemonError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
+    actix_rt::spawn(log_hangups(hangup, log.clone()));
     kernel.start().await?;
     info!(log, "started");
     stop.next().await;
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -1,13 +1,11 @@
-//! The agent's decisions: who waits, who gets the next room at the upstream,
-//! and what may still be dispatched.
+//! The decisions about one upstream: who waits, and who gets the next room.
 //!
-//! A desk does no I/O. It takes the time as an argument and returns what has
-//! to be told to whom.
+//! An agent has a desk for the upstream beside it. An entry has one for each
+//! upstream without an agent that it can reach. A desk does no I/O. It takes
+//! the time as an argument and returns what has to be told to whom.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use crate::clock::Moment;
@@ -30,22 +28,17 @@
 #[cfg(test)]
 mod tests;
 
-/// How long the end of a request is remembered. An entry asks for the fate of
-/// a request only within a shorter time after its accept.
-pub const FATE_KEPT: Duration = Duration::from_secs(600);
-
 /// The shortest time after which coming back is suggested.
 const RETRY_FLOOR: Duration = Duration::from_millis(100);
 
-/// One slot in so many is kept free for the highest tier.
-const HEADROOM_PART: usize = 8;
-
-/// Prompts of lower tiers may take this part of the highest tier's deadline.
-const PREFILL_PART: u32 = 8;
-
-/// The weight of one ticket in the part that is served here.
+/// The weight of one ticket in the part that is served here: the mean is over
+/// some twenty tickets, a fraction of a second of a busy upstream.
 const SERVED_GAIN: f64 = 0.05;
 
+/// Prompts that a ticket past its objective may find in front of it, as the
+/// time to process them. It keeps room for those who can still meet theirs.
+const DELAYED_PREFILL: Duration = Duration::from_millis(200);
+
 /// The bounds of a desk.
 #[derive(Clone, Debug)]
 pub struct DeskConfig {
@@ -57,10 +50,6 @@
     pub grant_valid: Duration,
     /// Weights of organisations; 1 for those not named.
     pub weights: BTreeMap<Name, u32>,
-    /// The rank of the highest tier, for which room is kept.
-    pub top_order: u8,
-    /// The deadline of the highest tier.
-    pub top_deadline: Duration,
     /// Prompt tokens that the engine's cache is believed to hold at most;
     /// zero for an upstream without one.
     pub cache_tokens: u64,
@@ -71,40 +60,26 @@
 pub enum Notice {
     /// The upstream has room for the request.
     Granted(RequestId, Grant),
-    /// The ticket is no longer here and was not dispatched.
+    /// The ticket is no longer here; its grant, if any, has lapsed.
     HandedBack(RequestId, Refusal),
 }
 
-/// What became of a request at this desk.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fate {
-    /// It was not dispatched here, and never will be.
-    NeverDispatched,
-    /// It is running.
-    Running,
-    /// It has ended.
-    Finished,
-}
-
-/// The state of one agent's upstream.
+/// The state of one upstream.
 ///
-/// Invariants: a request is in at most one of the queue, `grants`, `running`
-/// and `finished`; `grants` and `running` together never exceed the slots;
-/// a request enters `running` only from a live grant, and leaves it only for
-/// `finished`, from which nothing is dispatched. So a request is dispatched
-/// at most once by this desk.
+/// Invariants: a request is in at most one of the queue, `grants` and
+/// `running`; `grants` and `running` together exceed the slots only after the
+/// slots were lowered; a request enters `running` only from a live grant.
 pub struct Desk {
     config: DeskConfig,
     queue: Queue,
     grants: HashMap<RequestId, Granted>,
     running: HashMap<RequestId, Running>,
-    finished: HashMap<RequestId, Moment>,
-    /// The requests of `finished` in the order in which they ended.
-    ended: VecDeque<(Moment, RequestId)>,
+    /// Requests that the upstream reports beyond those known here.
+    unknown: usize,
     pace: Pace,
     prefixes: PrefixIndex,
     /// The part of the tickets that left the queue to be served here. The
-    /// others were served by another agent that held a ticket too.
+    /// others were served by another upstream that held a ticket too.
     served_part: f64,
     last_grant: u64,
     draining: bool,
@@ -123,8 +98,11 @@
     since: Moment,
     /// The cost for which the organisation was charged.
     cost: u64,
-    /// Whether the upstream has begun to answer.
-    answering: bool,
+    /// Prompt tokens that were in front of the answer at its dispatch, its
+    /// own included.
+    tokens_ahead: u64,
+    /// When the upstream began to answer.
+    answering: Option<Moment>,
 }
 
 impl Desk {
@@ -136,8 +114,7 @@
             config,
             grants: HashMap::new(),
             running: HashMap::new(),
-            finished: HashMap::new(),
-            ended: VecDeque::new(),
+            unknown: 0,
             pace: Pace::new(),
             served_part: 1.0,
             last_grant: 0,
@@ -162,7 +139,7 @@
             return (Offered::Refused(refusal), Vec::new());
         }
         let request = ticket.request;
-        let quote = self.quote(&ticket);
+        let quote = self.quote(now, &ticket);
         let weight = self.weight(&ticket.organisation);
         let cost = self.cost(&ticket);
         let mut notices = Vec::new();
@@ -187,28 +164,28 @@
         (offered, notices)
     }
 
-    /// Accepts a grant: from here on the request counts as dispatched.
-    pub fn accept(
-        &mut self,
-        now: Moment,
-        request: RequestId,
-        id: GrantId,
-    ) -> Result<Ticket, Refusal> {
-        let granted = match self.grants.entry(request) {
-            Entry::Occupied(e) if e.get().id == id && e.get().expires > now => e.remove(),
-            _ => return Err(self.refuse_accept(request)),
+    /// Notes that a grant was accepted and its request sent. False if the
+    /// grant has lapsed; the request is then known only by the report.
+    pub fn begin(&mut self, now: Moment, request: RequestId, id: GrantId) -> bool {
+        let live = self.grants.get(&request).is_some_and(|g| g.id == id);
+        if !live {
+            return false;
+        }
+        let tokens_ahead = self.prefill_in_flight();
+        let Some(granted) = self.grants.remove(&request) else {
+            return false;
         };
-        let ticket = granted.ticket;
         self.served_part += SERVED_GAIN * (1.0 - self.served_part);
-        self.prefixes.touch(&ticket.prefix);
+        self.prefixes.touch(&granted.ticket.prefix);
         let running = Running {
-            ticket: ticket.clone(),
+            ticket: granted.ticket,
             since: now,
             cost: granted.cost,
-            answering: false,
+            tokens_ahead,
+            answering: None,
         };
         self.running.insert(request, running);
-        Ok(ticket)
+        true
     }
 
     /// Takes back a ticket or a grant that was not accepted.
@@ -223,48 +200,48 @@
 
     /// Notes that the upstream has begun to answer: the prompt is processed.
     pub fn answering(&mut self, now: Moment, request: RequestId) -> Vec<Notice> {
-        if let Some(running) = self.running.get_mut(&request) {
-            running.answering = true;
+        if let Some(running) = self.running.get_mut(&request)
+            && running.answering.is_none()
+        {
+            running.answering = Some(now);
+            let took = now.since(running.since);
+            if running.tokens_ahead > 0 {
+                self.pace.began(now, running.tokens_ahead, took);
+            }
         }
         self.grant(now)
     }
 
-    /// Notes the end of a dispatched request and what it really took; absent
-    /// where it ended without an answer.
+    /// Notes the end of a request and what it really took; absent where it
+    /// ended without a whole answer.
     pub fn finish(&mut self, now: Moment, request: RequestId, work: Option<Work>) -> Vec<Notice> {
         if let Some(running) = self.running.remove(&request) {
             let took = now.since(running.since);
             let ticket = running.ticket;
             if let Some(work) = work {
-                self.pace.finished(now, work, took);
+                let generating = now.since(running.answering.unwrap_or(running.since));
+                self.pace.finished(now, work.output, generating, took);
             }
-            let real = micros(took);
-            self.queue
-                .correct(ticket.order, &ticket.organisation, running.cost, real);
-            self.finished.insert(request, now);
-            self.ended.push_back((now, request));
+            self.queue.correct(
+                ticket.order,
+                &ticket.organisation,
+                running.cost,
+                micros(took),
+            );
         }
-        self.forget(now);
         self.grant(now)
     }
 
-    /// Says what became of a request. One that was not dispatched so far is
-    /// kept from being dispatched later.
-    pub fn fate(&mut self, request: RequestId) -> Fate {
-        if self.running.contains_key(&request) {
-            return Fate::Running;
-        }
-        if self.finished.contains_key(&request) {
-            return Fate::Finished;
-        }
-        self.queue.remove(request);
-        self.take_back(request);
-        Fate::NeverDispatched
+    /// Takes in the upstream's own report of the requests that it holds.
+    pub fn report(&mut self, now: Moment, held: usize) -> Vec<Notice> {
+        self.unknown = held.saturating_sub(self.grants.len() + self.running.len());
+        self.grant(now)
     }
 
-    /// Hands back what has waited past its deadline, takes back grants that
-    /// lapsed, and grants the room that this leaves.
+    /// Hands back what has waited too long, takes back grants that lapsed,
+    /// and grants the room that this leaves.
     pub fn tick(&mut self, now: Moment) -> Vec<Notice> {
+        self.queue.delay(now);
         let expired = self.queue.expire(now);
         let refusal = self.refuse(RefusalCode::Expired);
         let mut notices: Vec<Notice> = expired
@@ -288,7 +265,7 @@
     /// When `tick` next has something to do.
     pub fn next_tick(&self) -> Option<Moment> {
         let grants = self.grants.values().map(|g| g.expires).min();
-        grants.into_iter().chain(self.queue.next_deadline()).min()
+        grants.into_iter().chain(self.queue.next_expiry()).min()
     }
 
     /// Takes no new work from now on and hands back what waits.
@@ -317,7 +294,7 @@
         self.queue.len()
     }
 
-    /// The number of dispatched requests that have not ended.
+    /// The number of requests that were sent and have not ended.
     pub fn running(&self) -> usize {
         self.running.len()
     }
@@ -327,6 +304,11 @@
         self.config.slots
     }
 
+    /// The expected work of a request that is running.
+    pub fn expected(&self, request: RequestId) -> Option<Work> {
+        self.running.get(&request).map(|r| r.ticket.work)
+    }
+
     /// The measured pace of the upstream.
     pub fn pace(&self) -> &Pace {
         &self.pace
@@ -337,41 +319,31 @@
         if self.draining {
             return Some(self.refuse(RefusalCode::Draining));
         }
-        if self.running.contains_key(&request) || self.finished.contains_key(&request) {
-            return Some(self.refuse(RefusalCode::Stale));
-        }
-        if self.grants.contains_key(&request) {
+        if self.running.contains_key(&request) || self.grants.contains_key(&request) {
             return Some(self.refuse(RefusalCode::Duplicate));
         }
-        let service = self.pace.service_time(ticket.work);
-        if now + self.wait_for(ticket) + service > ticket.deadline {
+        if now + self.pace.service_time(ticket.work) > ticket.deadline {
             return Some(self.refuse(RefusalCode::Late));
         }
         None
     }
 
-    fn refuse_accept(&self, request: RequestId) -> Refusal {
-        let known = self.running.contains_key(&request) || self.finished.contains_key(&request);
-        self.refuse(match known {
-            true => RefusalCode::Stale,
-            false => RefusalCode::Expired,
-        })
-    }
-
     fn cached_tokens(&self, ticket: &Ticket) -> u64 {
         let chunks = self.prefixes.matched(&ticket.prefix) as u64;
         ticket.work.prefill.min(chunks * CHUNK_TOKENS)
     }
 
-    fn quote(&self, ticket: &Ticket) -> Quote {
-        let free = Duration::from_micros(1);
+    fn quote(&self, now: Moment, ticket: &Ticket) -> Quote {
+        let ahead = self.pace.prefill_time(self.prefill_in_flight());
         Quote {
-            start: match self.has_room_for(ticket) {
+            start: match self.has_room_for(now, ticket) {
                 true => Duration::ZERO,
-                false => self.wait_for(ticket).max(free),
+                false => self.wait_for(ticket),
             },
             cached: ticket.work.cached,
             saving: self.pace.prefill_time(ticket.work.cached),
+            begin: ahead + self.pace.prefill_time(ticket.work.uncached()),
+            end: ahead + self.pace.service_time(ticket.work),
         }
     }
 
@@ -381,10 +353,7 @@
         let ahead = self
             .queue
             .cost_ahead(ticket.order, &ticket.organisation, weight);
-        let next_slot = match self.has_room_for(ticket) {
-            true => Duration::ZERO,
-            false => self.pace.mean_time() / self.slots_divisor(),
-        };
+        let next_slot = self.pace.mean_time() / self.slots_divisor();
         next_slot + self.drain_time(ahead)
     }
 
@@ -408,37 +377,38 @@
     }
 
     fn in_flight(&self) -> usize {
-        self.grants.len() + self.running.len()
+        self.grants.len() + self.running.len() + self.unknown
     }
 
-    /// Whether `ticket` may be granted now. Tiers below the highest leave
-    /// room free for it: slots, and time until its prompt is processed.
-    fn has_room_for(&self, ticket: &Ticket) -> bool {
-        let slots = self.config.slots;
-        if ticket.order <= self.config.top_order {
-            return self.in_flight() < slots;
-        }
-        let kept = slots / HEADROOM_PART;
-        self.in_flight() < slots - kept && self.prefill_fits(ticket)
-    }
-
-    /// Whether the prompts in flight, with that of `ticket`, leave an urgent
-    /// request enough of its deadline.
-    fn prefill_fits(&self, ticket: &Ticket) -> bool {
+    /// Prompt tokens granted or sent of which the answer has not begun.
+    fn prefill_in_flight(&self) -> u64 {
         let granted = self.grants.values().map(|g| &g.ticket);
-        let running = self.running.values().filter(|r| !r.answering);
+        let running = self.running.values().filter(|r| r.answering.is_none());
         let ahead = granted.chain(running.map(|r| &r.ticket));
-        let tokens: u64 = ahead.map(|t| t.work.uncached()).sum();
+        ahead.map(|t| t.work.uncached()).sum()
+    }
+
+    /// Whether `ticket` may be granted now: there is a slot, and the prompts
+    /// in front of it leave it its objective. An engine processes prompts in
+    /// the order of arrival, so several long ones don't meet on one engine.
+    fn has_room_for(&self, now: Moment, ticket: &Ticket) -> bool {
+        if self.in_flight() >= self.config.slots {
+            return false;
+        }
+        let tokens = self.prefill_in_flight();
         if tokens == 0 {
             return true;
         }
-        let time = self.pace.prefill_time(tokens + ticket.work.uncached());
-        time <= self.config.top_deadline / PREFILL_PART
+        let ahead = self.pace.prefill_time(tokens);
+        let own = self.pace.prefill_time(ticket.work.uncached());
+        now + ahead + own <= ticket.objective
+            || (now >= ticket.objective && ahead <= DELAYED_PREFILL)
     }
 
     fn grant(&mut self, now: Moment) -> Vec<Notice> {
         let mut notices = Vec::new();
-        while let Some((ticket, cost)) = self.pop_if_room() {
+        self.queue.delay(now);
+        while let Some((ticket, cost)) = self.pop_if_room(now) {
             let request = ticket.request;
             if now + self.pace.service_time(ticket.work) > ticket.deadline {
                 self.return_charge(&ticket, cost);
@@ -447,17 +417,19 @@
                 continue;
             }
             self.last_grant += 1;
-            let id = GrantId(self.last_grant);
-            let valid = self.config.grant_valid;
-            let expires = now + valid;
+            let grant = Grant {
+                id: GrantId(self.last_grant),
+                valid: self.config.grant_valid,
+                quote: self.quote(now, &ticket),
+            };
             let granted = Granted {
-                id,
-                expires,
+                id: grant.id,
+                expires: now + grant.valid,
                 ticket,
                 cost,
             };
             self.grants.insert(request, granted);
-            notices.push(Notice::Granted(request, Grant { id, valid }));
+            notices.push(Notice::Granted(request, grant));
         }
         notices
     }
@@ -477,9 +449,9 @@
             .correct(ticket.order, &ticket.organisation, cost, 0);
     }
 
-    fn pop_if_room(&mut self) -> Option<(Ticket, u64)> {
+    fn pop_if_room(&mut self, now: Moment) -> Option<(Ticket, u64)> {
         let next = self.queue.get(self.queue.peek()?)?;
-        match self.has_room_for(next) {
+        match self.has_room_for(now, next) {
             true => self.queue.pop(),
             false => None,
         }
@@ -497,16 +469,6 @@
     fn weight(&self, organisation: &Name) -> u32 {
         self.config.weights.get(organisation).copied().unwrap_or(1)
     }
-
-    fn forget(&mut self, now: Moment) {
-        while let Some(&(at, request)) = self.ended.front() {
-            if now.since(at) < FATE_KEPT {
-                break;
-            }
-            self.ended.pop_front();
-            self.finished.remove(&request);
-        }
-    }
 }
 
 fn cache_chunks(config: &DeskConfig) -> usize {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,14 +1,18 @@
 //! The entry's decision about one request: where its tickets go and which
 //! grant is accepted.
 //!
-//! The entry that accepted a request is the only one to decide for it. A
-//! dispatch does no I/O: it is told events and returns actions.
+//! The entry that accepted a request is the only one to decide for it, and
+//! the one that sends it. A dispatch does no I/O: it is told events and
+//! returns actions.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::ids::GrantId;
 use crate::name::Name;
+use crate::ticket::Grant;
+use crate::ticket::Offered;
 use crate::ticket::Quote;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
@@ -16,30 +20,44 @@
 #[cfg(test)]
 mod tests;
 
-/// When to come back where no agent has said so.
+/// When to come back where no desk has said so.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How long the answers to the first tickets are collected before the best
+/// grant among them is accepted: a round trip between availability zones and
+/// the time of two short messages.
+const COLLECT: Duration = Duration::from_millis(5);
+
+/// What an upstream in another availability zone has to be faster by, as a
+/// part of the expected time, to be preferred.
+const FAR_PART: f64 = 0.1;
+
+/// An upstream that could run a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: Name,
+    /// Whether it is in the entry's own availability zone.
+    pub near: bool,
+}
+
 /// Something that happened to a request.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// An agent queued the ticket.
-    Queued(Name, Quote),
-    /// Waiting for the holder of the prompt's prefix has lasted long enough.
-    PatienceEnded,
-    /// An agent refused the ticket or handed it back.
-    Refused(Name, Refusal),
-    /// An agent has room.
-    Granted(Name, GrantId),
+    /// A desk has answered the ticket.
+    Offered(Name, Offered),
+    /// A desk has room for the waiting ticket.
+    Granted(Name, Grant),
+    /// A desk handed the waiting ticket back.
+    HandedBack(Name, Refusal),
     /// The connection to an agent was lost.
     Lost(Name),
-    /// The agent has dispatched the request.
-    Dispatched(Name),
-    /// The agent surely did not dispatch the request after an accept.
-    NotDispatched(Name, Refusal),
-    /// It can't be found out whether the request was dispatched.
-    Unclear(Name),
-    /// The deadline has passed.
-    DeadlinePassed,
+    /// The answers to the first tickets were collected for long enough.
+    Collected,
+    /// The upstream surely did not run the request that it was sent.
+    NotRun(Name, Refusal),
+    /// Waiting has lasted too long.
+    PatienceEnded,
     /// The entry needs the room for a request of a higher tier.
     Shed(Refusal),
 }
@@ -47,206 +65,250 @@
 /// Something that has to be done for a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
-    /// Offer a ticket to an agent.
+    /// Offer a ticket for an upstream.
     Offer(Name),
-    /// Tell `PatienceEnded` after this time.
-    WaitFor(Duration),
-    /// Accept a grant and send the request.
-    Accept(Name, GrantId),
-    /// Find out from the same incarnation of an agent whether it dispatched.
-    AskFate(Name),
-    /// Have the rest of the answer sent on a new connection.
-    Resume(Name),
-    /// Take back the ticket from an agent.
+    /// Tell `Collected` after this time.
+    CollectFor(Duration),
+    /// Accept the grant and send the request.
+    Send(Name, GrantId),
+    /// Take back the ticket for an upstream.
     Withdraw(Name),
-    /// End the request without an answer from an upstream.
-    Finish(Failure),
-}
-
-/// Why a request ended without an answer from an upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// It was not run; no agent took it.
-    NotRun {
-        /// What the last agent said; absent where none could be reached.
+    /// End the request: it was not run.
+    GiveUp {
+        /// What the desks said; absent where none could be reached.
         refusal: Option<Refusal>,
         /// When coming back may help.
         retry_after: Duration,
     },
-    /// It may have been run.
-    Unknown,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum TicketState {
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ticket {
+    /// Not answered yet.
     Offered,
+    Waiting(Quote),
+    Granted(Grant),
     Gone,
 }
 
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum State {
-    /// Tickets are out; nothing has been accepted.
+    /// The answers to the first tickets are collected.
+    Collecting,
+    /// Tickets are out; the first grant is accepted.
     Seeking,
-    /// An accept was sent to this agent and not yet answered.
-    Accepting(Name),
-    /// The answer to the accept was lost; this agent is asked for the fate.
-    Asking(Name),
-    /// The request counts as dispatched by this agent.
-    Dispatched(Name),
+    /// The request was sent.
+    Sent,
     /// A final answer has been given.
     Done,
 }
 
 /// The state of one request at its entry.
 ///
-/// Invariants: at most one accept is unanswered at any time; once an accept
-/// was answered by `Dispatched` or `Unclear`, no further accept is sent.
+/// Invariants: a request is sent to one upstream at a time; once sent, it is
+/// sent again only after `NotRun` of that upstream.
 pub struct Dispatch {
     state: State,
-    tickets: BTreeMap<Name, TicketState>,
-    /// Agents not yet tried, the best last.
-    spare: Vec<Name>,
+    tickets: BTreeMap<Name, Ticket>,
+    /// Upstreams not yet tried, the best last.
+    spare: Vec<Choice>,
+    near: BTreeMap<Name, bool>,
+    /// Where the request was sent last.
+    sent_to: Option<Name>,
+    /// Upstreams whose agent was lost; each is tried once more without it.
+    lost: BTreeSet<Name>,
     /// Tickets that are out at most.
     width: usize,
-    /// Whether the only ticket so far went to the holder of the prefix.
-    narrow: bool,
+    /// The time within which the answer should begin, from the start.
+    objective: Duration,
+    /// The longest useful wait, from the start.
+    patience: Duration,
     refusal: Option<Refusal>,
     retry_after: Option<Duration>,
 }
 
 impl Dispatch {
-    /// A request that may go to `candidates`, the best first, with at most
+    /// A request that may go to `choices`, the best first, with at most
     /// `width` tickets out at any time.
-    pub fn new(candidates: Vec<Name>, width: usize) -> Self {
-        let mut spare = candidates;
+    pub fn new(choices: Vec<Choice>, width: usize) -> Self {
+        let near = choices.iter().map(|c| (c.upstream.clone(), c.near));
+        let near = near.collect();
+        let mut spare = choices;
         spare.reverse();
         Self {
-            state: State::Seeking,
+            state: State::Collecting,
             tickets: BTreeMap::new(),
             spare,
+            near,
+            sent_to: None,
+            lost: BTreeSet::new(),
             width,
-            narrow: false,
+            objective: Duration::MAX,
+            patience: Duration::MAX,
             refusal: None,
             retry_after: None,
         }
     }
 
-    /// The same request, of which the first candidate holds the prompt's
-    /// prefix. It is asked alone, and the others only once waiting for it
-    /// costs more than processing the prefix again.
-    pub fn with_holder(mut self) -> Self {
-        self.narrow = true;
+    /// The same request, whose answer should begin within `objective` and
+    /// which can wait for `patience` at most.
+    pub fn with_times(mut self, objective: Duration, patience: Duration) -> Self {
+        self.objective = objective;
+        self.patience = patience;
         self
     }
 
     /// Sends out the first tickets.
     pub fn start(&mut self) -> Vec<Action> {
-        self.seek()
+        let mut actions = self.seek();
+        if self.state == State::Collecting {
+            actions.push(Action::CollectFor(COLLECT));
+        }
+        actions
     }
 
-    /// Whether the request surely was not dispatched so far.
+    /// Whether the request is not at an upstream.
     pub fn is_seeking(&self) -> bool {
-        self.state == State::Seeking
-    }
-
-    /// Whether the request has been dispatched.
-    pub fn is_dispatched(&self) -> bool {
-        matches!(self.state, State::Dispatched(_))
+        matches!(self.state, State::Collecting | State::Seeking)
     }
 
     /// Takes in an event and says what is to be done.
     pub fn on(&mut self, event: Event) -> Vec<Action> {
-        match (self.state.clone(), event) {
+        match (self.state, event) {
             (State::Done, _) => Vec::new(),
-            (State::Seeking, Event::Queued(_, quote)) => self.queued(quote),
-            (State::Seeking, Event::PatienceEnded) => self.widen(),
-            (State::Seeking, Event::Granted(agent, grant)) => self.accept(agent, grant),
-            (State::Seeking, Event::Refused(agent, refusal)) => self.refused(agent, refusal),
-            (State::Seeking, Event::Lost(agent)) => self.lost(agent),
-            (State::Seeking, Event::DeadlinePassed) => {
+            (State::Sent, Event::NotRun(upstream, refusal))
+                if self.sent_to.as_ref() == Some(&upstream) =>
+            {
+                self.state = State::Collecting;
+                let mut actions = self.refused(&upstream, refusal);
+                if self.state == State::Collecting {
+                    actions.push(Action::CollectFor(COLLECT));
+                }
+                actions
+            }
+            // A desk that reserved room for a request that was sent elsewhere.
+            (
+                State::Sent,
+                Event::Granted(upstream, _) | Event::Offered(upstream, Offered::Granted(_)),
+            ) => vec![Action::Withdraw(upstream)],
+            (State::Sent, _) | (_, Event::NotRun(..)) => Vec::new(),
+            (_, Event::Offered(upstream, offered)) => self.offered(&upstream, offered),
+            (_, Event::Granted(upstream, grant)) => self.granted(&upstream, grant),
+            (_, Event::HandedBack(upstream, refusal)) => self.refused(&upstream, refusal),
+            (_, Event::Lost(upstream)) => self.lost(&upstream),
+            (_, Event::Collected) => self.collected(),
+            (_, Event::PatienceEnded) => {
                 let after = self.retry_after.unwrap_or(RETRY_AFTER);
                 let late = Refusal::new(RefusalCode::Expired, after);
                 self.refusal.get_or_insert(late);
                 self.give_up()
             }
-            (State::Seeking, Event::Shed(refusal)) => {
+            (_, Event::Shed(refusal)) => {
                 self.refusal = Some(refusal);
                 self.give_up()
             }
-            (
-                State::Seeking,
-                Event::Dispatched(_) | Event::NotDispatched(..) | Event::Unclear(_),
-            ) => Vec::new(),
-            // An agent that reserved room for a request decided elsewhere.
-            (_, Event::Granted(agent, _)) => vec![Action::Withdraw(agent)],
-            (State::Accepting(at) | State::Asking(at), event) => self.decided(at, event),
-            (State::Dispatched(at), event) => self.dispatched(&at, event),
         }
     }
 
-    /// Takes in an event while an accept is unanswered.
-    fn decided(&mut self, at: Name, event: Event) -> Vec<Action> {
-        match event {
-            Event::Dispatched(agent) if agent == at => {
-                self.state = State::Dispatched(at);
-                Vec::new()
+    fn offered(&mut self, upstream: &Name, offered: Offered) -> Vec<Action> {
+        match offered {
+            Offered::Granted(grant) => self.granted(upstream, grant),
+            Offered::Refused(refusal) => self.refused(upstream, refusal),
+            Offered::Queued(quote) => {
+                if let Some(ticket) = self.tickets.get_mut(upstream)
+                    && *ticket == Ticket::Offered
+                {
+                    *ticket = Ticket::Waiting(quote);
+                }
+                self.collected_all()
             }
-            Event::NotDispatched(agent, refusal) if agent == at => {
-                self.state = State::Seeking;
-                self.refused(agent, refusal)
-            }
-            Event::Unclear(agent) if agent == at => {
-                self.state = State::Done;
-                vec![Action::Finish(Failure::Unknown)]
-            }
-            Event::Lost(agent) if agent == at && self.state == State::Accepting(at) => {
-                self.state = State::Asking(agent.clone());
-                vec![Action::AskFate(agent)]
-            }
-            _ => Vec::new(),
         }
     }
 
-    /// Takes in an event while the request counts as dispatched.
-    fn dispatched(&mut self, at: &Name, event: Event) -> Vec<Action> {
-        match event {
-            Event::NotDispatched(agent, refusal) if agent == *at => {
-                self.state = State::Seeking;
-                self.refused(agent, refusal)
-            }
-            Event::Lost(agent) if agent == *at => vec![Action::Resume(agent)],
-            _ => Vec::new(),
+    fn granted(&mut self, upstream: &Name, grant: Grant) -> Vec<Action> {
+        match self.tickets.get_mut(upstream) {
+            Some(ticket) if *ticket != Ticket::Gone => *ticket = Ticket::Granted(grant),
+            _ => return vec![Action::Withdraw(upstream.clone())],
+        }
+        match self.state {
+            State::Collecting => self.collected_all(),
+            _ => self.send_best(),
+        }
+    }
+
+    /// Ends the collection once every ticket that is out was answered.
+    fn collected_all(&mut self) -> Vec<Action> {
+        let open = self.tickets.values().any(|t| *t == Ticket::Offered);
+        match self.state == State::Collecting && !open {
+            true => self.collected(),
+            false => Vec::new(),
         }
     }
 
-    fn queued(&mut self, quote: Quote) -> Vec<Action> {
-        if !self.narrow {
+    fn collected(&mut self) -> Vec<Action> {
+        if self.state != State::Collecting {
             return Vec::new();
         }
-        match quote.saving.checked_sub(quote.start) {
-            Some(patience) => vec![Action::WaitFor(patience)],
-            None => self.widen(),
+        self.state = State::Seeking;
+        let actions = self.send_best();
+        if !actions.is_empty() {
+            return actions;
+        }
+        match self.shortest_wait() {
+            Some(wait) if wait > self.patience => {
+                self.refusal = Some(Refusal::new(RefusalCode::Overloaded, wait));
+                self.retry_after = Some(wait);
+                self.give_up()
+            }
+            _ => Vec::new(),
         }
     }
 
-    fn widen(&mut self) -> Vec<Action> {
-        self.narrow = false;
-        self.seek()
+    /// The shortest expected wait, where every desk has given one.
+    fn shortest_wait(&self) -> Option<Duration> {
+        let mut shortest = None;
+        for ticket in self.tickets.values() {
+            match ticket {
+                Ticket::Offered | Ticket::Granted(_) => return None,
+                Ticket::Gone => {}
+                Ticket::Waiting(quote) => {
+                    let wait = shortest.map_or(quote.start, |s: Duration| s.min(quote.start));
+                    shortest = Some(wait);
+                }
+            }
+        }
+        shortest
     }
 
-    fn accept(&mut self, agent: Name, grant: GrantId) -> Vec<Action> {
-        if self.tickets.get(&agent) != Some(&TicketState::Offered) {
-            return vec![Action::Withdraw(agent)];
-        }
-        let mut actions = vec![Action::Accept(agent.clone(), grant)];
-        actions.extend(self.withdraw_all_but(&agent));
-        self.state = State::Accepting(agent);
+    /// Accepts the best grant, if there is one.
+    fn send_best(&mut self) -> Vec<Action> {
+        let granted = self.tickets.iter().filter_map(|(name, t)| match t {
+            Ticket::Granted(grant) => Some((name, grant)),
+            _ => None,
+        });
+        let best = granted.min_by_key(|(name, grant)| self.rank(name, grant.quote));
+        let Some((name, id)) = best.map(|(name, grant)| (name.clone(), grant.id)) else {
+            return Vec::new();
+        };
+        let mut actions = vec![Action::Send(name.clone(), id)];
+        actions.extend(self.withdraw_all_but(&name));
+        self.state = State::Sent;
+        self.sent_to = Some(name);
         actions
     }
 
-    fn refused(&mut self, agent: Name, refusal: Refusal) -> Vec<Action> {
-        self.narrow = false;
-        self.tickets.insert(agent, TicketState::Gone);
+    /// Whether the answer would begin too late, and when it would end.
+    fn rank(&self, upstream: &Name, quote: Quote) -> (bool, Duration) {
+        let near = self.near.get(upstream).copied().unwrap_or_default();
+        let end = match near {
+            true => quote.end,
+            false => quote.end.mul_f64(1.0 + FAR_PART),
+        };
+        (quote.begin > self.objective, end)
+    }
+
+    fn refused(&mut self, upstream: &Name, refusal: Refusal) -> Vec<Action> {
+        self.tickets.insert(upstream.clone(), Ticket::Gone);
         self.refusal = Some(match self.refusal {
             // The caller should hear of load rather than of a detail.
             Some(old) if weight(old.code) > weight(refusal.code) => old,
@@ -254,24 +316,48 @@
         });
         let after = refusal.retry_after;
         self.retry_after = Some(self.retry_after.map_or(after, |old| old.min(after)));
-        self.seek()
+        self.replace()
     }
 
-    fn lost(&mut self, agent: Name) -> Vec<Action> {
-        self.narrow = false;
-        self.tickets.insert(agent, TicketState::Gone);
-        self.seek()
+    fn lost(&mut self, upstream: &Name) -> Vec<Action> {
+        let was_out = self
+            .tickets
+            .get(upstream)
+            .is_some_and(|t| *t != Ticket::Gone);
+        if was_out && self.lost.insert(upstream.clone()) {
+            self.tickets.remove(upstream);
+            let choice = self.choice(upstream);
+            self.spare.insert(0, choice);
+        } else {
+            self.tickets.insert(upstream.clone(), Ticket::Gone);
+        }
+        self.replace()
+    }
+
+    fn choice(&self, upstream: &Name) -> Choice {
+        Choice {
+            upstream: upstream.clone(),
+            near: self.near.get(upstream).copied().unwrap_or_default(),
+        }
+    }
+
+    fn replace(&mut self) -> Vec<Action> {
+        let mut actions = self.seek();
+        if actions.is_empty() {
+            actions = self.collected_all();
+        }
+        actions
     }
 
     fn seek(&mut self) -> Vec<Action> {
-        let width = if self.narrow { 1 } else { self.width };
         let mut actions = Vec::new();
-        while self.out() < width {
-            let Some(agent) = self.spare.pop() else {
+        while self.out() < self.width {
+            let Some(choice) = self.spare.pop() else {
                 break;
             };
-            self.tickets.insert(agent.clone(), TicketState::Offered);
-            actions.push(Action::Offer(agent));
+            self.tickets
+                .insert(choice.upstream.clone(), Ticket::Offered);
+            actions.push(Action::Offer(choice.upstream));
         }
         if self.out() == 0 {
             return self.give_up();
@@ -282,43 +368,43 @@
     fn give_up(&mut self) -> Vec<Action> {
         let mut actions = self.withdraw_all();
         self.state = State::Done;
-        actions.push(Action::Finish(Failure::NotRun {
+        actions.push(Action::GiveUp {
             refusal: self.refusal,
             retry_after: self.retry_after.unwrap_or(RETRY_AFTER),
-        }));
+        });
         actions
     }
 
-    /// The caller has gone: takes back every ticket.
+    /// The caller has gone, or may not be sent elsewhere: takes back every
+    /// ticket.
     pub fn abandon(&mut self) -> Vec<Action> {
         self.state = State::Done;
         self.withdraw_all()
     }
 
     fn withdraw_all(&mut self) -> Vec<Action> {
-        let out = self
-            .tickets
-            .iter_mut()
-            .filter(|(_, s)| **s == TicketState::Offered);
-        out.map(|(agent, state)| {
-            *state = TicketState::Gone;
-            Action::Withdraw(agent.clone())
+        let out = self.tickets.iter_mut().filter(|(_, t)| **t != Ticket::Gone);
+        out.map(|(upstream, ticket)| {
+            *ticket = Ticket::Gone;
+            Action::Withdraw(upstream.clone())
         })
         .collect()
     }
 
-    /// Takes back the other tickets; their agents may be tried again if this
-    /// accept turns out not to have dispatched the request.
+    /// Takes back the other tickets; their upstreams may be tried again if
+    /// the chosen one turns out not to have run the request.
     fn withdraw_all_but(&mut self, kept: &Name) -> Vec<Action> {
         let others: Vec<Name> = self
             .tickets
             .iter()
-            .filter(|(agent, state)| *agent != kept && **state == TicketState::Offered)
-            .map(|(agent, _)| agent.clone())
+            .filter(|(upstream, ticket)| *upstream != kept && **ticket != Ticket::Gone)
+            .map(|(upstream, _)| upstream.clone())
             .collect();
-        for agent in &others {
-            self.tickets.remove(agent);
-            self.spare.insert(0, agent.clone());
+        self.tickets.insert(kept.clone(), Ticket::Gone);
+        for upstream in &others {
+            self.tickets.remove(upstream);
+            let choice = self.choice(upstream);
+            self.spare.push(choice);
         }
         others.into_iter().map(Action::Withdraw).collect()
     }
@@ -326,7 +412,7 @@
     fn out(&self) -> usize {
         self.tickets
             .values()
-            .filter(|s| **s == TicketState::Offered)
+            .filter(|t| **t != Ticket::Gone)
             .count()
     }
 }
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,270 @@
+//! One try of a request at one upstream.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+
+use crate::call::Call;
+use crate::clock::Moment;
+use crate::dialect::Onward;
+use crate::dialect::Verdict;
+use crate::entry::desks::Seat;
+use crate::entry::keyed::Claimed;
+use crate::entry::relay::Relay;
+use crate::entry::request::Job;
+use crate::entry::request::PUBLIC;
+use crate::entry::state::EntryState;
+use crate::exchange;
+use crate::exchange::Answer;
+use crate::exchange::ExchangeError;
+use crate::headers::Header;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::outcome::Outcome;
+use crate::outlier::Judgement;
+use crate::settings::Upstream;
+use crate::ticket::Refusal;
+use crate::ticket::RefusalCode;
+use crate::usage::AnswerForm;
+
+/// When to come back after an upstream that said it was full.
+const FULL_RETRY: Duration = Duration::from_millis(300);
+
+/// When to come back after an upstream that can't be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(500);
+
+/// A stream that is silent for so many of the longest pauses that are on time
+/// goes on elsewhere, where it may.
+const SILENT_PAUSES: u32 = 3;
+
+/// How a try has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// The whole answer was passed on.
+    Whole(Outcome),
+    /// The upstream surely did not run the request.
+    NotRun(Refusal),
+    /// The answer failed or broke off; the request may have run.
+    Broken,
+    /// The caller has gone, and the work with it.
+    CallerGone,
+    /// The caller may be kept waiting no longer.
+    TimedOut,
+}
+
+/// One try of a request at one upstream.
+pub struct Attempt<'a> {
+    /// The state of the entry.
+    pub state: &'a Rc<EntryState>,
+    /// The request's id.
+    pub request: RequestId,
+    /// What it is.
+    pub job: &'a Job,
+    /// The upstream.
+    pub upstream: &'a Name,
+    /// The desk that has granted the room.
+    pub seat: &'a Seat,
+    /// When the answer stops being useful.
+    pub deadline: Moment,
+    /// When the answer is broken off.
+    pub cut: Moment,
+    /// When the request arrived.
+    pub arrived: Moment,
+}
+
+impl Attempt<'_> {
+    /// Sends the request and passes the answer on.
+    pub async fn run(&self, relay: &mut Relay, claimed: &mut Option<Claimed>) -> Ended {
+        let Some(upstream) = self.state.directory.get(self.upstream) else {
+            return self.unreachable();
+        };
+        let until = self.state.instant(self.cut);
+        let answer = tokio::select! {
+            answer = self.open(&upstream, relay) => answer,
+            () = relay.closed(), if self.job.cancellable => return Ended::CallerGone,
+            () = actix_rt::time::sleep_until(until.into()) => return Ended::TimedOut,
+        };
+        match answer {
+            Ok(answer) => self.answered(answer, &upstream, relay, claimed).await,
+            Err(ended) => ended,
+        }
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    async fn open(&self, upstream: &Upstream, relay: &Relay) -> Result<Answer, Ended> {
+        let stream = exchange::connect(upstream.address).await;
+        let stream = stream.map_err(|e| self.failed(&e))?;
+        self.state.sent(self.upstream, &self.job.prefix);
+        let call = self.call(upstream, relay);
+        let sent = exchange::send(stream, &call);
+        let head_within = self.silence(relay).filter(|_| relay.has_begun());
+        let answer = match head_within {
+            Some(within) => match actix_rt::time::timeout(within, sent).await {
+                Ok(answer) => answer,
+                Err(_) => return Err(self.silent()),
+            },
+            None => sent.await,
+        };
+        answer.map_err(|e| self.failed(&e))
+    }
+
+    fn call(&self, upstream: &Upstream, relay: &Relay) -> Call {
+        let mut call = self.job.call.clone();
+        let organisation = &self.job.admission.organisation;
+        let onward = Onward {
+            organisation: Some(organisation).filter(|o| o.as_str() != PUBLIC),
+            remaining: self.state.now().until(self.deadline),
+            instance: upstream.instance.as_ref(),
+            last_event: relay.last_event().or(self.job.last_event),
+        };
+        self.state.dialect.dress(&mut call, &onward);
+        call
+    }
+
+    async fn answered(
+        &self,
+        mut answer: Answer,
+        upstream: &Upstream,
+        relay: &mut Relay,
+        claimed: &mut Option<Claimed>,
+    ) -> Ended {
+        let dialect = &self.state.dialect;
+        let verdict = dialect.verdict(self.job.caller_id.as_ref(), &answer.head);
+        match verdict {
+            Verdict::Answer => {}
+            Verdict::Full => {
+                return Ended::NotRun(Refusal::new(RefusalCode::Overloaded, FULL_RETRY));
+            }
+            Verdict::WrongInstance => {
+                self.state.judge(self.upstream, Judgement::Unreachable);
+                return Ended::NotRun(Refusal::new(RefusalCode::Stale, UNREACHABLE_RETRY));
+            }
+            Verdict::Foreign => {
+                self.state.judge(self.upstream, Judgement::Failed);
+                return Ended::Broken;
+            }
+        }
+        let status = answer.head.status;
+        if status >= 500 {
+            self.state.judge(self.upstream, Judgement::Failed);
+            let attempts = self.job.admission.route.attempts;
+            if relay.has_begun() || (self.job.idempotent && attempts > 1) {
+                return Ended::Broken;
+            }
+        }
+        let headers = std::mem::take(&mut answer.head.headers);
+        self.note_head(claimed, status, &headers);
+        let form = match status < 300 {
+            true => dialect.form(&self.job.call, upstream),
+            false => AnswerForm::Opaque,
+        };
+        relay.head(status, headers, form).await;
+        self.pass_on(answer, status, relay, claimed).await
+    }
+
+    fn note_head(&self, claimed: &mut Option<Claimed>, status: u16, headers: &[Header]) {
+        if let Some(claimed) = claimed {
+            claimed.head(status, headers);
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        mut answer: Answer,
+        status: u16,
+        relay: &mut Relay,
+        claimed: &mut Option<Claimed>,
+    ) -> Ended {
+        let until = self.state.instant(self.cut);
+        let mut begun = false;
+        loop {
+            let silence = silence(self.silence(relay));
+            let next = tokio::select! {
+                next = answer.next() => next,
+                () = relay.closed(), if self.job.cancellable => return Ended::CallerGone,
+                () = actix_rt::time::sleep_until(until.into()) => return Ended::TimedOut,
+                () = silence => return self.silent(),
+            };
+            let now = self.state.now();
+            match next {
+                Ok(Some(bytes)) => {
+                    if !begun {
+                        begun = true;
+                        self.begun(now);
+                    }
+                    if let Some(claimed) = claimed {
+                        claimed.bytes(&bytes);
+                    }
+                    relay.bytes(now, bytes).await;
+                }
+                Ok(None) => {
+                    if relay.end().await {
+                        if status < 500 {
+                            self.state.judge(self.upstream, Judgement::Served);
+                        }
+                        return Ended::Whole(self.outcome(status, now));
+                    }
+                    self.state.judge(self.upstream, Judgement::Failed);
+                    return Ended::Broken;
+                }
+                Err(e) => return self.failed(&e),
+            }
+        }
+    }
+
+    fn begun(&self, now: Moment) {
+        self.seat.answering(now, self.upstream, self.request);
+        let waited = now.since(self.arrived).as_secs_f64();
+        let tier = &self.job.admission.tier;
+        self.state.metrics.first_byte(tier, waited);
+    }
+
+    /// The silence after which a stream goes on elsewhere, where it may.
+    fn silence(&self, relay: &Relay) -> Option<Duration> {
+        let route = &self.job.admission.route;
+        let pause = route.pause.filter(|_| route.resumable)?;
+        relay.may_go_on().then_some(pause * SILENT_PAUSES)
+    }
+
+    fn outcome(&self, status: u16, now: Moment) -> Outcome {
+        match status {
+            500.. => Outcome::failed,
+            400..500 => Outcome::invalid,
+            _ if now > self.deadline => Outcome::late,
+            _ => Outcome::good,
+        }
+    }
+
+    fn silent(&self) -> Ended {
+        info!(self.state.log, "upstream fell silent";
+            "request" => %self.request,
+            "upstream" => %self.upstream);
+        self.state.judge(self.upstream, Judgement::Failed);
+        Ended::Broken
+    }
+
+    fn failed(&self, e: &ExchangeError) -> Ended {
+        info!(self.state.log, "exchange with the upstream failed";
+            "request" => %self.request,
+            "upstream" => %self.upstream,
+            "error" => %e);
+        if e.is_not_sent() {
+            return self.unreachable();
+        }
+        self.state.judge(self.upstream, Judgement::Failed);
+        Ended::Broken
+    }
+
+    fn unreachable(&self) -> Ended {
+        self.state.judge(self.upstream, Judgement::Unreachable);
+        Ended::NotRun(Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY))
+    }
+}
+
+async fn silence(limit: Option<Duration>) {
+    match limit {
+        Some(limit) => actix_rt::time::sleep(limit).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -2,20 +2,17 @@
 
 use capnp::Error;
 
-use crate::almondramp_capnp as schema;
-use crate::almondramp_capnp::answer;
 use crate::almondramp_capnp::desk;
 use crate::clock::Moment;
 use crate::entry::waiter::TicketWaiter;
 use crate::ids::GrantId;
 use crate::ids::RequestId;
 use crate::ticket::Offered;
-use crate::ticket::Refusal;
 use crate::ticket::Ticket;
+use crate::ticket::Work;
 use crate::wire;
-use crate::wire::Call;
 
-/// Offers a ticket; its deadline goes out as the time left after `now`.
+/// Offers a ticket; its times go out as what is left after `now`.
 pub fn offer(
     desk: &desk::Client,
     ticket: &Ticket,
@@ -32,32 +29,17 @@
     }
 }
 
-/// Accepts a grant and sends the request. Gives the refusal, if any.
-pub fn accept(
-    desk: &desk::Client,
-    request: RequestId,
-    grant: GrantId,
-    call: &Call,
-    answer: answer::Client,
-) -> impl Future<Output = Result<Option<Refusal>, Error>> + use<> {
-    use schema::accepted::Which;
-
-    let mut req = desk.accept_request();
+/// Tells that a grant was accepted. What an agent can't be told it learns
+/// from the end of the connection.
+pub fn begin(desk: &desk::Client, request: RequestId, grant: GrantId) {
+    let mut req = desk.begin_request();
     wire::write_request(request, req.get().init_request());
     req.get().set_grant(grant.0);
-    wire::write_call(call, req.get().init_call());
-    req.get().set_answer(answer);
     let sent = req.send();
-    async move {
-        let reply = sent.promise.await?;
-        match reply.get()?.get_accepted()?.which()? {
-            Which::Dispatched(()) => Ok(None),
-            Which::Refused(refusal) => wire::read_refusal(refusal?).map(Some),
-        }
-    }
+    actix_rt::spawn(async move { sent.promise.await.map(drop) });
 }
 
-/// Takes back a ticket. One whose withdrawal is lost ends with its connection.
+/// Takes back a ticket or an unused grant.
 pub fn withdraw(desk: &desk::Client, request: RequestId) {
     let mut req = desk.withdraw_request();
     wire::write_request(request, req.get().init_request());
@@ -65,36 +47,20 @@
     actix_rt::spawn(async move { sent.promise.await.map(drop) });
 }
 
-/// Cancels a dispatched request. If the call is lost, the agent stops the
-/// request once nobody fetches its answer.
-pub fn cancel(desk: &desk::Client, request: RequestId) {
-    let mut req = desk.cancel_request();
+/// Tells that the upstream has begun to answer.
+pub fn answering(desk: &desk::Client, request: RequestId) {
+    let mut req = desk.answering_request();
     wire::write_request(request, req.get().init_request());
     let sent = req.send();
     actix_rt::spawn(async move { sent.promise.await.map(drop) });
 }
 
-/// Asks what became of a request. An agent that has not dispatched it never
-/// will after this.
-pub async fn fate(desk: &desk::Client, request: RequestId) -> Result<schema::Fate, Error> {
-    let mut req = desk.fate_request();
+/// Tells that a request has ended, and what it took if its answer is whole.
+pub fn finish(desk: &desk::Client, request: RequestId, work: Option<Work>) {
+    let mut req = desk.finish_request();
     wire::write_request(request, req.get().init_request());
-    let reply = req.send().promise.await?;
-    Ok(reply.get()?.get_fate()?)
-}
-
-/// Has the rest of an answer sent, from `offset` on. Gives whether the agent
-/// still holds that part.
-pub async fn attach(
-    desk: &desk::Client,
-    request: RequestId,
-    offset: u64,
-    answer: answer::Client,
-) -> Result<bool, Error> {
-    let mut req = desk.attach_request();
-    wire::write_request(request, req.get().init_request());
-    req.get().set_answer(answer);
-    req.get().set_offset(offset);
-    let reply = req.send().promise.await?;
-    Ok(reply.get()?.get_attached())
+    req.get().set_whole(work.is_some());
+    wire::write_usage(work.unwrap_or_default(), req.get().init_usage());
+    let sent = req.send();
+    actix_rt::spawn(async move { sent.promise.await.map(drop) });
 }
--- /dev/null
+++ b/src/entry/desks.rs
@@ -0,0 +1,223 @@
+//! The desks that an entry offers tickets to: those of agents it is connected
+//! to, and its own for upstreams whose agent is absent or can't be reached.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::clock::Moment;
+use crate::desk::Desk;
+use crate::desk::DeskConfig;
+use crate::desk::Notice;
+use crate::dispatch::Event;
+use crate::entry::calls;
+use crate::entry::links::Link;
+use crate::entry::waiter::TicketWaiter;
+use crate::ids::GrantId;
+use crate::ids::RequestId;
+use crate::name::Name;
+use crate::settings::Limits;
+use crate::settings::Settings;
+use crate::settings::Upstream;
+use crate::ticket::Ticket;
+use crate::ticket::Work;
+
+/// Where the ticket of a request lies.
+#[derive(Clone)]
+pub enum Seat {
+    /// At the agent beside the upstream.
+    Agent(Link),
+    /// At the entry's own desk for the upstream.
+    Own(Rc<OwnDesks>),
+}
+
+/// The entry's own desks, by upstream.
+#[derive(Default)]
+pub struct OwnDesks {
+    desks: RefCell<HashMap<Name, Desk>>,
+    listeners: RefCell<HashMap<RequestId, UnboundedSender<Event>>>,
+}
+
+impl OwnDesks {
+    /// Removes the desks of upstreams that `keep` does not name.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        self.desks.borrow_mut().retain(|name, _| keep(name));
+    }
+
+    /// Offers a ticket at the desk of `upstream`; `events` hears the answer.
+    pub fn offer(
+        &self,
+        now: Moment,
+        upstream: &Name,
+        config: DeskConfig,
+        ticket: Ticket,
+        events: &UnboundedSender<Event>,
+    ) {
+        let request = ticket.request;
+        self.listeners.borrow_mut().insert(request, events.clone());
+        let mut desks = self.desks.borrow_mut();
+        let desk = desks
+            .entry(upstream.clone())
+            .or_insert_with(|| Desk::new(config.clone()));
+        desk.set_config(config);
+        let (offered, notices) = desk.offer(now, ticket);
+        drop(desks);
+        // A request that has ended no longer listens.
+        let _ = events.send(Event::Offered(upstream.clone(), offered));
+        self.tell(upstream, notices);
+    }
+
+    /// Notes that a grant was accepted.
+    pub fn begin(&self, now: Moment, upstream: &Name, request: RequestId, grant: GrantId) {
+        if let Some(desk) = self.desks.borrow_mut().get_mut(upstream) {
+            desk.begin(now, request, grant);
+        }
+    }
+
+    /// Takes back a ticket.
+    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId) {
+        self.with(upstream, |desk| desk.withdraw(now, request));
+    }
+
+    /// Notes that an upstream has begun to answer.
+    pub fn answering(&self, now: Moment, upstream: &Name, request: RequestId) {
+        self.with(upstream, |desk| desk.answering(now, request));
+    }
+
+    /// Notes the end of a request.
+    pub fn finish(&self, now: Moment, upstream: &Name, request: RequestId, work: Option<Work>) {
+        self.with(upstream, |desk| desk.finish(now, request, work));
+    }
+
+    /// Hands back tickets that have waited too long.
+    pub fn tick(&self, now: Moment) {
+        let names: Vec<Name> = self.desks.borrow().keys().cloned().collect();
+        for name in names {
+            self.with(&name, |desk| desk.tick(now));
+        }
+    }
+
+    /// Has a request that has ended no longer hear of its tickets.
+    pub fn forget(&self, request: RequestId) {
+        self.listeners.borrow_mut().remove(&request);
+    }
+
+    fn with<F>(&self, upstream: &Name, change: F)
+    where
+        F: FnOnce(&mut Desk) -> Vec<Notice>,
+    {
+        let notices = self.desks.borrow_mut().get_mut(upstream).map(change);
+        self.tell(upstream, notices.unwrap_or_default());
+    }
+
+    fn tell(&self, upstream: &Name, notices: Vec<Notice>) {
+        let listeners = self.listeners.borrow();
+        for notice in notices {
+            let (request, event) = match notice {
+                Notice::Granted(request, grant) => {
+                    (request, Event::Granted(upstream.clone(), grant))
+                }
+                Notice::HandedBack(request, refusal) => {
+                    (request, Event::HandedBack(upstream.clone(), refusal))
+                }
+            };
+            if let Some(events) = listeners.get(&request) {
+                // A request that has ended no longer listens.
+                let _ = events.send(event);
+            }
+        }
+    }
+}
+
+/// The bounds of an entry's own desk for `upstream`. An upstream whose agent
+/// can't be reached is shared with the other entries.
+pub fn own_desk_config(settings: &Settings, upstream: &Upstream, entries: usize) -> DeskConfig {
+    let slots = upstream.slots as usize;
+    let slots = match upstream.agent {
+        None => slots,
+        Some(_) => slots.div_ceil(entries.max(1)),
+    };
+    desk_config(&settings.limits, upstream, slots, settings)
+}
+
+/// The bounds of a desk with this many slots.
+pub fn desk_config(
+    limits: &Limits,
+    upstream: &Upstream,
+    slots: usize,
+    settings: &Settings,
+) -> DeskConfig {
+    let organisations = settings.organisations.iter();
+    DeskConfig {
+        slots,
+        tickets: limits.agent_tickets as usize,
+        grant_valid: limits.grant_valid,
+        weights: organisations
+            .filter(|(_, o)| o.weight != 1)
+            .map(|(name, o)| (name.clone(), o.weight))
+            .collect(),
+        cache_tokens: upstream.cache_tokens,
+    }
+}
+
+/// Offers a ticket at an agent; `events` hears the answer.
+pub fn offer_agent(
+    link: &Link,
+    upstream: &Name,
+    ticket: &Ticket,
+    now: Moment,
+    events: &UnboundedSender<Event>,
+) {
+    link.usage.touch();
+    let waiter = TicketWaiter::new(upstream.clone(), events.clone());
+    let offered = calls::offer(&link.desk, ticket, now, waiter);
+    let events = events.clone();
+    let upstream = upstream.clone();
+    actix_rt::spawn(async move {
+        let event = match offered.await {
+            Ok(offered) => Event::Offered(upstream, offered),
+            Err(_) => Event::Lost(upstream),
+        };
+        // A request that has ended no longer listens.
+        let _ = events.send(event);
+    });
+}
+
+impl Seat {
+    /// Notes that a grant was accepted.
+    pub fn begin(&self, now: Moment, upstream: &Name, request: RequestId, grant: GrantId) {
+        match self {
+            Self::Agent(link) => calls::begin(&link.desk, request, grant),
+            Self::Own(desks) => desks.begin(now, upstream, request, grant),
+        }
+    }
+
+    /// Takes back a ticket or an unused grant.
+    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId) {
+        match self {
+            Self::Agent(link) => calls::withdraw(&link.desk, request),
+            Self::Own(desks) => desks.withdraw(now, upstream, request),
+        }
+    }
+
+    /// Notes that an upstream has begun to answer.
+    pub fn answering(&self, now: Moment, upstream: &Name, request: RequestId) {
+        match self {
+            Self::Agent(link) => calls::answering(&link.desk, request),
+            Self::Own(desks) => desks.answering(now, upstream, request),
+        }
+    }
+
+    /// Notes the end of a request and what it took, if its answer is whole.
+    pub fn finish(&self, now: Moment, upstream: &Name, request: RequestId, work: Option<Work>) {
+        match self {
+            Self::Agent(link) => calls::finish(&link.desk, request, work),
+            Self::Own(desks) => desks.finish(now, upstream, request, work),
+        }
+    }
+}
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -10,9 +10,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::almondramp_capnp::FailureCode;
-use crate::dispatch::Failure;
 use crate::name::Name;
+use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
 /// Repeats of refused callers are spread over this part of the wait.
@@ -102,6 +101,12 @@
     /// The upstream broke off.
     #[error("the upstream failed; the request may have been run")]
     UpstreamFailed,
+    /// The caller was kept waiting for as long as its route allows.
+    #[error("the answer took too long; the request may have been run")]
+    TimedOut,
+    /// The organisation has used up its quota.
+    #[error("the organisation has used up its quota")]
+    OverQuota(Duration),
 }
 
 #[derive(Serialize)]
@@ -123,15 +128,8 @@
 }
 
 impl CallerError {
-    /// The error for a request that no agent has answered.
-    pub fn from_failure(failure: Failure) -> Self {
-        let Failure::NotRun {
-            refusal,
-            retry_after,
-        } = failure
-        else {
-            return Self::Unknown;
-        };
+    /// The error for a request that was not run, by what the desks said.
+    pub fn from_refusal(refusal: Option<Refusal>, retry_after: Duration) -> Self {
         match refusal.map(|r| r.code) {
             Some(RefusalCode::Overloaded | RefusalCode::Evicted) => Self::Overloaded(retry_after),
             Some(RefusalCode::Late | RefusalCode::Expired) => Self::Late(retry_after),
@@ -146,15 +144,6 @@
         }
     }
 
-    /// The error for an answer that broke off before its head was passed on.
-    pub fn from_code(code: FailureCode) -> Self {
-        match code {
-            FailureCode::UpstreamFailed | FailureCode::TimedOut => Self::UpstreamFailed,
-            FailureCode::NotDispatched => Self::Unavailable(Duration::from_secs(1)),
-            FailureCode::Cancelled | FailureCode::AnswerLost => Self::Unknown,
-        }
-    }
-
     /// The code by which programs tell errors apart.
     pub fn code(&self) -> &'static str {
         match self {
@@ -181,13 +170,17 @@
             Self::ClaimsUnsupported => "claims-unsupported",
             Self::Unknown => "unknown-outcome",
             Self::UpstreamFailed => "upstream-failed",
+            Self::TimedOut => "timed-out",
+            Self::OverQuota(_) => "over-quota",
         }
     }
 
     /// Whether the request was run.
     pub fn run(&self) -> Run {
         match self {
-            Self::Unknown | Self::UpstreamFailed | Self::KeyRunning => Run::Unknown,
+            Self::Unknown | Self::UpstreamFailed | Self::TimedOut | Self::KeyRunning => {
+                Run::Unknown
+            }
             Self::KeyRan => Run::Ran,
             _ => Run::NotRun,
         }
@@ -207,7 +200,7 @@
             Self::KeyRunning | Self::KeyRan => StatusCode::CONFLICT,
             Self::ClaimsUnsupported => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::Limited(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::Limited(_) | Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
             | Self::Stopping
             | Self::ClaimsUnavailable
@@ -215,6 +208,7 @@
             | Self::Late(_)
             | Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -227,6 +221,7 @@
             Self::Overloaded(after)
             | Self::Late(after)
             | Self::Limited(after)
+            | Self::OverQuota(after)
             | Self::Unavailable(after) => Some(*after),
             _ => None,
         }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::Request;
 use actix_http::RequestHead;
 use actix_http::Response;
@@ -14,6 +15,7 @@
 use bytes::BytesMut;
 use futures::Stream;
 use futures::StreamExt;
+use slog::info;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Receiver;
@@ -31,15 +33,12 @@
 use crate::entry::serve::Reply;
 use crate::entry::serve::Serving;
 use crate::entry::state::EntryState;
+use crate::headers::Header;
 use crate::health::alive;
 use crate::health::readiness;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
-use crate::wire::Header;
-
-/// The header that tells the caller the id of its request.
-const REQUEST_ID_HEADER: &str = "x-almondramp-request-id";
 
 /// Parts of an answer that wait for a slow caller.
 const REPLIES_AHEAD: usize = 4;
@@ -72,16 +71,32 @@
 
 /// Answers one request of a caller.
 pub async fn handle(state: Rc<EntryState>, mut req: Request) -> Response<BoxBody> {
-    match req.path() {
-        "/healthz" => return alive(),
-        "/readyz" => return readiness(state.is_ready()),
-        _ => {}
+    if state.dialect.asks_health(req.path()) {
+        return match req.path() {
+            "/readyz" => readiness(state.is_ready()),
+            _ => alive(),
+        };
     }
     match serve(&state, &mut req).await {
         Ok(response) => response,
         Err(e) => {
+            let id = state.dialect.request_id(req.head());
+            let id = id.as_deref().unwrap_or_default();
+            info!(state.log, "request refused";
+                "request" => id,
+                "path" => req.path(),
+                "organisation" => e.admission.as_ref().map(|a| a.organisation.to_string()),
+                "code" => e.error.code(),
+                "revision" => state.current.revision().0,
+                "outcome" => e.error.outcome().name());
             count_refused(&state, &e);
-            e.error.response(None)
+            let mut response = state.dialect.refusal(&e.error, id);
+            if state.is_stopping() {
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
+            response
         }
     }
 }
@@ -117,7 +132,7 @@
 }
 
 async fn serve(state: &Rc<EntryState>, req: &mut Request) -> Result<Response<BoxBody>, Refused> {
-    if state.is_stopping() {
+    if state.is_ending() {
         return Err(CallerError::Stopping.into());
     }
     if !state.current.is_ready() {
@@ -125,7 +140,9 @@
     }
     let arrived = state.now();
     let settings = state.current.settings();
-    let admission = Admission::new(req.head(), &settings, &state.keys())?;
+    let dialect = Rc::clone(&state.dialect);
+    let draw = |total| state.draw(total);
+    let admission = Admission::new(req.head(), &*dialect, &settings, &state.keys(), draw)?;
     let admitted = admission.clone();
     let refused = |error| Refused {
         admission: Some(admitted.clone()),
@@ -144,8 +161,9 @@
     };
     let body = read_body(req, settings.limits.body, settings.limits.caller_timeout);
     let body = body.await.map_err(&refused)?;
-    let job = admission.with_body(req.head(), &settings, body);
+    let job = admission.with_body(req.head(), &*dialect, &settings, body);
     let job = job.map_err(&refused)?;
+    let spent = state.spend(&job).map_err(&refused)?;
     let claimed = match claim(state, req.head(), &job).await.map_err(&refused)? {
         None => None,
         Some(Keyed::Granted(claimed)) => Some(claimed),
@@ -160,6 +178,7 @@
         arrived,
         claimed,
         entered,
+        spent,
     };
     Ok(answer(state, accepted, (events, heard)).await)
 }
@@ -185,34 +204,41 @@
     channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
 ) -> Response<BoxBody> {
     let (replies, mut received) = mpsc::channel(REPLIES_AHEAD);
-    let id = accepted.request.to_string();
+    let id = match &accepted.job.caller_id {
+        Some(id) => id.to_string(),
+        None => accepted.request.to_string(),
+    };
     let serving = Serving::new(Rc::clone(state), accepted, channel, replies);
     actix_rt::spawn(serving.run());
-    match received.recv().await {
+    let mut response = match received.recv().await {
         Some(Reply::Head(status, headers)) => {
-            let close = state.is_stopping();
-            let mut response = head(status, &headers, &id, close);
+            let mut response = head(status, &headers);
+            if let Some(name) = state.dialect.id_header() {
+                response.insert_header((name, id));
+            }
             response
                 .body(BodyStream::new(body(received)))
                 .map_into_boxed_body()
         }
-        Some(Reply::Error(error)) => error.response(Some(&id)),
+        Some(Reply::Error(error)) => state.dialect.refusal(&error, &id),
         Some(Reply::Bytes(_) | Reply::End | Reply::Broken) | None => {
-            CallerError::Unknown.response(Some(&id))
+            state.dialect.refusal(&CallerError::Unknown, &id)
         }
+    };
+    if state.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
+    response
 }
 
-fn head(status: u16, headers: &[Header], id: &str, close: bool) -> actix_http::ResponseBuilder {
+fn head(status: u16, headers: &[Header]) -> actix_http::ResponseBuilder {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = Response::build(status);
     for header in headers {
         builder.append_header((header.name.as_str(), header.value.as_ref()));
     }
-    builder.insert_header((REQUEST_ID_HEADER, id));
-    if close {
-        builder.force_close();
-    }
     builder
 }
 
@@ -288,11 +314,11 @@
             | Self::BodyBroken => Outcome::invalid,
             Self::Overloaded(_) => Outcome::overloaded,
             Self::Late(_) => Outcome::expired,
-            Self::Limited(_) => Outcome::limited,
+            Self::Limited(_) | Self::OverQuota(_) => Outcome::limited,
             Self::NotReady | Self::Stopping | Self::ClaimsUnavailable | Self::Unavailable(_) => {
                 Outcome::unavailable
             }
-            Self::Unknown | Self::UpstreamFailed => Outcome::unknown,
+            Self::Unknown | Self::UpstreamFailed | Self::TimedOut => Outcome::unknown,
         }
     }
 }
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -22,9 +22,9 @@
 use crate::claims::unix_now;
 use crate::entry::error::CallerError;
 use crate::entry::request::Job;
+use crate::headers::Header;
 use crate::name::Name;
 use crate::settings::Limits;
-use crate::wire::Header;
 
 /// The header that carries the key.
 pub const KEY_HEADER: &str = "idempotency-key";
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -30,12 +30,14 @@
 use crate::current::Current;
 use crate::current::Handover;
 use crate::current::Revision;
+use crate::directory::Directory;
 use crate::dispatch::Event;
 use crate::handshake::Admitted;
 use crate::handshake::introduce;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::site_key::SiteKey;
 use crate::subset;
 
 /// The shortest time between two tries to connect.
@@ -59,8 +61,6 @@
 pub struct Link {
     /// The agent's desk.
     pub desk: desk::Client,
-    /// The life of the agent at the other end.
-    pub incarnation: Incarnation,
     /// When it was used last.
     pub usage: Rc<LinkUsage>,
 }
@@ -96,12 +96,11 @@
     config: EntryConfig,
     incarnation: Incarnation,
     current: Rc<Current>,
+    directory: Rc<Directory>,
     log: Logger,
     up: RefCell<BTreeMap<Name, Link>>,
     /// Requests that have to hear when the connection to an agent is lost.
     waiting: RefCell<HashMap<Name, HashMap<RequestId, UnboundedSender<Event>>>>,
-    /// Told when a connection came up.
-    connected: Notify,
 }
 
 impl Links {
@@ -110,16 +109,17 @@
         config: EntryConfig,
         incarnation: Incarnation,
         current: Rc<Current>,
+        directory: Rc<Directory>,
         log: Logger,
     ) -> Self {
         Self {
             config,
             incarnation,
             current,
+            directory,
             log,
             up: RefCell::default(),
             waiting: RefCell::default(),
-            connected: Notify::new(),
         }
     }
 
@@ -128,11 +128,6 @@
         self.up.borrow().get(upstream).cloned()
     }
 
-    /// Whether the connection to the agent of `upstream` is up.
-    pub fn is_up(&self, upstream: &Name) -> bool {
-        self.up.borrow().contains_key(upstream)
-    }
-
     /// The number of connections that are up.
     pub fn count(&self) -> usize {
         self.up.borrow().len()
@@ -152,42 +147,21 @@
         }
     }
 
-    /// Waits until the same life of the agent of `upstream` is connected, at
-    /// most for `within`. Returns none if it has ended or stays away.
-    pub async fn same_again(
-        &self,
-        upstream: &Name,
-        incarnation: Incarnation,
-        within: Duration,
-    ) -> Option<Link> {
-        let connected = async {
-            loop {
-                let connected = self.connected.notified();
-                if let Some(link) = self.get(upstream) {
-                    return Some(link).filter(|l| l.incarnation == incarnation);
-                }
-                connected.await;
-            }
-        };
-        let waited = actix_rt::time::timeout(within, connected).await;
-        waited.ok().flatten()
-    }
-
-    /// Connects to the agents that the settings name, and follows changes.
+    /// Connects to the agents of the directory, and follows changes.
     pub async fn run(self: Rc<Self>) {
+        let site_key = self.config.site_key.wait().await;
+        let mut changes = self.directory.subscribe();
         let mut revisions = self.current.subscribe();
         let mut tasks: BTreeMap<(Name, SocketAddr), JoinHandle<()>> = BTreeMap::new();
         loop {
-            let settings = self.current.settings();
-            let chosen = subset::choose(
-                &self.config.name,
-                &self.config.zone,
-                &settings.upstreams,
-                settings.limits.links as usize,
-            );
-            let wanted = settings.upstreams.iter();
-            let wanted = wanted.filter(|(name, _)| chosen.contains(*name));
-            let wanted: BTreeMap<_, _> = wanted.map(|(n, u)| ((n.clone(), u.agent), ())).collect();
+            let upstreams = self.directory.upstreams();
+            let links = self.current.settings().limits.links as usize;
+            let chosen = subset::choose(&self.config.name, &self.config.zone, &upstreams, links);
+            let wanted: BTreeMap<_, _> = upstreams
+                .iter()
+                .filter(|(name, _)| chosen.contains(*name))
+                .filter_map(|(name, u)| Some(((name.clone(), u.agent?), ())))
+                .collect();
             tasks.retain(|key, task| {
                 let keep = wanted.contains_key(key);
                 if !keep {
@@ -199,22 +173,27 @@
             for key in wanted.into_keys() {
                 let (name, address) = key.clone();
                 let this = Rc::clone(&self);
+                let site_key = site_key.clone();
                 tasks
                     .entry(key)
-                    .or_insert_with(|| actix_rt::spawn(this.keep(name, address)));
+                    .or_insert_with(|| actix_rt::spawn(this.keep(name, address, site_key)));
             }
-            if revisions.changed().await.is_err() {
+            let changed = tokio::select! {
+                changed = changes.changed() => changed,
+                changed = revisions.changed() => changed,
+            };
+            if changed.is_err() {
                 return;
             }
         }
     }
 
     /// Keeps one connection up.
-    async fn keep(self: Rc<Self>, upstream: Name, address: SocketAddr) {
+    async fn keep(self: Rc<Self>, upstream: Name, address: SocketAddr, key: SiteKey) {
         let mut pause = RECONNECT_MIN;
         loop {
             let since = Instant::now();
-            self.connect(&upstream, address).await;
+            self.connect(&upstream, address, &key).await;
             if since.elapsed() > RECONNECT_MAX {
                 pause = RECONNECT_MIN;
             }
@@ -225,25 +204,20 @@
     }
 
     /// Connects once and returns when the connection has ended.
-    async fn connect(&self, upstream: &Name, address: SocketAddr) {
+    async fn connect(&self, upstream: &Name, address: SocketAddr, key: &SiteKey) {
         let Some(Connected { gate, rpc }) = connect(address).await else {
             return;
         };
         tokio::select! {
             _ = rpc => {}
-            () = self.converse(upstream, &gate) => {}
+            () = self.converse(upstream, &gate, key) => {}
         }
         self.down(upstream);
     }
 
     /// Introduces this entry and exchanges heartbeats until they fail.
-    async fn converse(&self, upstream: &Name, gate: &gate::Client) {
-        let introduced = introduce(
-            gate,
-            &self.config.site_key,
-            &self.config.name,
-            self.incarnation,
-        );
+    async fn converse(&self, upstream: &Name, gate: &gate::Client, key: &SiteKey) {
+        let introduced = introduce(gate, key, &self.config.name, self.incarnation);
         let admitted = match actix_rt::time::timeout(HEARTBEAT_TIMEOUT, introduced).await {
             Ok(Ok(admitted)) => admitted,
             Ok(Err(e)) => {
@@ -263,11 +237,9 @@
         }
         let link = Link {
             desk,
-            incarnation,
             usage: Rc::default(),
         };
         self.up.borrow_mut().insert(upstream.clone(), link.clone());
-        self.connected.notify_waiters();
         if let Err(e) = self.beat(&link).await {
             debug!(self.log, "connection lost"; "upstream" => %upstream, "error" => %e);
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,23 +1,27 @@
 //! The entry: speaks HTTP to callers and decides for their requests.
 
-mod answer;
+mod attempt;
 mod auth;
 mod calls;
+mod desks;
 mod error;
 mod http;
 mod keyed;
 mod links;
 mod membership;
 mod metrics;
-mod prompt;
+mod peers;
+mod relay;
 mod request;
 mod serve;
 mod state;
 mod waiter;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::Request;
 use futures::FutureExt;
@@ -35,7 +39,10 @@
 use crate::current::Current;
 use crate::daemon;
 use crate::daemon::DaemonError;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
 use crate::entry::links::Links;
+use crate::entry::peers::Peers;
 use crate::entry::state::EntryState;
 use crate::health::HealthService;
 use crate::health::Observed;
@@ -48,37 +55,85 @@
 use crate::kernel::Registry;
 use crate::kernel::Service;
 use crate::name::Name;
-use crate::settings_service::SETTINGS;
+use crate::openai::OpenAi;
+use crate::settings::Limits;
 use crate::settings_service::SettingsService;
 use crate::settings_service::WATCHES;
 
 /// The name under which `EntryState` is published.
 const STATE: &str = "entry-state";
 
-/// Runs an entry until it is told to stop.
+/// The time between two looks at tickets that wait at the entry's own desks.
+const OWN_DESK_TICK: Duration = Duration::from_millis(20);
+
+/// How long a stopping entry goes on serving callers that have not yet
+/// noticed: a balancer looks once a second and believes the second look.
+const NOTICED_AFTER: Duration = Duration::from_millis(2500);
+
+/// The part of the drain time after which new requests are refused, since
+/// many could not end in time.
+const LAST_REQUESTS: f64 = 0.33;
+
+/// The part of the drain time in which the process ends by itself.
+const DRAIN_USED: f64 = 0.97;
+
+/// The parts of an entry that differ between the product alone and a platform.
+pub struct EntryParts {
+    /// The operators' settings.
+    pub current: Rc<Current>,
+    /// The upstreams that are there.
+    pub directory: Rc<Directory>,
+    /// How callers and upstreams speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// The other entries known so far.
+    pub peers: watch::Receiver<BTreeSet<SocketAddr>>,
+}
+
+/// Runs an entry of the product alone until it is told to stop.
 pub async fn run(config: EntryConfig, log: Logger) -> Result<(), DaemonError> {
     let current = Rc::new(Current::new());
+    let directory = Rc::new(Directory::new());
     let (source, store) = (config.settings.clone(), config.store.clone());
+    let source = SettingsService::new(source, store, Rc::clone(&current), log.clone())
+        .with_directory(Rc::clone(&directory));
+    let known = config.peers.iter().copied().collect();
+    let (_known, peers) = watch::channel(known);
+    let parts = EntryParts {
+        current,
+        directory,
+        dialect: Rc::new(OpenAi),
+        peers,
+    };
+    run_with(config, parts, Box::new(source), log).await
+}
+
+/// Runs an entry of these parts until it is told to stop. `source` brings in
+/// settings, upstreams and peers.
+pub async fn run_with(
+    config: EntryConfig,
+    parts: EntryParts,
+    source: Box<dyn Service>,
+    log: Logger,
+) -> Result<(), DaemonError> {
     let kernel = Kernel::new()
-        .with_service(SettingsService::new(source, store, current, log.clone()))
-        .with_service(StateService::new(config, log.clone()))
+        .with_boxed(source)
+        .with_service(StateService {
+            config,
+            parts,
+            log: log.clone(),
+        })
         .with_service(HealthService::<EntryState>::new(STATE))
         .with_service(CallerService::new());
     daemon::run(kernel, log).await
 }
 
-/// Holds the state of the entry and its connections to agents.
+/// Holds the state of the entry and its connections to agents and peers.
 struct StateService {
     config: EntryConfig,
+    parts: EntryParts,
     log: Logger,
 }
 
-impl StateService {
-    fn new(config: EntryConfig, log: Logger) -> Self {
-        Self { config, log }
-    }
-}
-
 impl Service for StateService {
     fn name(&self) -> Name {
         Name::new(STATE)
@@ -89,25 +144,30 @@
         registry: &'a mut Registry,
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
-            let current = registry.find::<Current>(SETTINGS)?;
-            let watches = registry.find::<watch::Sender<bool>>(WATCHES)?;
+            // Without a list of hosts every process watches for itself.
+            let watches = registry.find::<watch::Sender<bool>>(WATCHES);
+            let watches = watches.unwrap_or_else(|_| Rc::new(watch::Sender::new(true)));
             let incarnation = Incarnation::new(&mut rand::rng());
             let links = Rc::new(Links::new(
                 self.config.clone(),
                 incarnation,
-                Rc::clone(&current),
+                Rc::clone(&self.parts.current),
+                Rc::clone(&self.parts.directory),
                 self.log.clone(),
             ));
             actix_rt::spawn(Rc::clone(&links).run());
             let state = EntryState::new(
                 self.config.clone(),
                 incarnation,
-                current,
+                &self.parts,
                 links,
                 watches,
                 self.log.clone(),
             );
             let state = Rc::new(state);
+            actix_rt::spawn(tick_own_desks(Rc::clone(&state)));
+            actix_rt::spawn(forget_gone(Rc::clone(&state)));
+            self.start_peers(&state).await?;
             if let Some(base) = &self.config.host_list {
                 let hosts = HttpHostList::new(base);
                 actix_rt::spawn(membership::follow(Rc::clone(&state), hosts));
@@ -122,6 +182,43 @@
     }
 }
 
+impl StateService {
+    async fn start_peers(&self, state: &Rc<EntryState>) -> Result<(), KernelError> {
+        let Some(listen) = self.config.peer_listen else {
+            return Ok(());
+        };
+        let bound = Peers::bind(
+            listen,
+            Rc::clone(&state.quota),
+            self.config.site_key.clone(),
+            state.incarnation,
+            state.clock(),
+            self.log.clone(),
+        );
+        let peers = bound.await.map_err(|e| KernelError::Failed {
+            name: self.name(),
+            source: Box::new(e),
+        })?;
+        actix_rt::spawn(Rc::clone(&peers).run());
+        actix_rt::spawn(peers.follow(self.parts.peers.clone()));
+        Ok(())
+    }
+}
+
+async fn tick_own_desks(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(OWN_DESK_TICK).await;
+        state.own_desks.tick(state.now());
+    }
+}
+
+async fn forget_gone(state: Rc<EntryState>) {
+    let mut changes = state.directory.subscribe();
+    while changes.changed().await.is_ok() {
+        state.forget_gone();
+    }
+}
+
 /// Serves callers; its stop waits for the requests in flight.
 #[derive(Default)]
 struct CallerService {
@@ -145,12 +242,8 @@
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
             let state = registry.find::<EntryState>(STATE)?;
-            let limits = state.current.settings().limits.clone();
-            let bounds = HttpBounds {
-                connections: limits.connections as usize,
-                head_timeout: limits.caller_timeout,
-                write_timeout: limits.caller_write_timeout,
-            };
+            let current = Rc::clone(&state.current);
+            let bounds = move || caller_bounds(&current.settings().limits);
             let serving = Rc::clone(&state);
             let handler = move |req: Request| http::handle(Rc::clone(&serving), req);
             let server = HttpServer::bind(state.config.listen, bounds, handler).await;
@@ -164,6 +257,9 @@
         .boxed_local()
     }
 
+    /// Callers are told to close their connections while requests on those
+    /// that are open are still served. Then requests are refused that could
+    /// not end in time, and the last ones end.
     fn stop(&self) -> LocalBoxFuture<'_, ()> {
         async move {
             let running = self.running.take();
@@ -171,9 +267,25 @@
                 return;
             };
             state.stop();
-            let within = state.current.settings().limits.drain;
-            let ended = futures::future::join(server.stop(within), state.idle());
-            if actix_rt::time::timeout(within, ended).await.is_err() {
+            let within = state.current.settings().limits.drain.mul_f64(DRAIN_USED);
+            let last_requests = within.mul_f64(LAST_REQUESTS);
+            let served = async {
+                let unused = async {
+                    server.unused().await;
+                    state.idle().await;
+                };
+                let noticed = NOTICED_AFTER.min(last_requests);
+                futures::future::join(actix_rt::time::sleep(noticed), unused).await;
+            };
+            if actix_rt::time::timeout(last_requests, served)
+                .await
+                .is_err()
+            {
+                state.end();
+            }
+            server.close();
+            let ended = actix_rt::time::timeout(within - last_requests, state.idle());
+            if ended.await.is_err() {
                 warn!(
                     state.log,
                     "requests were still in flight when the drain time ended"
@@ -184,6 +296,15 @@
     }
 }
 
+fn caller_bounds(limits: &Limits) -> HttpBounds {
+    HttpBounds {
+        connections: limits.connections as usize,
+        head_timeout: limits.caller_timeout,
+        write_timeout: limits.caller_write_timeout,
+        keep_alive: limits.caller_idle,
+    }
+}
+
 impl Observed for EntryState {
     fn admin_address(&self) -> SocketAddr {
         self.config.admin
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,19 +8,18 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 
+use crate::call::Call;
+use crate::dialect::Dialect;
 use crate::entry::auth::KeyTable;
 use crate::entry::error::CallerError;
-use crate::entry::prompt::Prompt;
 use crate::headers::end_to_end;
 use crate::name::Name;
-use crate::settings::Organisation;
 use crate::settings::Route;
 use crate::settings::RouteKind;
 use crate::settings::Settings;
 use crate::settings::Upstream;
 use crate::settings::UpstreamKind;
 use crate::ticket::Work;
-use crate::wire::Call;
 
 /// By this header a caller lowers the tier.
 pub const TIER_HEADER: &str = "x-almondramp-tier";
@@ -30,8 +29,16 @@
 
 const BEARER: &str = "Bearer ";
 
-/// Headers that concern the entry only.
-const OWN_HEADERS: [&str; 3] = ["authorization", TIER_HEADER, DEADLINE_HEADER];
+/// Under this name are counted requests on routes that need no key.
+pub const PUBLIC: &str = "public";
+
+/// The part of the deadline within which an answer should begin, where the
+/// route names no objective.
+const OBJECTIVE_PART: u32 = 2;
+
+/// How long a request may wait for room, in objectives: an answer that begins
+/// late is still worth having, but its caller leaves at some time.
+const PATIENCE: u32 = 3;
 
 /// What the head of a request says: whose it is, where it goes, how urgent.
 #[derive(Clone, Debug)]
@@ -46,6 +53,10 @@
     pub order: u8,
     /// The time within which the answer is useful.
     pub deadline: Duration,
+    /// The time within which the answer should begin.
+    pub objective: Duration,
+    /// The model or service that is to answer, where the route decides.
+    pub service: Option<Name>,
 }
 
 /// A request that can be scheduled.
@@ -59,87 +70,112 @@
     pub target: Name,
     /// What the work is believed to take.
     pub work: Work,
+    /// The most tokens that it counts for.
+    pub most_tokens: u64,
     /// Chained hashes of the prompt's chunks.
     pub prefix: Vec<u64>,
     /// Whether running it twice would do no harm.
     pub idempotent: bool,
     /// Whether the work is worth nothing once the caller has gone.
     pub cancellable: bool,
+    /// The last event that the caller has received before.
+    pub last_event: Option<u64>,
+    /// The caller's own id of the request.
+    pub caller_id: Option<Name>,
 }
 
 impl Admission {
-    /// Reads the head of a request.
-    pub fn new(
+    /// Reads the head of a request. `draw` chooses among the services of a
+    /// route in proportion to their weights.
+    pub fn new<F>(
         head: &RequestHead,
+        dialect: &dyn Dialect,
         settings: &Settings,
         keys: &KeyTable,
-    ) -> Result<Self, CallerError> {
-        let organisation = authenticate(&head.headers, keys)?;
+        draw: F,
+    ) -> Result<Self, CallerError>
+    where
+        F: FnOnce(u32) -> u32,
+    {
         let path = head.uri.path();
-        let (route_name, route) = find_route(settings, path).ok_or(CallerError::NoRoute)?;
+        let found = find_route(settings, host_of(head), path);
+        let (route_name, route) = found.ok_or(CallerError::NoRoute)?;
+        let organisation = match route.public {
+            true => Name::new(PUBLIC),
+            false => authenticate(&head.headers, keys)?,
+        };
         if route.kind == RouteKind::Model && head.method != Method::POST {
             return Err(CallerError::Method);
         }
-        let owner = settings.organisations.get(&organisation);
-        let owner = owner.ok_or(CallerError::UnknownKey)?;
-        let tier = choose_tier(settings, owner, route_name, route, &head.headers)?;
+        let tier = choose_tier(settings, &organisation, route_name, route)?;
+        let tier = lower_tier(settings, tier, dialect.tier(head)?)?;
         let rank = settings.tiers.get(&tier).ok_or(CallerError::NotReady)?;
         let deadline = route.deadline.unwrap_or(rank.deadline);
+        let deadline = dialect
+            .deadline(head)?
+            .map_or(deadline, |d| d.min(deadline));
+        let objective = route.objective.unwrap_or(deadline / OBJECTIVE_PART);
         Ok(Self {
             organisation,
             route: route.clone(),
             order: rank.order,
             tier,
-            deadline: shorten(deadline, &head.headers)?,
+            deadline,
+            objective,
+            service: choose_service(route, draw),
         })
     }
 
+    /// The longest useful wait for room.
+    pub fn patience(&self) -> Duration {
+        (self.objective * PATIENCE).min(self.deadline)
+    }
+
     /// Completes the request by its body.
     pub fn with_body(
         self,
         head: &RequestHead,
+        dialect: &dyn Dialect,
         settings: &Settings,
         body: Bytes,
     ) -> Result<Job, CallerError> {
-        match self.route.kind {
-            RouteKind::Model => self.model_job(head, settings, body),
-            RouteKind::Service => self.service_job(head, body),
+        let call = new_call(head, dialect, body);
+        let caller_id = dialect.request_id(head);
+        let method = Name::new(head.method.as_str());
+        let by_method = self.route.idempotent_methods.contains(&method);
+        let idempotent = self.route.idempotent.unwrap_or(by_method);
+        if self.route.kind == RouteKind::Service {
+            let target = self.service.clone().ok_or(CallerError::NoRoute)?;
+            return Ok(Job {
+                call,
+                target,
+                work: Work::default(),
+                most_tokens: 0,
+                prefix: Vec::new(),
+                idempotent,
+                cancellable: idempotent,
+                last_event: None,
+                caller_id,
+                admission: self,
+            });
         }
-    }
-
-    fn model_job(
-        self,
-        head: &RequestHead,
-        settings: &Settings,
-        body: Bytes,
-    ) -> Result<Job, CallerError> {
-        let prompt = Prompt::parse(&body)?;
-        let serves = |u: &Upstream| serves(u, RouteKind::Model, &prompt.model);
-        if !settings.upstreams.values().any(serves) {
-            return Err(CallerError::UnknownModel(prompt.model));
+        let prompt = dialect.prompt(head, &call.body)?;
+        let target = self.service.clone().or(prompt.model);
+        let target = target.ok_or(CallerError::NoRoute)?;
+        let serves = |u: &Upstream| serves(u, RouteKind::Model, &target);
+        if !settings.limits.discovered && !settings.upstreams.values().any(serves) {
+            return Err(CallerError::UnknownModel(target));
         }
         Ok(Job {
-            call: new_call(head, body, prompt.stream),
-            target: prompt.model,
+            call,
+            target,
             work: prompt.work,
+            most_tokens: prompt.most_tokens,
             prefix: prompt.prefix,
-            idempotent: false,
+            idempotent: self.route.resumable || self.route.idempotent.unwrap_or_default(),
             cancellable: true,
-            admission: self,
-        })
-    }
-
-    fn service_job(self, head: &RequestHead, body: Bytes) -> Result<Job, CallerError> {
-        let method = Name::new(head.method.as_str());
-        let idempotent = self.route.idempotent_methods.contains(&method);
-        let target = self.route.service.clone().ok_or(CallerError::NoRoute)?;
-        Ok(Job {
-            call: new_call(head, body, false),
-            target,
-            work: Work::default(),
-            prefix: Vec::new(),
-            idempotent,
-            cancellable: idempotent,
+            last_event: last_event(head),
+            caller_id,
             admission: self,
         })
     }
@@ -162,61 +198,104 @@
     keys.find(key.trim()).ok_or(CallerError::UnknownKey)
 }
 
-/// The route of a path: the whole path of a model, or the longest prefix of a
-/// service that ends at a slash.
-fn find_route<'a>(settings: &'a Settings, path: &str) -> Option<(&'a Name, &'a Route)> {
-    let matches = |route: &Route| match route.kind {
-        RouteKind::Model => path == route.path.as_str(),
-        RouteKind::Service => path
-            .strip_prefix(route.path.trim_end_matches('/'))
-            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/')),
+/// The route of a path on a host: the whole path of a model, or the longest
+/// prefix that ends at a slash.
+fn find_route<'a>(
+    settings: &'a Settings,
+    host: Option<&str>,
+    path: &str,
+) -> Option<(&'a Name, &'a Route)> {
+    let matches = |route: &Route| {
+        let is_host = |name: &Name| host.is_some_and(|h| h.eq_ignore_ascii_case(name));
+        route.host.as_ref().is_none_or(is_host) && matches_path(route, path)
     };
     settings
         .routes
         .iter()
         .filter(|(_, route)| matches(route))
-        .max_by_key(|(_, route)| (route.kind == RouteKind::Model, route.path.len()))
+        .max_by_key(|(_, route)| (path == route.path.as_str(), route.path.len()))
+}
+
+fn matches_path(route: &Route, path: &str) -> bool {
+    if route.kind == RouteKind::Model && !route.path.ends_with('/') {
+        return path == route.path.as_str();
+    }
+    path.strip_prefix(route.path.trim_end_matches('/'))
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// The host that the caller names, without a port.
+fn host_of(head: &RequestHead) -> Option<&str> {
+    let host = head.headers.get(header::HOST)?.to_str().ok()?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
 }
 
 fn choose_tier(
     settings: &Settings,
-    owner: &Organisation,
+    organisation: &Name,
     route_name: &Name,
     route: &Route,
-    headers: &HeaderMap,
 ) -> Result<Name, CallerError> {
+    let Some(owner) = settings.organisations.get(organisation) else {
+        return match route.public {
+            true => Ok(public_tier(settings, route).ok_or(CallerError::NotReady)?),
+            false => Err(CallerError::UnknownKey),
+        };
+    };
+    if owner.tier_first {
+        return Ok(owner.tier.clone());
+    }
     let own = owner.tiers.get(route_name);
-    let tier = own.or(route.tier.as_ref()).unwrap_or(&owner.tier);
-    let Some(wanted) = headers.get(TIER_HEADER) else {
-        return Ok(tier.clone());
+    Ok(own.or(route.tier.as_ref()).unwrap_or(&owner.tier).clone())
+}
+
+/// The tier of requests without an organisation: the route's, or the lowest.
+fn public_tier(settings: &Settings, route: &Route) -> Option<Name> {
+    let lowest = settings.tiers.iter().max_by_key(|(_, tier)| tier.order);
+    route.tier.clone().or(lowest.map(|(name, _)| name.clone()))
+}
+
+fn lower_tier(settings: &Settings, tier: Name, wanted: Option<Name>) -> Result<Name, CallerError> {
+    let Some(wanted) = wanted else {
+        return Ok(tier);
     };
-    let invalid = CallerError::InvalidHeader(TIER_HEADER);
-    let wanted = wanted.to_str().map_err(|_| invalid.clone())?;
     let rank = |name: &str| settings.tiers.get(name).map(|t| t.order);
-    let lower = rank(wanted).ok_or(invalid)? > rank(tier).unwrap_or_default();
-    Ok(if lower {
-        Name::new(wanted)
-    } else {
-        tier.clone()
-    })
+    let invalid = CallerError::InvalidHeader(TIER_HEADER);
+    let lower = rank(&wanted).ok_or(invalid)? > rank(&tier).unwrap_or_default();
+    Ok(if lower { wanted } else { tier })
 }
 
-fn shorten(deadline: Duration, headers: &HeaderMap) -> Result<Duration, CallerError> {
-    let Some(wanted) = headers.get(DEADLINE_HEADER) else {
-        return Ok(deadline);
-    };
-    let wanted = wanted.to_str().ok().and_then(|v| v.parse().ok());
-    let wanted = wanted.ok_or(CallerError::InvalidHeader(DEADLINE_HEADER))?;
-    Ok(deadline.min(Duration::from_millis(wanted)))
+fn choose_service<F>(route: &Route, draw: F) -> Option<Name>
+where
+    F: FnOnce(u32) -> u32,
+{
+    let total: u32 = route.split.values().sum();
+    if total == 0 {
+        return route.service.clone();
+    }
+    let mut drawn = draw(total);
+    for (name, weight) in &route.split {
+        if drawn < *weight {
+            return Some(name.clone());
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+fn last_event(head: &RequestHead) -> Option<u64> {
+    let value = head.headers.get("last-event-id")?;
+    value.to_str().ok()?.parse().ok()
 }
 
-fn new_call(head: &RequestHead, body: Bytes, stream: bool) -> Call {
+fn new_call(head: &RequestHead, dialect: &dyn Dialect, body: Bytes) -> Call {
     let path = head.uri.path_and_query();
+    let host = head.headers.get(header::HOST);
     Call {
         method: Name::new(head.method.as_str()),
+        host: host.and_then(|h| h.to_str().ok()).map(Name::new),
         path: Name::new(path.map_or("/", |p| p.as_str())),
-        headers: end_to_end(&head.headers, &OWN_HEADERS),
+        headers: end_to_end(&head.headers, dialect.withheld()),
         body,
-        stream,
     }
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,57 +1,43 @@
 //! Carries one request from its admission to the end of its answer.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::debug;
 use slog::info;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::Receiver;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::almondramp_capnp as schema;
-use crate::almondramp_capnp::FailureCode;
-use crate::almondramp_capnp::answer;
 use crate::burn::BurnKey;
 use crate::clock::Moment;
 use crate::dispatch::Action;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Event;
-use crate::dispatch::Failure;
-use crate::entry::answer::AnswerReceiver;
-use crate::entry::answer::Part;
-use crate::entry::answer::Progress;
-use crate::entry::calls;
+use crate::entry::attempt::Attempt;
+use crate::entry::attempt::Ended;
+use crate::entry::desks::Seat;
+use crate::entry::desks::offer_agent;
+use crate::entry::desks::own_desk_config;
 use crate::entry::error::CallerError;
 use crate::entry::keyed::Claimed;
-use crate::entry::links::Link;
+use crate::entry::relay::Relay;
 use crate::entry::request::Job;
 use crate::entry::state::Entered;
 use crate::entry::state::EntryState;
-use crate::entry::waiter::TicketWaiter;
+use crate::entry::state::Spent;
+use crate::headers::Header;
 use crate::ids::GrantId;
-use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::settings::Policy;
-use crate::ticket::Offered;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
-use crate::wire::Header;
 
-/// Parts of an answer that wait between an agent and the caller.
-const PARTS_AHEAD: usize = 4;
-
-/// When to try again after an upstream could not be reached.
-const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
-
-/// The time between two tries to resume an answer.
-const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// When to come back after an upstream failed and no other was left.
+const FAILED_RETRY: Duration = Duration::from_millis(500);
 
 /// What goes back to the caller, in order.
 #[derive(Debug)]
@@ -80,6 +66,8 @@
     pub claimed: Option<Claimed>,
     /// Its place within the limit of its organisation.
     pub entered: Entered,
+    /// What it spent of its organisation's quota.
+    pub spent: Spent,
 }
 
 /// One request on its way.
@@ -90,24 +78,27 @@
     arrived: Moment,
     deadline: Moment,
     dispatch: Dispatch,
-    /// The agents that may hold a ticket or the request.
-    agents: BTreeSet<Name>,
-    /// The agent whose grant was accepted, and its life.
-    accepted: Option<(Name, Incarnation)>,
+    /// Where tickets lie, by upstream.
+    seats: BTreeMap<Name, Seat>,
+    /// The upstream that the request was sent to last.
+    sent_to: Option<Name>,
+    /// Upstreams that have received the request.
+    attempts: u32,
+    /// Whether an upstream may have run it.
+    may_have_run: bool,
     events: UnboundedSender<Event>,
     heard: UnboundedReceiver<Event>,
-    parts: Sender<Part>,
-    received: Receiver<Part>,
-    progress: Rc<Progress>,
-    replies: Sender<Reply>,
-    status: u16,
+    relay: Relay,
     claimed: Option<Claimed>,
+    spent: Spent,
     _entered: Entered,
 }
 
-/// What a step of a request leads to.
-enum Step {
-    Go,
+/// What waiting for room has led to.
+enum Sought {
+    /// The request is to be sent.
+    Chosen(Name, GrantId),
+    /// It has ended.
     Ended(Outcome),
 }
 
@@ -126,34 +117,32 @@
             arrived,
             claimed,
             entered,
+            spent,
         } = accepted;
         let limits = &state.current.settings().limits;
         let width = match limits.policy {
             Policy::LateBinding => limits.probes as usize,
             Policy::RoundRobin | Policy::TwoChoices => 1,
         };
-        let order = state.candidates(&job);
-        let mut dispatch = Dispatch::new(order.upstreams, width);
-        if order.holder_first {
-            dispatch = dispatch.with_holder();
-        }
-        let (parts, received) = mpsc::channel(PARTS_AHEAD);
+        let admission = &job.admission;
+        let dispatch = Dispatch::new(state.candidates(&job), width)
+            .with_times(admission.objective, admission.patience());
+        state.count_request(&job.target);
         Self {
             request,
             arrived,
-            deadline: arrived + job.admission.deadline,
+            deadline: arrived + admission.deadline,
             dispatch,
+            relay: Relay::new(replies, &job),
             job: Rc::new(job),
-            agents: BTreeSet::new(),
-            accepted: None,
+            seats: BTreeMap::new(),
+            sent_to: None,
+            attempts: 0,
+            may_have_run: false,
             events,
             heard,
-            parts,
-            received,
-            progress: Rc::default(),
-            replies,
-            status: 0,
             claimed,
+            spent,
             _entered: entered,
             state,
         }
@@ -161,112 +150,138 @@
 
     /// Carries the request to its end.
     pub async fn run(mut self) {
-        let actions = self.dispatch.start();
-        let mut step = self.perform(actions).await;
-        let outcome = loop {
-            match step {
-                Step::Ended(outcome) => break outcome,
-                Step::Go => step = self.step().await,
-            }
-        };
+        let outcome = self.carry().await;
         self.finish(outcome);
     }
 
-    /// Waits for the next thing to happen and deals with it.
-    async fn step(&mut self) -> Step {
-        let deadline = self.state.instant(self.deadline);
-        let waits = !self.dispatch.is_dispatched();
-        // Work that may not be repeated goes on without its caller once it
-        // may have been dispatched.
-        let abandons = self.job.cancellable || self.dispatch.is_seeking();
-        tokio::select! {
-            Some(event) = self.heard.recv() => {
-                self.hear(event).await
-            }
-            Some(part) = self.received.recv() => self.pass_on(part).await,
-            () = self.replies.closed(), if abandons => self.caller_gone(),
-            () = actix_rt::time::sleep_until(deadline.into()), if waits => {
-                let actions = self.dispatch.on(Event::DeadlinePassed);
-                match actions.is_empty() {
-                    // An accept is unanswered; its answer decides.
-                    true => self.wait_for_event().await,
-                    false => self.perform(actions).await,
+    async fn carry(&mut self) -> Outcome {
+        let mut actions = self.dispatch.start();
+        loop {
+            let (upstream, grant) = match self.seek(actions).await {
+                Sought::Chosen(upstream, grant) => (upstream, grant),
+                Sought::Ended(outcome) => return outcome,
+            };
+            actions = match self.attempt(&upstream, grant).await {
+                Ended::Whole(outcome) => return outcome,
+                Ended::CallerGone => return Outcome::cancelled,
+                Ended::TimedOut => return self.fail(CallerError::TimedOut).await,
+                Ended::NotRun(refusal) => self.again(&upstream, refusal, false),
+                Ended::Broken if self.may_go_on() => {
+                    let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY);
+                    self.again(&upstream, refusal, true)
                 }
-            }
+                Ended::Broken => return self.fail(CallerError::UpstreamFailed).await,
+            };
         }
     }
 
-    async fn wait_for_event(&mut self) -> Step {
-        let Some(event) = self.heard.recv().await else {
-            return Step::Ended(Outcome::unknown);
-        };
-        self.hear(event).await
+    /// Whether a request that may have run may be sent elsewhere.
+    fn may_go_on(&self) -> bool {
+        self.job.idempotent && self.relay.may_go_on() && !self.relay.is_closed()
     }
 
-    async fn hear(&mut self, event: Event) -> Step {
-        if let Event::NotDispatched(..) = &event {
-            self.accepted = None;
+    /// Looks for another upstream after one did not serve the request. Where
+    /// no repeat is allowed, the request is given up.
+    fn again(&mut self, upstream: &Name, refusal: Refusal, ran: bool) -> Vec<Action> {
+        self.may_have_run |= ran;
+        let arrived = ran || refusal.code != RefusalCode::Unreachable;
+        let attempts = self.job.admission.route.attempts;
+        let allowed =
+            !arrived || (self.attempts < attempts && self.state.may_repeat(&self.job.target));
+        info!(self.state.log, "upstream did not serve the request";
+            "request" => self.caller_id(),
+            "upstream" => %upstream,
+            "may_have_run" => ran,
+            "code" => ?refusal.code,
+            "attempts" => self.attempts,
+            "goes_on" => allowed);
+        if allowed {
             self.state.waits_again(self.request);
+            return self.dispatch.on(Event::NotRun(upstream.clone(), refusal));
         }
-        let actions = self.dispatch.on(event);
-        self.perform(actions).await
+        let mut actions = self.dispatch.abandon();
+        actions.push(Action::GiveUp {
+            refusal: Some(refusal),
+            retry_after: refusal.retry_after,
+        });
+        actions
     }
 
-    async fn perform(&mut self, actions: Vec<Action>) -> Step {
-        for action in actions {
-            match action {
-                Action::Offer(agent) => self.offer(agent),
-                Action::WaitFor(patience) => self.wait_for(patience),
-                Action::Accept(agent, grant) => self.accept(agent, grant),
-                Action::Withdraw(agent) => self.withdraw(&agent),
-                Action::AskFate(agent) => {
-                    let event = self.ask_fate(&agent).await;
-                    let _ = self.events.send(event);
-                }
-                Action::Resume(agent) => {
-                    let until = self.resume_until();
-                    if !self.resume(&agent, until).await {
-                        return self.broken(CallerError::Unknown).await;
+    /// Waits for room at an upstream.
+    async fn seek(&mut self, actions: Vec<Action>) -> Sought {
+        let mut collected = None;
+        let mut pending = actions;
+        let patience = (self.arrived + self.job.admission.patience()).min(self.deadline);
+        loop {
+            for action in std::mem::take(&mut pending) {
+                match action {
+                    Action::Offer(upstream) => self.offer(upstream),
+                    Action::CollectFor(time) => collected = Some(self.state.now() + time),
+                    Action::Withdraw(upstream) => self.withdraw(&upstream),
+                    Action::Send(upstream, grant) => {
+                        self.withdraw_rest(&upstream);
+                        return Sought::Chosen(upstream, grant);
                     }
+                    Action::GiveUp {
+                        refusal,
+                        retry_after,
+                    } => return Sought::Ended(self.give_up(refusal, retry_after).await),
+                }
+            }
+            let now = self.state.now();
+            // A request that went on after a part of its answer has its
+            // deadline only.
+            let until = if self.relay.has_begun() {
+                self.deadline
+            } else {
+                patience
+            };
+            let next = collected
+                .filter(|c| *c > now)
+                .map_or(until, |c| c.min(until));
+            let at = self.state.instant(next);
+            tokio::select! {
+                Some(event) = self.heard.recv() => pending = self.dispatch.on(event),
+                () = self.relay.closed() => {
+                    self.dispatch.abandon();
+                    return Sought::Ended(Outcome::cancelled);
+                }
+                () = actix_rt::time::sleep_until(at.into()) => {
+                    let event = match self.state.now() >= until {
+                        true => Event::PatienceEnded,
+                        false => Event::Collected,
+                    };
+                    collected = None;
+                    pending = self.dispatch.on(event);
                 }
-                Action::Finish(failure) => return self.give_up(failure).await,
             }
         }
-        Step::Go
     }
 
-    fn offer(&mut self, agent: Name) {
-        let Some(link) = self.state.links.get(&agent) else {
-            let _ = self.events.send(Event::Lost(agent));
+    fn offer(&mut self, upstream: Name) {
+        let Some(known) = self.state.directory.get(&upstream) else {
+            // The request itself listens until it has ended.
+            let _ = self.events.send(Event::Lost(upstream));
             return;
         };
-        if self.agents.insert(agent.clone()) {
-            self.state.begin(&agent);
+        let now = self.state.now();
+        let ticket = self.ticket();
+        let seat = self.state.seat(&upstream);
+        self.state.begin(&upstream);
+        match &seat {
+            Seat::Agent(link) => {
+                let links = &self.state.links;
+                links.register(&upstream, self.request, self.events.clone());
+                offer_agent(link, &upstream, &ticket, now, &self.events);
+            }
+            Seat::Own(desks) => {
+                let entries = self.state.quota.borrow().entries();
+                let settings = self.state.current.settings();
+                let config = own_desk_config(&settings, &known, entries);
+                desks.offer(now, &upstream, config, ticket, &self.events);
+            }
         }
-        let events = self.events.clone();
-        self.state
-            .links
-            .register(&agent, self.request, events.clone());
-        link.usage.touch();
-        let waiter = TicketWaiter::new(agent.clone(), events.clone());
-        let offered = calls::offer(&link.desk, &self.ticket(), self.state.now(), waiter);
-        actix_rt::spawn(async move {
-            let _ = events.send(match offered.await {
-                Ok(Offered::Queued(quote)) => Event::Queued(agent, quote),
-                Ok(Offered::Granted(grant)) => Event::Granted(agent, grant.id),
-                Ok(Offered::Refused(refusal)) => Event::Refused(agent, refusal),
-                Err(_) => Event::Lost(agent),
-            });
-        });
-    }
-
-    fn wait_for(&self, patience: Duration) {
-        let events = self.events.clone();
-        actix_rt::spawn(async move {
-            actix_rt::time::sleep(patience).await;
-            // A request that has ended no longer listens.
-            let _ = events.send(Event::PatienceEnded);
-        });
+        self.seats.insert(upstream, seat);
     }
 
     fn ticket(&self) -> Ticket {
@@ -276,195 +291,105 @@
             organisation: admission.organisation.clone(),
             order: admission.order,
             deadline: self.deadline,
+            objective: self.arrived + admission.objective,
+            patience: (self.arrived + admission.patience()).min(self.deadline),
             work: self.job.work,
             prefix: self.job.prefix.clone(),
             idempotent: self.job.idempotent,
         }
     }
 
-    fn accept(&mut self, agent: Name, grant: GrantId) {
-        let Some(link) = self.state.links.get(&agent) else {
-            // Nothing was sent.
-            let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
-            let _ = self.events.send(Event::NotDispatched(agent, refusal));
-            return;
-        };
-        link.usage.touch();
-        self.accepted = Some((agent.clone(), link.incarnation));
-        self.state.dispatched(self.request);
-        self.state.sent(&agent, &self.job.prefix);
-        let answer = self.new_receiver();
-        let accepted = calls::accept(&link.desk, self.request, grant, &self.job.call, answer);
-        let events = self.events.clone();
-        actix_rt::spawn(async move {
-            let _ = events.send(match accepted.await {
-                Ok(None) => Event::Dispatched(agent),
-                Ok(Some(refusal)) => Event::NotDispatched(agent, refusal),
-                Err(_) => Event::Lost(agent),
-            });
-        });
-    }
-
-    fn new_receiver(&self) -> answer::Client {
-        let receiver = AnswerReceiver::new(self.parts.clone(), Rc::clone(&self.progress));
-        capnp_rpc::new_client(receiver)
-    }
-
-    fn withdraw(&self, agent: &Name) {
-        self.state.links.unregister(agent, self.request);
-        if let Some(link) = self.state.links.get(agent) {
-            calls::withdraw(&link.desk, self.request);
+    fn withdraw(&mut self, upstream: &Name) {
+        if let Some(seat) = self.seats.remove(upstream) {
+            self.state.links.unregister(upstream, self.request);
+            self.state.finish(upstream);
+            seat.withdraw(self.state.now(), upstream, self.request);
         }
     }
 
-    /// Asks the life of the agent that was sent an accept whether it has
-    /// dispatched the request, again after further cuts.
-    async fn ask_fate(&mut self, agent: &Name) -> Event {
-        let until = self.resume_until();
-        while let Some(link) = self.same_again(agent, until).await {
-            match calls::fate(&link.desk, self.request).await {
-                Ok(schema::Fate::NeverDispatched) => {
-                    let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
-                    return Event::NotDispatched(agent.clone(), refusal);
-                }
-                Ok(schema::Fate::Running | schema::Fate::Finished) => {
-                    return match self.resume(agent, until).await {
-                        true => Event::Dispatched(agent.clone()),
-                        false => Event::Unclear(agent.clone()),
-                    };
-                }
-                Err(_) => actix_rt::time::sleep(RESUME_PAUSE).await,
-            }
+    fn withdraw_rest(&mut self, kept: &Name) {
+        let others: Vec<Name> = self.seats.keys().filter(|u| *u != kept).cloned().collect();
+        for upstream in others {
+            self.withdraw(&upstream);
         }
-        Event::Unclear(agent.clone())
-    }
-
-    /// Until when a lost connection may be made up for.
-    fn resume_until(&self) -> Moment {
-        self.state.now() + self.state.current.settings().limits.resume
     }
 
-    /// The connection to the life of the agent whose grant was accepted, once
-    /// it is up; none when that life has ended or the time is over.
-    async fn same_again(&self, agent: &Name, until: Moment) -> Option<Link> {
-        let (accepted, incarnation) = self.accepted.as_ref()?;
-        debug_assert_eq!(accepted, agent);
-        let within = self.state.now().until(until);
-        if within.is_zero() {
-            return None;
+    /// Sends the request to `upstream` and passes its answer on.
+    async fn attempt(&mut self, upstream: &Name, grant: GrantId) -> Ended {
+        let Some(seat) = self.seats.remove(upstream) else {
+            return Ended::NotRun(Refusal::new(RefusalCode::Unreachable, FAILED_RETRY));
+        };
+        self.state.links.unregister(upstream, self.request);
+        self.state.dispatched(self.request);
+        let now = self.state.now();
+        seat.begin(now, upstream, self.request, grant);
+        self.sent_to = Some(upstream.clone());
+        info!(self.state.log, "request sent";
+            "request" => self.caller_id(),
+            "upstream" => %upstream,
+            "by_agent" => matches!(seat, Seat::Agent(_)),
+            "waited_ms" => millis(now.since(self.arrived)),
+            "left_ms" => millis(now.until(self.deadline)),
+            "last_event" => self.relay.last_event());
+        let timeout = self.job.admission.route.timeout;
+        let timeout = timeout.unwrap_or(self.state.current.settings().limits.run);
+        let attempt = Attempt {
+            state: &self.state,
+            request: self.request,
+            job: &self.job,
+            upstream,
+            seat: &seat,
+            deadline: self.deadline,
+            cut: self.arrived + timeout,
+            arrived: self.arrived,
+        };
+        let ended = attempt.run(&mut self.relay, &mut self.claimed).await;
+        let work = match ended {
+            Ended::Whole(_) => self.relay.work(self.job.work),
+            _ => None,
+        };
+        seat.finish(self.state.now(), upstream, self.request, work);
+        self.state.finish(upstream);
+        if !matches!(ended, Ended::NotRun(_)) {
+            self.spent.keep();
+            self.may_have_run = true;
         }
-        let links = &self.state.links;
-        links.same_again(agent, *incarnation, within).await
-    }
-
-    /// Has the rest of the answer sent on a new connection to the same life
-    /// of the agent, again after further cuts.
-    async fn resume(&mut self, agent: &Name, until: Moment) -> bool {
-        while let Some(link) = self.same_again(agent, until).await {
-            let events = self.events.clone();
-            self.state.links.register(agent, self.request, events);
-            let offset = self.progress.offset.get();
-            let receiver = self.new_receiver();
-            match calls::attach(&link.desk, self.request, offset, receiver).await {
-                Ok(attached) => {
-                    debug!(self.state.log, "resumed"; "request" => %self.request, "ok" => attached);
-                    return attached;
-                }
-                Err(_) => actix_rt::time::sleep(RESUME_PAUSE).await,
-            }
+        match ended {
+            Ended::NotRun(refusal) if refusal.code == RefusalCode::Unreachable => {}
+            _ => self.attempts += 1,
         }
-        false
-    }
-
-    /// Passes a part of the answer on to the caller.
-    async fn pass_on(&mut self, part: Part) -> Step {
-        match part {
-            Part::Head(status, headers) => {
-                self.status = status;
-                self.reply(Reply::Head(status, headers)).await
-            }
-            Part::Bytes(bytes) => {
-                let admission = &self.job.admission;
-                if self.progress.offset.get() == bytes.len() as u64 {
-                    let waited = self.state.now().since(self.arrived);
-                    let seconds = waited.as_secs_f64();
-                    self.state.metrics.first_byte(&admission.tier, seconds);
-                }
-                self.reply(Reply::Bytes(bytes)).await
-            }
-            Part::End(work) => {
-                let organisation = &self.job.admission.organisation;
-                self.state.metrics.used(organisation, work);
-                let outcome = self.outcome_of_whole();
-                self.reply(Reply::End).await;
-                Step::Ended(outcome)
-            }
-            Part::Failed(FailureCode::NotDispatched) => self.not_dispatched().await,
-            Part::Failed(code) => self.broken(CallerError::from_code(code)).await,
+        if let Some(work) = work {
+            let organisation = &self.job.admission.organisation;
+            self.state.metrics.used(organisation, work);
         }
+        ended
     }
 
-    /// The agent dispatched the request, but the upstream surely did not
-    /// receive it.
-    async fn not_dispatched(&mut self) -> Step {
-        let Some((agent, _)) = &self.accepted else {
-            return self.broken(CallerError::Unknown).await;
-        };
-        let refusal = Refusal::new(RefusalCode::Unreachable, UNREACHABLE_RETRY);
-        let event = Event::NotDispatched(agent.clone(), refusal);
-        self.hear(event).await
-    }
-
-    fn outcome_of_whole(&self) -> Outcome {
-        match self.status {
-            500.. => Outcome::failed,
-            400..500 => Outcome::invalid,
-            _ if self.state.now() > self.deadline => Outcome::late,
-            _ => Outcome::good,
+    async fn give_up(&mut self, refusal: Option<Refusal>, retry_after: Duration) -> Outcome {
+        if self.may_have_run {
+            return self.fail(CallerError::UpstreamFailed).await;
         }
+        self.fail(CallerError::from_refusal(refusal, retry_after))
+            .await
     }
 
-    async fn broken(&mut self, error: CallerError) -> Step {
-        let reply = match self.status {
-            0 => Reply::Error(error),
-            _ => Reply::Broken,
-        };
-        self.reply(reply).await;
-        Step::Ended(Outcome::unknown)
-    }
-
-    async fn give_up(&mut self, failure: Failure) -> Step {
-        let error = CallerError::from_failure(failure);
+    async fn fail(&mut self, error: CallerError) -> Outcome {
         let outcome = error.outcome();
-        self.reply(Reply::Error(error)).await;
-        Step::Ended(outcome)
-    }
-
-    /// Replies to the caller. One that has gone is noticed by `step`.
-    async fn reply(&mut self, reply: Reply) -> Step {
-        if let Some(claimed) = &mut self.claimed {
-            match &reply {
-                Reply::Head(status, headers) => claimed.head(*status, headers),
-                Reply::Bytes(bytes) => claimed.bytes(bytes),
-                Reply::End | Reply::Broken | Reply::Error(_) => {}
-            }
-        }
-        let _ = self.replies.send(reply).await;
-        Step::Go
+        info!(self.state.log, "request given up";
+            "request" => self.caller_id(),
+            "code" => error.code(),
+            "run" => ?error.run(),
+            "attempts" => self.attempts,
+            "after_ms" => millis(self.state.now().since(self.arrived)));
+        self.relay.fail(error).await;
+        outcome
     }
 
-    fn caller_gone(&mut self) -> Step {
-        for action in self.dispatch.abandon() {
-            if let Action::Withdraw(agent) = action {
-                self.withdraw(&agent);
-            }
-        }
-        if let Some((agent, _)) = &self.accepted
-            && let Some(link) = self.state.links.get(agent)
-        {
-            calls::cancel(&link.desk, self.request);
+    fn caller_id(&self) -> String {
+        match &self.job.caller_id {
+            Some(id) => id.to_string(),
+            None => self.request.to_string(),
         }
-        Step::Ended(Outcome::cancelled)
     }
 
     /// Notes in the store what has become of claimed work.
@@ -472,39 +397,46 @@
         let Some(claimed) = self.claimed.take() else {
             return;
         };
-        let may_have_run = self.accepted.is_some();
         match outcome {
             Outcome::good | Outcome::late | Outcome::failed => claimed.done(),
-            Outcome::invalid if may_have_run => claimed.done(),
-            _ if may_have_run => claimed.unknown(),
+            Outcome::invalid if self.may_have_run => claimed.done(),
+            _ if self.may_have_run => claimed.unknown(),
             _ => claimed.release(),
         }
     }
 
     fn finish(&mut self, outcome: Outcome) {
         self.settle_claim(outcome);
-        let state = &self.state;
-        for agent in &self.agents {
-            state.links.unregister(agent, self.request);
-            state.finish(agent);
+        let seats: Vec<Name> = self.seats.keys().cloned().collect();
+        for upstream in seats {
+            self.withdraw(&upstream);
         }
+        let state = &self.state;
+        state.own_desks.forget(self.request);
         let admission = &self.job.admission;
         let took = state.now().since(self.arrived);
         let key = BurnKey {
             tier: admission.tier.clone(),
             organisation: admission.organisation.clone(),
         };
-        let upstream = self.accepted.as_ref().map(|(agent, _)| agent);
-        state.count(key, outcome, upstream);
-        if upstream.is_some() {
+        state.count(key, outcome, self.sent_to.as_ref());
+        if self.sent_to.is_some() {
             state.metrics.duration(&admission.tier, took.as_secs_f64());
         }
         info!(state.log, "request ended";
-            "request" => %self.request,
+            "request" => self.caller_id(),
             "organisation" => %admission.organisation,
             "tier" => %admission.tier,
+            "upstream" => self.sent_to.as_deref(),
+            "attempts" => self.attempts,
+            "revision" => state.current.revision().0,
             "outcome" => outcome.name(),
-            "milliseconds" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
+            "first_ms" => self.relay.first_byte().map(|at| millis(at.since(self.arrived))),
+            "milliseconds" => millis(took));
         state.release(self.request);
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -8,9 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::Logger;
+use slog::info;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -24,8 +26,15 @@
 use crate::config::EntryConfig;
 use crate::current::Current;
 use crate::current::Revision;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::dispatch::Choice;
 use crate::dispatch::Event;
+use crate::entry::EntryParts;
 use crate::entry::auth::KeyTable;
+use crate::entry::desks::OwnDesks;
+use crate::entry::desks::Seat;
+use crate::entry::error::CallerError;
 use crate::entry::links::Links;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::Job;
@@ -38,11 +47,17 @@
 use crate::name::Name;
 use crate::object_store::HttpObjectStore;
 use crate::outcome::Outcome;
+use crate::outlier::Judgement;
+use crate::outlier::Outliers;
 use crate::prefix::PrefixIndex;
+use crate::quota::Quota;
+use crate::retry_budget::RetryBounds;
+use crate::retry_budget::RetryBudget;
 use crate::routing;
 use crate::routing::Candidate;
-use crate::routing::Order;
+use crate::settings::QuotaUnit;
 use crate::settings::Settings;
+use crate::settings::Upstream;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
@@ -62,6 +77,14 @@
     pub current: Rc<Current>,
     /// The connections to agents.
     pub links: Rc<Links>,
+    /// How callers and upstreams speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// The upstreams that are there.
+    pub directory: Rc<Directory>,
+    /// The entry's own desks.
+    pub own_desks: Rc<OwnDesks>,
+    /// The organisations' quotas.
+    pub quota: Rc<RefCell<Quota>>,
     /// Whether this entry watches the platform for the others.
     pub watches: Rc<watch::Sender<bool>>,
     /// The claims on idempotency keys; none without an object store.
@@ -85,6 +108,9 @@
     present: RefCell<HashMap<Name, u32>>,
     rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
+    ending: Cell<bool>,
+    budget: RefCell<RetryBudget>,
+    outliers: RefCell<Outliers>,
     released: Notify,
     burn: RefCell<BurnLog>,
     upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
@@ -95,7 +121,7 @@
     pub fn new(
         config: EntryConfig,
         incarnation: Incarnation,
-        current: Rc<Current>,
+        parts: &EntryParts,
         links: Rc<Links>,
         watches: Rc<watch::Sender<bool>>,
         log: Logger,
@@ -105,17 +131,22 @@
             let store = Rc::new(HttpObjectStore::new(base));
             Rc::new(ClaimKeeper::new(store))
         });
+        let clock = Clock::new();
         Self {
             config,
             claims,
             watches,
             leaving: RefCell::default(),
             incarnation,
-            current,
+            current: Rc::clone(&parts.current),
             links,
+            dialect: Rc::clone(&parts.dialect),
+            directory: Rc::clone(&parts.directory),
+            own_desks: Rc::default(),
+            quota: Rc::new(RefCell::new(Quota::new(clock.now()))),
             metrics: EntryMetrics::new(),
             log,
-            clock: Clock::new(),
+            clock,
             keys: RefCell::new((Revision::default(), keys)),
             requests: Cell::new(0),
             holding: RefCell::default(),
@@ -125,12 +156,20 @@
             present: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             stopping: Cell::new(false),
+            ending: Cell::new(false),
+            budget: RefCell::default(),
+            outliers: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
             upstream_outcomes: RefCell::default(),
         }
     }
 
+    /// The clock of the entry.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// The present moment on the entry's clock.
     pub fn now(&self) -> Moment {
         self.clock.now()
@@ -146,14 +185,108 @@
         self.stopping.get()
     }
 
-    /// Takes no new requests from now on.
+    /// Asks for no new connections and has callers close theirs, from now on.
+    /// Requests on connections that are open are served.
     pub fn stop(&self) {
         self.stopping.set(true);
     }
 
+    /// Whether new requests are refused since they could not end in time.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    /// Takes no new requests from now on.
+    pub fn end(&self) {
+        self.ending.set(true);
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        self.current.is_ready() && !self.is_stopping() && self.links.count() > 0
+        let upstreams = !self.directory.upstreams().is_empty();
+        self.current.is_ready() && !self.is_stopping() && upstreams
+    }
+
+    /// Draws a number below `total`.
+    pub fn draw(&self, total: u32) -> u32 {
+        self.rng.borrow_mut().random_range(0..total)
+    }
+
+    /// Spends what `job` counts for of its organisation's quota.
+    pub fn spend(self: &Rc<Self>, job: &Job) -> Result<Spent, CallerError> {
+        let settings = self.current.settings();
+        let organisation = &job.admission.organisation;
+        let rate = settings.organisations.get(organisation);
+        let Some(rate) = rate.and_then(|o| o.quota) else {
+            return Ok(Spent::nothing(self));
+        };
+        let units = match (rate.unit, job.most_tokens) {
+            (QuotaUnit::Requests, _) => 1.0,
+            (QuotaUnit::Tokens, 0) => rate.plain as f64,
+            (QuotaUnit::Tokens, tokens) => tokens as f64,
+        };
+        let now = self.now();
+        let spent = self
+            .quota
+            .borrow_mut()
+            .spend(now, organisation, rate, units);
+        spent.map_err(CallerError::OverQuota)?;
+        Ok(Spent {
+            state: Rc::clone(self),
+            units: Some((organisation.clone(), units)),
+        })
+    }
+
+    /// Counts a request for the retry budget of its service.
+    pub fn count_request(&self, service: &Name) {
+        let bounds = self.retry_bounds();
+        let mut budget = self.budget.borrow_mut();
+        budget.request(self.now(), service, bounds);
+    }
+
+    /// Whether a request may be sent once more; counts it if so.
+    pub fn may_repeat(&self, service: &Name) -> bool {
+        let bounds = self.retry_bounds();
+        let mut budget = self.budget.borrow_mut();
+        budget.repeat(self.now(), service, bounds)
+    }
+
+    fn retry_bounds(&self) -> RetryBounds {
+        let limits = &self.current.settings().limits;
+        RetryBounds {
+            ratio: limits.retry_ratio,
+            slack: limits.retry_slack,
+            window: limits.retry_window,
+            entries: self.quota.borrow().entries(),
+        }
+    }
+
+    /// Notes whether an upstream served a request that it was sent.
+    pub fn judge(&self, upstream: &Name, judgement: Judgement) {
+        let now = self.now();
+        let mut outliers = self.outliers.borrow_mut();
+        let ejected = match judgement {
+            Judgement::Served => {
+                outliers.served(upstream);
+                None
+            }
+            Judgement::Failed => outliers.failed(now, upstream),
+            Judgement::Unreachable => outliers.unreachable(now, upstream),
+        };
+        if let Some(time) = ejected {
+            info!(self.log, "upstream gets no new work for a while";
+                "upstream" => %upstream,
+                "cause" => ?judgement,
+                "milliseconds" => time.as_millis() as u64);
+        }
+    }
+
+    /// Where the ticket of a request for `upstream` is to lie.
+    pub fn seat(&self, upstream: &Name) -> Seat {
+        match self.links.get(upstream) {
+            Some(link) => Seat::Agent(link),
+            None => Seat::Own(Rc::clone(&self.own_desks)),
+        }
     }
 
     /// The keys of the settings in force.
@@ -171,7 +304,8 @@
     /// may. The count ends when the result is dropped.
     pub fn enter(self: &Rc<Self>, organisation: &Name) -> Option<Entered> {
         let settings = self.current.settings();
-        let limit = settings.organisations.get(organisation)?.concurrency;
+        let known = settings.organisations.get(organisation);
+        let limit = known.and_then(|o| o.concurrency);
         let mut present = self.present.borrow_mut();
         let count = present.entry(organisation.clone()).or_default();
         if limit.is_some_and(|limit| *count >= limit) {
@@ -259,30 +393,46 @@
         }
     }
 
-    /// The connected upstreams that could run `job`, the best first.
-    pub fn candidates(&self, job: &Job) -> Order {
+    /// The upstreams that could run `job`, the best first.
+    pub fn candidates(&self, job: &Job) -> Vec<Choice> {
+        let now = self.now();
         let settings = self.current.settings();
+        let upstreams = self.directory.upstreams();
         let affinity = self.affinity.borrow();
         let outstanding = self.outstanding.borrow();
         let leaving = self.leaving.borrow();
+        let outliers = self.outliers.borrow();
         let kind = job.admission.route.kind;
-        let candidates = settings
-            .upstreams
+        let candidate = |name: &Name, u: &Upstream| Candidate {
+            upstream: name.clone(),
+            near: u.zone == self.config.zone,
+            matched: affinity.get(name).map_or(0, |a| a.matched(&job.prefix)),
+            outstanding: outstanding.get(name).copied().unwrap_or_default(),
+        };
+        let (ejected, sound): (Vec<Candidate>, Vec<Candidate>) = upstreams
             .iter()
-            .filter(|(name, u)| serves(u, kind, &job.target) && self.links.is_up(name))
+            .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
             .filter(|(name, _)| !leaving.contains(*name))
-            .map(|(name, u)| Candidate {
-                upstream: name.clone(),
-                near: u.zone == self.config.zone,
-                matched: affinity.get(name).map_or(0, |a| a.matched(&job.prefix)),
-                outstanding: outstanding.get(name).copied().unwrap_or_default(),
-            })
-            .collect();
+            .map(|(name, u)| candidate(name, u))
+            .partition(|c| outliers.is_ejected(now, &c.upstream));
+        // One that fails is better than none.
+        let candidates = if sound.is_empty() { ejected } else { sound };
         let turn = self.requests.get();
         let policy = settings.limits.policy;
         routing::order(policy, candidates, turn, &mut *self.rng.borrow_mut())
     }
 
+    /// Forgets what is known of upstreams that are gone.
+    pub fn forget_gone(&self) {
+        let upstreams = self.directory.upstreams();
+        let stays = |name: &Name| upstreams.contains_key(name);
+        self.own_desks.retain(stays);
+        self.outliers.borrow_mut().retain(stays);
+        self.affinity.borrow_mut().retain(|name, _| stays(name));
+        let mut outstanding = self.outstanding.borrow_mut();
+        outstanding.retain(|name, count| *count > 0 || stays(name));
+    }
+
     /// Notes which hosts are about to be taken away.
     pub fn set_leaving(&self, leaving: BTreeSet<Name>) {
         self.leaving.replace(leaving);
@@ -346,6 +496,36 @@
     }
 }
 
+/// What was spent of a quota for a request; returned when dropped, unless the
+/// request was run.
+pub struct Spent {
+    state: Rc<EntryState>,
+    units: Option<(Name, f64)>,
+}
+
+impl Spent {
+    fn nothing(state: &Rc<EntryState>) -> Self {
+        Self {
+            state: Rc::clone(state),
+            units: None,
+        }
+    }
+
+    /// Notes that the request may have run.
+    pub fn keep(&mut self) {
+        self.units = None;
+    }
+}
+
+impl Drop for Spent {
+    fn drop(&mut self) {
+        if let Some((organisation, units)) = &self.units {
+            let mut quota = self.state.quota.borrow_mut();
+            quota.refund(organisation, *units);
+        }
+    }
+}
+
 /// A request that counts towards its organisation's limit while this lives.
 pub struct Entered {
     state: Rc<EntryState>,
--- a/src/entry/waiter.rs
+++ b/src/entry/waiter.rs
@@ -34,8 +34,8 @@
         params: waiter::GrantedParams,
         _results: waiter::GrantedResults,
     ) -> Result<(), Error> {
-        let grant = wire::read_grant(params.get()?.get_grant()?);
-        self.pass(Event::Granted(self.agent.clone(), grant.id));
+        let grant = wire::read_grant(params.get()?.get_grant()?)?;
+        self.pass(Event::Granted(self.agent.clone(), grant));
         Ok(())
     }
 
@@ -45,7 +45,7 @@
         _results: waiter::HandedBackResults,
     ) -> Result<(), Error> {
         let refusal = wire::read_refusal(params.get()?.get_refusal()?)?;
-        self.pass(Event::Refused(self.agent.clone(), refusal));
+        self.pass(Event::HandedBack(self.agent.clone(), refusal));
         Ok(())
     }
 }
--- /dev/null
+++ b/src/exchange/tests.rs
@@ -0,0 +1,124 @@
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use tokio::net::TcpListener;
+
+use super::*;
+use crate::name::Name;
+
+/// An upstream that reads a request and answers with these bytes; `reset`
+/// ends the connection by a reset.
+async fn upstream(answer: Vec<u8>, reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buf = vec![0; 4096];
+        let _ = stream.read(&mut buf).await;
+        let _ = stream.write_all(&answer).await;
+        if reset {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    });
+    address
+}
+
+fn get() -> Call {
+    Call {
+        method: Name::new("GET"),
+        host: Some(Name::new("x.example")),
+        path: Name::new("/a/b?c=d"),
+        headers: vec![Header::new("request-id", "7")],
+        body: Bytes::new(),
+    }
+}
+
+async fn exchanged(answer: &[u8], reset: bool) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let address = upstream(answer.to_vec(), reset).await;
+    let mut answer = send(connect(address).await?, &get()).await?;
+    let mut body = Vec::new();
+    while let Some(bytes) = answer.next().await? {
+        body.extend_from_slice(&bytes);
+    }
+    Ok((answer.head.status, body))
+}
+
+#[actix_rt::test]
+async fn whole_answers_are_told_from_broken_ones() {
+    let whole: [&[u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nbody",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+    ];
+    for answer in whole {
+        let (status, body) = exchanged(answer, false).await.expect("a whole answer");
+        assert_eq!((status, &body[..]), (200, &b"body"[..]));
+    }
+    let broken: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        b"HTTP/1.1 200",
+        b"",
+    ];
+    for answer in broken {
+        let e = exchanged(answer, false).await.expect_err("a broken answer");
+        assert!(matches!(e, ExchangeError::Broken(_)), "{e}");
+        assert!(!e.is_not_sent());
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_without_a_length_that_is_reset_is_broken() {
+    let e = exchanged(b"HTTP/1.1 200 OK\r\n\r\nbody", true).await;
+    let e = e.expect_err("a broken answer");
+    assert!(matches!(e, ExchangeError::Broken(_)), "{e}");
+}
+
+#[actix_rt::test]
+async fn bytes_that_are_no_answer_are_an_error() {
+    let e = exchanged(b"\x00\x01nonsense\r\n\r\n", false).await;
+    assert!(matches!(e, Err(ExchangeError::NotHttp(_))));
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_has_sent_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let e = connect(address).await.expect_err("nobody listens");
+    assert!(e.is_not_sent());
+}
+
+#[actix_rt::test]
+async fn an_early_answer_is_heard_before_the_body_is_sent() {
+    let address = upstream(
+        b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n".to_vec(),
+        false,
+    )
+    .await;
+    let call = Call {
+        method: Name::new("POST"),
+        body: vec![0; 32 << 20].into(),
+        ..get()
+    };
+    let answer = send(connect(address).await.expect("a connection"), &call).await;
+    match answer {
+        Ok(answer) => assert_eq!(answer.head.status, 503),
+        // The rest of the body may meet a closed connection first.
+        Err(e) => assert!(matches!(e, ExchangeError::Broken(_)), "{e}"),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever an upstream sends, reading it ends without a panic.
+    #[test]
+    fn any_bytes_are_read_to_an_end(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut answer = b"HTTP/1.1 200 OK\r\n".to_vec();
+        answer.extend(bytes);
+        let _ = actix_rt::System::new().block_on(exchanged(&answer, false));
+    }
+}
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -6,7 +6,25 @@
 use bytes::Bytes;
 
 use crate::name::Name;
-use crate::wire::Header;
+
+/// An HTTP header as bytes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Header {
+    /// The name, in lower case.
+    pub name: Name,
+    /// The value.
+    pub value: Bytes,
+}
+
+impl Header {
+    /// A header with a value of text.
+    pub fn new(name: &str, value: &str) -> Self {
+        Self {
+            name: Name::new(name),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        }
+    }
+}
 
 /// Headers that are never passed on (RFC 9110, section 7.6.1), and those that
 /// the library sets by itself.
--- a/src/health.rs
+++ b/src/health.rs
@@ -24,6 +24,7 @@
 const BOUNDS: HttpBounds = HttpBounds {
     connections: 64,
     head_timeout: Duration::from_secs(5),
+    keep_alive: Duration::from_secs(5),
     write_timeout: Duration::from_secs(5),
 };
 
@@ -89,7 +90,7 @@
                 let response = answer(&*state, req.path());
                 futures::future::ready(response)
             };
-            let server = HttpServer::bind(address, BOUNDS, handler).await;
+            let server = HttpServer::bind(address, || BOUNDS, handler).await;
             let server = server.map_err(|e| KernelError::Failed {
                 name: self.name(),
                 source: Box::new(e),
