--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -20,19 +20,18 @@
 use tokio::sync::Notify;
 use tokio_io_timeout::TimeoutStream;
 
-/// The time for which a connection without a request is kept open.
-const KEEP_ALIVE: Duration = Duration::from_secs(5);
-
 /// The time after a failed `accept`, such as one for want of descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Bounds on the callers of one server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HttpBounds {
     /// Open connections at most; more wait in the listen queue.
     pub connections: usize,
     /// The time for a request's head.
     pub head_timeout: Duration,
+    /// The time for which a connection without a request is kept open.
+    pub keep_alive: Duration,
     /// The time for which writing to a caller may make no progress.
     pub write_timeout: Duration,
 }
@@ -53,13 +52,11 @@
 }
 
 impl HttpServer {
-    /// Binds to `address` and serves each request with `handler`.
-    pub async fn bind<F, Fut>(
-        address: SocketAddr,
-        bounds: HttpBounds,
-        handler: F,
-    ) -> io::Result<Self>
+    /// Binds to `address` and serves each request with `handler`. The bounds
+    /// are read for each connection.
+    pub async fn bind<B, F, Fut>(address: SocketAddr, bounds: B, handler: F) -> io::Result<Self>
     where
+        B: Fn() -> HttpBounds + 'static,
         F: Fn(Request) -> Fut + Clone + 'static,
         Fut: Future<Output = Response<BoxBody>> + 'static,
     {
@@ -75,22 +72,52 @@
         self.address
     }
 
+    /// Waits until no connection is open.
+    pub async fn unused(&self) {
+        loop {
+            let changed = self.state.changed.notified();
+            if self.state.connections.get() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Stops listening.
+    pub fn close(&self) {
+        self.state.stopping.set(true);
+        self.state.changed.notify_waiters();
+    }
+
     /// Stops listening and waits until every connection has ended, `within`
     /// this time at most. Idle connections end after the keep-alive time.
     pub async fn stop(&self, within: Duration) {
-        self.state.stopping.set(true);
-        self.state.changed.notify_waiters();
-        let ended = async {
-            while self.state.connections.get() > 0 {
-                self.state.changed.notified().await;
-            }
-        };
+        self.close();
         // The caller of a connection that is still open has been too slow.
-        let _ = actix_rt::time::timeout(within, ended).await;
+        let _ = actix_rt::time::timeout(within, self.unused()).await;
+    }
+}
+
+async fn serve<B, F, Fut>(listener: TcpListener, bounds: B, handler: F, state: Rc<State>)
+where
+    B: Fn() -> HttpBounds + 'static,
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    loop {
+        let Some(stream) = next_connection(&listener, &bounds, &state).await else {
+            return;
+        };
+        let open = Open::new(&state);
+        let connection = serve_connection(stream, bounds(), handler.clone());
+        actix_rt::spawn(async move {
+            let _open = open;
+            connection.await;
+        });
     }
 }
 
-async fn serve<F, Fut>(listener: TcpListener, bounds: HttpBounds, handler: F, state: Rc<State>)
+async fn serve_connection<F, Fut>(stream: TcpStream, bounds: HttpBounds, handler: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
@@ -100,44 +127,33 @@
         async move { Ok::<_, Infallible>(response.await) }
     });
     let factory = HttpService::<Io, _, _>::build()
-        .keep_alive(KEEP_ALIVE)
+        .keep_alive(bounds.keep_alive)
         .client_request_timeout(bounds.head_timeout)
         .h1_allow_half_closed(false)
         .h1(service);
     let Ok(handler) = factory.new_service(()).await else {
         return;
     };
-    let handler = Rc::new(handler);
-    loop {
-        let Some(stream) = next_connection(&listener, bounds, &state).await else {
-            return;
-        };
-        let peer = stream.peer_addr().ok();
-        let _ = stream.set_nodelay(true);
-        let mut stream = TimeoutStream::new(stream);
-        stream.set_write_timeout(Some(bounds.write_timeout));
-        let open = Open::new(&state);
-        let handler = Rc::clone(&handler);
-        actix_rt::spawn(async move {
-            let _open = open;
-            // A failed connection concerns only its own caller.
-            let _ = handler.call((Box::pin(stream), peer)).await;
-        });
-    }
+    let peer = stream.peer_addr().ok();
+    // Without it answers only come later.
+    let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(bounds.write_timeout));
+    // A failed connection concerns only its own caller.
+    let _ = handler.call((Box::pin(stream), peer)).await;
 }
 
 /// The next connection within the bounds; none once the server is stopping.
-async fn next_connection(
-    listener: &TcpListener,
-    bounds: HttpBounds,
-    state: &State,
-) -> Option<TcpStream> {
+async fn next_connection<B>(listener: &TcpListener, bounds: &B, state: &State) -> Option<TcpStream>
+where
+    B: Fn() -> HttpBounds,
+{
     loop {
         let changed = state.changed.notified();
         if state.stopping.get() {
             return None;
         }
-        if state.connections.get() >= bounds.connections {
+        if state.connections.get() >= bounds().connections {
             changed.await;
             continue;
         }
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -107,6 +107,12 @@
         self
     }
 
+    /// Adds a service that is known only by its trait.
+    pub fn with_boxed(mut self, service: Box<dyn Service>) -> Self {
+        self.services.push(service);
+        self
+    }
+
     /// Starts the services in order. On a failure those already started are
     /// stopped again.
     pub async fn start(&mut self) -> Result<(), KernelError> {
--- a/src/operator/agents.rs
+++ b/src/operator/agents.rs
@@ -65,9 +65,11 @@
     let settings = Settings::new(&Document::read(folder)?)?;
     let key = read_site_key(key)?;
     let statuses = actix_rt::System::new().block_on(async {
-        let asked = settings.upstreams.iter().map(|(name, upstream)| {
+        let agents = settings.upstreams.iter();
+        let agents = agents.filter_map(|(name, upstream)| Some((name, upstream.agent?)));
+        let asked = agents.map(|(name, agent)| {
             let key = &key;
-            async move { ask_status(name, upstream.agent, key).await }
+            async move { ask_status(name, agent, key).await }
         });
         futures::future::join_all(asked).await
     });
@@ -88,7 +90,7 @@
     let settings = Settings::new(&Document::read(folder)?)?;
     let key = read_site_key(key)?;
     let name = Name::new(upstream);
-    let address = settings.upstreams.get(&name).map(|u| u.agent);
+    let address = settings.upstreams.get(&name).and_then(|u| u.agent);
     let address = address.ok_or_else(|| AgentError::UnknownUpstream(name.clone()))?;
     actix_rt::System::new().block_on(async {
         let drained = with_desk(address, &key, |desk| drain_desk(name.clone(), desk));
--- /dev/null
+++ b/src/outlier/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+fn at(millis: u64) -> Moment {
+    Moment::new(Duration::from_millis(millis))
+}
+
+#[test]
+fn an_upstream_that_fails_most_requests_is_left_out_for_a_while() {
+    let upstream = Name::new("grey");
+    let mut outliers = Outliers::new();
+    let failures = (0..9).find(|_| outliers.failed(at(0), &upstream).is_some());
+    assert_eq!(failures, Some(3));
+    assert!(outliers.is_ejected(at(499), &upstream));
+    assert!(!outliers.is_ejected(at(500), &upstream));
+}
+
+#[test]
+fn a_service_that_fails_a_sixth_is_not_an_outlier() {
+    let upstream = Name::new("usual");
+    let mut outliers = Outliers::new();
+    for i in 0..600 {
+        match i % 6 {
+            0 => assert_eq!(outliers.failed(at(i), &upstream), None),
+            _ => outliers.served(&upstream),
+        }
+    }
+}
+
+#[test]
+fn one_that_cannot_be_reached_is_left_out_at_once_and_longer_each_time() {
+    let upstream = Name::new("dark");
+    let mut outliers = Outliers::new();
+    let first = outliers.unreachable(at(0), &upstream);
+    assert_eq!(first, Some(EJECTED_MIN));
+    assert_eq!(outliers.unreachable(at(100), &upstream), None);
+    let second = outliers.unreachable(at(600), &upstream);
+    assert_eq!(second, Some(EJECTED_MIN * 2));
+}
+
+#[test]
+fn one_that_serves_again_starts_anew() {
+    let upstream = Name::new("back");
+    let mut outliers = Outliers::new();
+    outliers.unreachable(at(0), &upstream);
+    (0..20).for_each(|_| outliers.served(&upstream));
+    assert_eq!(
+        outliers.unreachable(at(9_000), &upstream),
+        Some(EJECTED_MIN)
+    );
+}
--- /dev/null
+++ b/src/presence.rs
@@ -0,0 +1,108 @@
+//! Which discovered upstreams are there, also after the platform was away.
+//!
+//! Registrations may lapse while the platform is away, though their upstreams
+//! live. After its return those that are missing stay for a short time, in
+//! which a living upstream registers again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::directory::Upstreams;
+use crate::discovery::Discovered;
+use crate::name::Name;
+use crate::settings::Fencing;
+use crate::settings::Settings;
+use crate::settings::Upstream;
+use crate::settings::UpstreamKind;
+
+#[cfg(test)]
+mod tests;
+
+/// The time in which living upstreams register again after the platform's
+/// return: the two seconds that it states, and the time of a report.
+pub const REGISTERED_AGAIN: Duration = Duration::from_millis(2500);
+
+/// The upstreams that are there.
+#[derive(Debug, Default)]
+pub struct Presence {
+    known: BTreeMap<Name, Discovered>,
+    /// Upstreams that are missing since the platform's return.
+    missing: BTreeMap<Name, Discovered>,
+    away: bool,
+    /// Until when missing upstreams stay.
+    kept_until: Option<Moment>,
+}
+
+impl Presence {
+    /// No upstreams are known yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that the platform could not be reached.
+    pub fn away(&mut self) {
+        self.away = true;
+    }
+
+    /// Takes in all upstreams that are registered now.
+    pub fn listed(&mut self, now: Moment, listed: Vec<Discovered>) {
+        if std::mem::take(&mut self.away) {
+            self.kept_until = Some(now + REGISTERED_AGAIN);
+        }
+        let listed = listed.into_iter().map(|d| (d.name.clone(), d));
+        let before = std::mem::replace(&mut self.known, listed.collect());
+        let keeps = self.kept_until.is_some_and(|until| now < until);
+        if keeps {
+            self.missing.extend(before);
+        }
+        self.missing
+            .retain(|name, _| !self.known.contains_key(name));
+        self.tick(now);
+    }
+
+    /// Drops the missing upstreams once their time is over; says whether any
+    /// were dropped.
+    pub fn tick(&mut self, now: Moment) -> bool {
+        if self.kept_until.is_none_or(|until| now < until) {
+            return false;
+        }
+        self.kept_until = None;
+        !std::mem::take(&mut self.missing).is_empty()
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self) -> Option<Moment> {
+        self.kept_until
+    }
+
+    /// The upstreams that are there, with what the settings say of them.
+    pub fn upstreams(&self, settings: &Settings) -> Upstreams {
+        let there = self.known.iter().chain(&self.missing);
+        there
+            .filter_map(|(name, d)| Some((name.clone(), upstream(settings, d)?)))
+            .collect()
+    }
+}
+
+/// A discovered upstream; none if the settings don't name its service.
+fn upstream(settings: &Settings, discovered: &Discovered) -> Option<Upstream> {
+    let service = settings.services.get(&discovered.service)?;
+    Some(Upstream {
+        kind: service.kind,
+        zone: discovered.zone.clone(),
+        address: discovered.address,
+        // Agents stand beside model engines only.
+        agent: discovered
+            .agent
+            .filter(|_| service.kind == UpstreamKind::Model),
+        instance: discovered.instance.clone(),
+        leaving: discovered.leaving,
+        event_tokens: service.event_tokens,
+        serves: vec![discovered.service.clone()],
+        loads: Vec::new(),
+        slots: discovered.slots.unwrap_or(service.slots),
+        cache_tokens: 0,
+        fencing: Fencing::Ignored,
+    })
+}
--- /dev/null
+++ b/src/presence/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+use crate::settings::Document;
+use crate::settings::File;
+
+fn at(millis: u64) -> Moment {
+    Moment::new(Duration::from_millis(millis))
+}
+
+fn settings() -> Settings {
+    let text = "[tiers.only]\norder = 0\ndeadline = \"1s\"\n[services.pool]\nkind = \"model\"\nslots = 4\n";
+    let file = File {
+        name: Name::new("10.toml"),
+        text: text.to_owned(),
+    };
+    Settings::new(&Document::new(vec![file])).expect("the settings are valid")
+}
+
+fn discovered(name: &str, service: &str) -> Discovered {
+    Discovered {
+        name: Name::new(name),
+        service: Name::new(service),
+        zone: Name::new("a"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        agent: None,
+        instance: Some(Name::new(name)),
+        slots: None,
+        leaving: false,
+    }
+}
+
+fn listed(presence: &mut Presence, now: u64, names: &[&str]) {
+    let all = names.iter().map(|n| discovered(n, "pool")).collect();
+    presence.listed(at(now), all);
+}
+
+fn names(presence: &Presence) -> Vec<String> {
+    let upstreams = presence.upstreams(&settings());
+    upstreams.keys().map(ToString::to_string).collect()
+}
+
+#[test]
+fn one_that_is_removed_in_calm_is_gone_at_once() {
+    let mut presence = Presence::new();
+    listed(&mut presence, 0, &["one", "two"]);
+    listed(&mut presence, 10, &["two"]);
+    assert_eq!(names(&presence), ["two"]);
+}
+
+#[test]
+fn registrations_that_lapsed_while_the_platform_was_away_stay_for_a_while() {
+    let mut presence = Presence::new();
+    listed(&mut presence, 0, &["one", "two"]);
+    presence.away();
+    listed(&mut presence, 5_000, &[]);
+    assert_eq!(names(&presence), ["one", "two"]);
+    listed(&mut presence, 6_000, &["two"]);
+    assert_eq!(names(&presence), ["one", "two"]);
+    let end = REGISTERED_AGAIN + Duration::from_secs(5);
+    assert_eq!(presence.next_tick(), Some(Moment::new(end)));
+    assert!(presence.tick(Moment::new(end)));
+    assert_eq!(names(&presence), ["two"]);
+}
+
+#[test]
+fn one_that_says_after_an_outage_that_it_leaves_is_believed() {
+    let mut presence = Presence::new();
+    listed(&mut presence, 0, &["one"]);
+    presence.away();
+    let leaving = Discovered {
+        leaving: true,
+        ..discovered("one", "pool")
+    };
+    presence.listed(at(10), vec![leaving]);
+    let upstreams = presence.upstreams(&settings());
+    assert!(upstreams.values().all(|u| u.leaving));
+}
+
+#[test]
+fn an_upstream_of_an_unknown_service_is_not_used() {
+    let mut presence = Presence::new();
+    presence.listed(
+        at(0),
+        vec![discovered("one", "other"), discovered("two", "pool")],
+    );
+    assert_eq!(names(&presence), ["two"]);
+}
--- /dev/null
+++ b/src/prompt.rs
@@ -0,0 +1,55 @@
+//! Reads the parts of an OpenAI request body that scheduling needs.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::dialect::Prompt;
+use crate::entry::CallerError;
+use crate::name::Name;
+use crate::prefix::chunk_hashes;
+use crate::prefix::estimate_tokens;
+use crate::ticket::Work;
+
+/// Tokens expected of an answer whose request sets no bound.
+const DEFAULT_OUTPUT_TOKENS: u64 = 256;
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    model: Name,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+/// Reads a body in JSON.
+pub fn parse(body: &[u8]) -> Result<Prompt, CallerError> {
+    let invalid = |e: serde_json::Error| CallerError::InvalidBody(e.to_string());
+    let body: Body<'_> = serde_json::from_slice(body).map_err(invalid)?;
+    let Some(text) = body.messages.or(body.prompt) else {
+        let text = "messages or prompt is needed".to_owned();
+        return Err(CallerError::InvalidBody(text));
+    };
+    let output = body.max_completion_tokens.or(body.max_tokens);
+    let text = text.get().as_bytes();
+    let work = Work {
+        prefill: estimate_tokens(text.len()),
+        cached: 0,
+        output: output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+    };
+    Ok(Prompt {
+        work,
+        most_tokens: work.prefill + work.output,
+        prefix: chunk_hashes(&body.model, text),
+        model: Some(body.model),
+    })
+}
+
+/// Whether a body asks for an answer as server-sent events.
+pub fn asks_stream(body: &[u8]) -> bool {
+    serde_json::from_slice::<Body<'_>>(body).is_ok_and(|body| body.stream)
+}
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,6 +1,7 @@
 //! The order in which waiting tickets are served.
 //!
-//! The higher tier goes first. Within a tier organisations are served by
+//! Tickets that can still begin within their objective go before those that
+//! can't, and then the higher tier goes first. Within a tier organisations are served by
 //! start-time fair queueing over the cost of their work, and within an
 //! organisation the earliest deadline goes first. Every operation takes time
 //! logarithmic in the number of waiting tickets.
@@ -20,6 +21,9 @@
 /// Virtual time units for one unit of cost at weight 1.
 const VIRTUAL_SCALE: u64 = 1 << 10;
 
+/// Added to the rank of a tier for tickets whose objective has passed.
+const DELAYED: u8 = 128;
+
 /// What became of a ticket that was pushed.
 #[derive(Debug)]
 pub enum Pushed {
@@ -42,8 +46,10 @@
     capacity: usize,
     tickets: HashMap<RequestId, Waiting>,
     tiers: BTreeMap<u8, TierQueue>,
-    /// All tickets by deadline, to expire them.
-    deadlines: BTreeSet<(Moment, RequestId)>,
+    /// All tickets by the end of their patience, to expire them.
+    patience: BTreeSet<(Moment, RequestId)>,
+    /// The tickets of undelayed tiers by objective, to delay them.
+    objectives: BTreeSet<(Moment, RequestId)>,
 }
 
 struct Waiting {
@@ -83,7 +89,8 @@
             capacity,
             tickets: HashMap::new(),
             tiers: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
+            patience: BTreeSet::new(),
+            objectives: BTreeSet::new(),
         }
     }
 
@@ -183,19 +190,19 @@
     /// Takes out the ticket of `request`.
     pub fn remove(&mut self, request: RequestId) -> Option<Ticket> {
         let waiting = self.tickets.remove(&request)?;
-        let deadline = waiting.ticket.deadline;
-        self.deadlines.remove(&(deadline, request));
+        self.patience.remove(&(waiting.ticket.patience, request));
+        self.objectives.remove(&(waiting.ticket.objective, request));
         if let Some(tier) = self.tiers.get_mut(&waiting.ticket.order) {
             tier.remove(&waiting);
         }
         Some(waiting.ticket)
     }
 
-    /// Takes out every ticket whose deadline is not after `now`.
+    /// Takes out every ticket whose patience has ended by `now`.
     pub fn expire(&mut self, now: Moment) -> Vec<Ticket> {
         let mut expired = Vec::new();
-        while let Some(&(deadline, request)) = self.deadlines.first() {
-            if deadline > now {
+        while let Some(&(patience, request)) = self.patience.first() {
+            if patience > now {
                 break;
             }
             expired.extend(self.remove(request));
@@ -203,9 +210,29 @@
         expired
     }
 
+    /// Moves every ticket whose objective has passed by `now` behind all those
+    /// that can still meet theirs.
+    pub fn delay(&mut self, now: Moment) {
+        while let Some(&(objective, request)) = self.objectives.first() {
+            if objective > now {
+                break;
+            }
+            self.objectives.pop_first();
+            let Some(waiting) = self.tickets.remove(&request) else {
+                continue;
+            };
+            if let Some(tier) = self.tiers.get_mut(&waiting.ticket.order) {
+                tier.remove(&waiting);
+            }
+            let mut ticket = waiting.ticket;
+            ticket.order = ticket.order.saturating_add(DELAYED);
+            self.insert(ticket, waiting.weight, waiting.cost);
+        }
+    }
+
     /// Takes out every ticket.
     pub fn drain(&mut self) -> Vec<Ticket> {
-        let requests: Vec<RequestId> = self.deadlines.iter().map(|(_, r)| *r).collect();
+        let requests: Vec<RequestId> = self.patience.iter().map(|(_, r)| *r).collect();
         requests
             .into_iter()
             .filter_map(|request| self.remove(request))
@@ -223,9 +250,9 @@
         queue.map_or(0, |q| q.served.saturating_sub(tier.now))
     }
 
-    /// The earliest deadline among the waiting tickets.
-    pub fn next_deadline(&self) -> Option<Moment> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    /// When the patience of a waiting ticket ends next.
+    pub fn next_expiry(&self) -> Option<Moment> {
+        self.patience.first().map(|(patience, _)| *patience)
     }
 
     fn lowest(&self) -> Option<(u8, RequestId)> {
@@ -242,7 +269,10 @@
             weight,
             cost,
         };
-        self.deadlines.insert((waiting.ticket.deadline, request));
+        self.patience.insert((waiting.ticket.patience, request));
+        if waiting.ticket.order < DELAYED {
+            self.objectives.insert((waiting.ticket.objective, request));
+        }
         let tier = self.tiers.entry(waiting.ticket.order).or_default();
         tier.insert(&waiting);
         self.tickets.insert(request, waiting);
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -15,6 +15,8 @@
         organisation: Name::new(organisation),
         order,
         deadline: Moment::new(Duration::from_millis(deadline)),
+        objective: Moment::new(Duration::from_millis(deadline)),
+        patience: Moment::new(Duration::from_millis(deadline)),
         work: Work {
             prefill,
             ..Work::default()
@@ -126,3 +128,33 @@
         }
     }
 }
+
+#[test]
+fn tickets_past_their_objective_go_behind_those_that_can_meet_theirs() {
+    let mut queue = Queue::new(10);
+    let urgent = Ticket {
+        objective: Moment::new(Duration::from_millis(100)),
+        ..ticket(1, "a", 0, 9_000, 1)
+    };
+    push(&mut queue, urgent, 1);
+    push(&mut queue, ticket(2, "a", 2, 8_000, 1), 1);
+    queue.delay(Moment::new(Duration::from_millis(99)));
+    assert_eq!(queue.peek().map(|r| r.sequence), Some(1));
+    queue.delay(Moment::new(Duration::from_millis(100)));
+    assert_eq!(served(&mut queue), [2, 1]);
+}
+
+#[test]
+fn a_delayed_ticket_keeps_its_place_among_the_delayed() {
+    let mut queue = Queue::new(10);
+    for (sequence, order) in [(1, 1), (2, 0)] {
+        let ticket = Ticket {
+            objective: Moment::new(Duration::from_millis(sequence)),
+            ..ticket(sequence, "a", order, 9_000, 1)
+        };
+        push(&mut queue, ticket, 1);
+    }
+    queue.delay(Moment::new(Duration::from_millis(10)));
+    assert_eq!(served(&mut queue), [2, 1]);
+    assert!(queue.is_empty());
+}
--- /dev/null
+++ b/src/retry_budget/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    slack: 10,
+    window: Duration::from_secs(10),
+    entries: 5,
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::new(Duration::from_millis(millis))
+}
+
+/// All entries together, each with its share of the requests, stay within the
+/// budget of every window when every request asks for a repeat.
+#[test]
+fn all_entries_together_stay_within_the_budget() {
+    let service = Name::new("portal");
+    let mut entries: Vec<RetryBudget> = (0..5).map(|_| RetryBudget::new()).collect();
+    let mut repeats = Vec::new();
+    let mut requests = Vec::new();
+    for i in 0..4_000u64 {
+        let now = at(i * 10);
+        let entry = &mut entries[usize::try_from(i * i % 5).unwrap_or(0)];
+        entry.request(now, &service, BOUNDS);
+        requests.push(now);
+        if entry.repeat(now, &service, BOUNDS) {
+            repeats.push(now);
+        }
+    }
+    let within = |moments: &[Moment], end: Moment| {
+        let count = moments.iter().filter(|m| **m <= end);
+        count.filter(|m| end.since(**m) < BOUNDS.window).count()
+    };
+    for end in &requests {
+        let allowed = within(&requests, *end) as f64 * 0.2 + 10.0;
+        assert!(within(&repeats, *end) as f64 <= allowed);
+    }
+    assert!(repeats.len() > 300, "{} repeats", repeats.len());
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = RetryBudget::new();
+    let (one, other) = (Name::new("one"), Name::new("other"));
+    (0..100).for_each(|_| budget.request(at(0), &one, BOUNDS));
+    assert!(budget.repeat(at(0), &one, BOUNDS));
+    let others = (0..9).filter(|_| budget.repeat(at(0), &other, BOUNDS));
+    assert_eq!(others.count(), 1);
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
+use crate::dispatch::Choice;
 use crate::name::Name;
 use crate::settings::Policy;
 
@@ -25,21 +26,17 @@
     pub outstanding: usize,
 }
 
-/// The upstreams of one request in the order in which they are asked.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Order {
-    /// The upstreams, the first to be asked in front.
-    pub upstreams: Vec<Name>,
-    /// Whether the first is asked alone because it holds the prompt's prefix.
-    pub holder_first: bool,
-}
-
 /// Orders the candidates of one request, those to be asked first in front.
 ///
 /// With late binding the upstream that holds the longest part of the prompt
 /// comes first, then one in the entry's own zone, then the others at random.
 /// The other policies are baselines for measurements.
-pub fn order<R>(policy: Policy, mut candidates: Vec<Candidate>, turn: u64, rng: &mut R) -> Order
+pub fn order<R>(
+    policy: Policy,
+    mut candidates: Vec<Candidate>,
+    turn: u64,
+    rng: &mut R,
+) -> Vec<Choice>
 where
     R: Rng,
 {
@@ -52,11 +49,13 @@
         }
         Policy::TwoChoices => order_two_choices(&mut candidates, rng),
     }
-    let matched = candidates.first().map_or(0, |c| c.matched);
-    Order {
-        holder_first: policy == Policy::LateBinding && matched > 0,
-        upstreams: candidates.into_iter().map(|c| c.upstream).collect(),
-    }
+    candidates
+        .into_iter()
+        .map(|c| Choice {
+            upstream: c.upstream,
+            near: c.near,
+        })
+        .collect()
 }
 
 fn order_late<R>(candidates: &mut [Candidate], rng: &mut R)
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -16,7 +16,14 @@
 use crate::settings::SettingsError;
 use crate::settings::merge::join;
 
-const SECTIONS: [&str; 5] = ["tiers", "organisations", "upstreams", "routes", "limits"];
+const SECTIONS: [&str; 6] = [
+    "tiers",
+    "organisations",
+    "upstreams",
+    "services",
+    "routes",
+    "limits",
+];
 
 /// The largest body that fits a message between processes, in bytes.
 const MAX_BODY_BYTES: u64 = 24 << 20;
@@ -63,6 +70,7 @@
             tiers: self.section(&mut table, "tiers"),
             organisations: self.section(&mut table, "organisations"),
             upstreams: self.section(&mut table, "upstreams"),
+            services: self.section(&mut table, "services"),
             routes: self.section(&mut table, "routes"),
             limits: self.limits(&mut table),
         };
@@ -195,7 +203,8 @@
         let mut agents = BTreeMap::new();
         for (name, upstream) in &settings.upstreams {
             let path = join("upstreams", name);
-            if let Some(other) = agents.insert(upstream.agent, name) {
+            let agent = upstream.agent;
+            if let Some(other) = agent.and_then(|agent| agents.insert(agent, name)) {
                 let reason = Reason::Contradiction(format!("upstreams.{other}.agent"));
                 self.report(format!("{path}.agent"), reason);
             }
@@ -213,7 +222,7 @@
         let mut paths = BTreeMap::new();
         for (name, route) in &settings.routes {
             let path = join("routes", name);
-            if let Some(other) = paths.insert(&route.path, name) {
+            if let Some(other) = paths.insert((&route.host, &route.path), name) {
                 let reason = Reason::Contradiction(format!("routes.{other}.path"));
                 self.report(format!("{path}.path"), reason);
             }
@@ -221,6 +230,10 @@
                 let reason = Reason::Value("must begin with a slash".to_owned());
                 self.report(format!("{path}.path"), reason);
             }
+            if route.attempts == 0 {
+                let reason = Reason::Value("must be at least 1".to_owned());
+                self.report(format!("{path}.attempts"), reason);
+            }
             if let Some(tier) = &route.tier {
                 self.check_tier(settings, format!("{path}.tier"), tier);
             }
@@ -230,23 +243,32 @@
 
     fn check_service(&mut self, settings: &Settings, path: &str, route: &super::Route) {
         let key = format!("{path}.service");
-        match (route.kind, &route.service) {
-            (RouteKind::Model, None) => {}
-            (RouteKind::Model, Some(_)) => {
-                self.report(key, Reason::Contradiction(format!("{path}.kind")));
-            }
-            (RouteKind::Service, None) => self.report(key, Reason::Empty),
-            (RouteKind::Service, Some(service)) => {
-                let served = |u: &super::Upstream| u.serves.contains(service);
-                if !settings.upstreams.values().any(served) {
-                    self.report_dangling(key, "upstreams serving a service", service);
-                }
+        if route.service.is_some() && !route.split.is_empty() {
+            self.report(key, Reason::Contradiction(format!("{path}.split")));
+            return;
+        }
+        let targets: Vec<&Name> = route.service.iter().chain(route.split.keys()).collect();
+        if targets.is_empty() && route.kind == RouteKind::Service {
+            self.report(key, Reason::Empty);
+            return;
+        }
+        if settings.limits.discovered {
+            return;
+        }
+        for target in targets {
+            let served = |u: &super::Upstream| u.serves.contains(target);
+            if !settings.upstreams.values().any(served) {
+                self.report_dangling(key.clone(), "upstreams serving a service", target);
             }
         }
     }
 
     fn check_limits(&mut self, settings: &Settings) {
         let limits = &settings.limits;
+        if !(limits.retry_ratio >= 0.0 && limits.retry_ratio <= 1.0) {
+            let reason = Reason::Value("must lie between 0 and 1".to_owned());
+            self.report("limits.retry_ratio".to_owned(), reason);
+        }
         if limits.probes == 0 {
             let reason = Reason::Value("must be at least 1".to_owned());
             self.report("limits.probes".to_owned(), reason);
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -15,6 +15,7 @@
 use crate::config::SettingsSource;
 use crate::current::Current;
 use crate::current::Revision;
+use crate::directory::Directory;
 use crate::kernel::KernelError;
 use crate::kernel::Registry;
 use crate::kernel::Service;
@@ -52,6 +53,7 @@
     source: SettingsSource,
     store: Option<Name>,
     current: Rc<Current>,
+    directory: Option<Rc<Directory>>,
     log: Logger,
 }
 
@@ -67,10 +69,17 @@
             source,
             store,
             current,
+            directory: None,
             log,
         }
     }
 
+    /// The same service, which has `directory` hold the settings' upstreams.
+    pub fn with_directory(mut self, directory: Rc<Directory>) -> Self {
+        self.directory = Some(directory);
+        self
+    }
+
     fn failed<E>(&self, e: E) -> KernelError
     where
         E: std::error::Error + Send + Sync + 'static,
@@ -112,6 +121,11 @@
                 }
                 SettingsSource::Peers => {}
             }
+            if let Some(directory) = &self.directory {
+                let directory = Rc::clone(directory);
+                directory.set(self.current.settings().upstreams.clone());
+                actix_rt::spawn(directory.follow_settings(Rc::clone(&self.current)));
+            }
             registry.publish(Name::new(WATCHES), watches)?;
             registry.publish(self.name(), Rc::clone(&self.current))
         }
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -22,6 +22,10 @@
     pub order: u8,
     /// When the answer stops being useful, on the holder's own clock.
     pub deadline: Moment,
+    /// When the answer should have begun.
+    pub objective: Moment,
+    /// When waiting for room is given up.
+    pub patience: Moment,
     /// What the work is believed to take.
     pub work: Work,
     /// Chained hashes of the prompt's chunks, the longest prefix last.
@@ -61,6 +65,8 @@
     pub id: GrantId,
     /// How long it can be accepted, by the agent's clock.
     pub valid: Duration,
+    /// What the agent expects of the request.
+    pub quote: Quote,
 }
 
 /// Why a ticket or an accept was refused. Refused work was not dispatched.
@@ -102,7 +108,7 @@
     }
 }
 
-/// What an agent expects of a ticket that it has queued.
+/// What an agent expects of a ticket.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Quote {
     /// The expected time until dispatch.
@@ -111,6 +117,10 @@
     pub cached: u64,
     /// The time that not processing them again saves.
     pub saving: Duration,
+    /// The expected time from dispatch until the answer begins.
+    pub begin: Duration,
+    /// The expected time from dispatch until the answer ends.
+    pub end: Duration,
 }
 
 /// An agent's immediate answer to a ticket.
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -18,6 +18,9 @@
 pub enum AnswerForm {
     /// Server-sent events, ended by `[DONE]`.
     Events,
+    /// Server-sent events that end with the answer; each holds this many
+    /// tokens.
+    PlainEvents(u64),
     /// One JSON document.
     Document,
     /// Anything else; nothing is read from it.
@@ -70,7 +73,7 @@
     /// Takes in the next bytes of the answer.
     pub fn push(&mut self, bytes: &[u8]) {
         match self.form {
-            AnswerForm::Events => self.push_events(bytes),
+            AnswerForm::Events | AnswerForm::PlainEvents(_) => self.push_events(bytes),
             AnswerForm::Document => self.keep(bytes),
             AnswerForm::Opaque => {}
         }
@@ -88,8 +91,12 @@
         if self.form == AnswerForm::Document && !self.overflown {
             self.work = parse(&self.kept);
         }
+        let tokens = match self.form {
+            AnswerForm::PlainEvents(tokens) => tokens,
+            AnswerForm::Events | AnswerForm::Document | AnswerForm::Opaque => 1,
+        };
         self.work.unwrap_or(Work {
-            output: self.events,
+            output: self.events * tokens,
             ..expected
         })
     }
