Keep quotas over a sliding window, as operators measure them

Change: entries know what all spent in the last window, keep an equal part for those they don't hear, and give callers a part of the stated tolerance. The proptest found that what was spent in a silence was forgotten on its end.

--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -132,7 +132,7 @@
 struct Spend {
   organisation @0 :Text;
   spent @1 :Float64;          # units since the entry's start
-  level @2 :Float64;          # units left in its bucket
+  window @2 :Float64;         # units spent by all entries in the last window
 }
 
 struct SpendReport {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -190,6 +190,7 @@
         let bound = Peers::bind(
             listen,
             Rc::clone(&state.quota),
+            Rc::clone(&state.current),
             self.config.site_key.clone(),
             state.incarnation,
             state.clock(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -22,6 +22,7 @@
 
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
+use crate::current::Current;
 use crate::ids::Incarnation;
 use crate::quota::Quota;
 use crate::quota::Report;
@@ -51,6 +52,7 @@
     socket: UdpSocket,
     known: RefCell<BTreeSet<SocketAddr>>,
     quota: Rc<RefCell<Quota>>,
+    current: Rc<Current>,
     key: KeyHolder,
     incarnation: Incarnation,
     clock: Clock,
@@ -62,6 +64,7 @@
     pub async fn bind(
         listen: SocketAddr,
         quota: Rc<RefCell<Quota>>,
+        current: Rc<Current>,
         key: KeyHolder,
         incarnation: Incarnation,
         clock: Clock,
@@ -71,6 +74,7 @@
             socket: UdpSocket::bind(listen).await?,
             known: RefCell::default(),
             quota,
+            current,
             key,
             incarnation,
             clock,
@@ -95,8 +99,7 @@
             return;
         }
         let entries = self.known.borrow().len() + 1;
-        let now = self.clock.now();
-        self.quota.borrow_mut().set_entries(now, entries);
+        self.quota.borrow_mut().set_entries(entries);
         info!(self.log, "entry found"; "peer" => %peer, "entries" => entries);
     }
 
@@ -126,7 +129,7 @@
 
     async fn tell(&self, key: &SiteKey) {
         let now = self.clock.now();
-        let report = self.quota.borrow().report(now, self.incarnation);
+        let report = self.quota.borrow_mut().report(now, self.incarnation);
         let mut message = Builder::new_default();
         wire::write_report(&report, message.init_root::<spend_report::Builder<'_>>());
         let mut datagram = serialize::write_message_to_words(&message);
@@ -152,8 +155,9 @@
         match read(message) {
             Ok(report) => {
                 self.add(peer);
+                let window = self.current.settings().limits.quota_window;
                 let now = self.clock.now();
-                self.quota.borrow_mut().hear(now, &report);
+                self.quota.borrow_mut().hear(now, window, &report);
             }
             Err(e) => warn!(self.log, "report not read"; "peer" => %peer, "error" => %e),
         }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -50,6 +50,7 @@
 use crate::outlier::Judgement;
 use crate::outlier::Outliers;
 use crate::prefix::PrefixIndex;
+use crate::quota::Measure;
 use crate::quota::Quota;
 use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudget;
@@ -220,6 +221,11 @@
         let Some(rate) = rate.and_then(|o| o.quota) else {
             return Ok(Spent::nothing(self));
         };
+        let measure = Measure {
+            window: settings.limits.quota_window,
+            over: settings.limits.quota_over,
+            slack: settings.limits.quota_slack,
+        };
         let units = match (rate.unit, job.most_tokens) {
             (QuotaUnit::Requests, _) => 1.0,
             (QuotaUnit::Tokens, 0) => rate.plain as f64,
@@ -229,7 +235,7 @@
         let spent = self
             .quota
             .borrow_mut()
-            .spend(now, organisation, rate, units);
+            .spend(now, organisation, rate, measure, units);
         spent.map_err(CallerError::OverQuota)?;
         Ok(Spent {
             state: Rc::clone(self),
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,20 +1,24 @@
 //! Quotas of organisations over all entries.
 //!
-//! Each entry keeps a token bucket for each organisation and tells the others
-//! what it has spent in all. A bucket is charged for what its own entry spends
-//! at once, and for what the others spend when their report comes. Entries
-//! that are silent may be spending too, so an entry fills its buckets only at
-//! the part of the rate that belongs to those it hears. With `n` entries that
-//! report every `i` and a demand of `d`, all together spend at most `d * i`
-//! beyond the quota.
+//! An organisation may use its rate times a window, and its burst, in any
+//! window of that length. Each entry tells the others what it has spent in
+//! all, so that everyone knows what was spent in the last window. Entries that
+//! are silent may be spending too: an equal part of the quota is kept for each
+//! of them. An entry that starts anew takes the sum of the window from those
+//! that are older, and assumes most of the quota spent where there are none.
+//!
+//! Operators may tolerate some use beyond a quota. A part of that tolerance is
+//! given to callers; the rest covers what is spent between two reports.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::ids::Incarnation;
 use crate::name::Name;
 use crate::settings::QuotaRate;
+use crate::settings::QuotaUnit;
 
 #[cfg(test)]
 mod tests;
@@ -27,6 +31,20 @@
 /// a cut after which it may come back with what it spent meanwhile.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(300);
 
+/// The part of the tolerated use beyond a quota that callers get.
+const OVER_USED: f64 = 0.5;
+
+/// The part of the tolerated units beyond that part that callers get.
+const SLACK_USED: f64 = 0.6;
+
+/// The part of a quota that counts as spent in the window before a start of
+/// which nobody knows anything. A restart takes a good part of a second, in
+/// which an eighth of the usual window passes.
+const ASSUMED_SPENT: f64 = 0.85;
+
+/// The parts of a window in which a sum that was taken over is let go.
+const PARTS: u32 = 16;
+
 /// The longest time after which coming back is suggested to a caller whose
 /// organisation has used up its quota.
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -34,15 +52,38 @@
 /// The shortest time after which coming back is suggested.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 
+/// How operators measure quotas, and what they tolerate beyond them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Measure {
+    /// The window over which use is summed.
+    pub window: Duration,
+    /// What is tolerated in a window, as a part of the quota.
+    pub over: f64,
+    /// Tokens that are tolerated in a window beyond that part.
+    pub slack: f64,
+}
+
+impl Measure {
+    /// The units of a window that callers get.
+    fn allowed(self, rate: QuotaRate) -> f64 {
+        let quota = rate.per_second * self.window.as_secs_f64() + rate.burst;
+        let slack = match rate.unit {
+            QuotaUnit::Tokens => self.slack * SLACK_USED,
+            QuotaUnit::Requests => 0.0,
+        };
+        quota * (1.0 + self.over * OVER_USED) + slack
+    }
+}
+
 /// What one entry says of one organisation.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Spend {
     /// The organisation.
     pub organisation: Name,
-    /// Units spent since the entry's start.
+    /// Units spent by the entry since its start.
     pub spent: f64,
-    /// Units left in its bucket.
-    pub level: f64,
+    /// Units spent by all entries in the last window, as far as it knows.
+    pub window: f64,
 }
 
 /// What one entry says of all organisations.
@@ -56,25 +97,24 @@
     pub spends: Vec<Spend>,
 }
 
-/// The buckets of one entry.
+/// What one entry knows of the use of quotas.
 #[derive(Debug)]
 pub struct Quota {
     started: Moment,
-    buckets: HashMap<Name, Bucket>,
+    organisations: HashMap<Name, Account>,
     peers: HashMap<Incarnation, Peer>,
     /// Entries that are there, this one included.
     entries: usize,
-    /// The part of the entries that is heard, this one included.
-    heard_part: f64,
 }
 
-/// Invariant: `level` never exceeds the burst of `rate`.
-#[derive(Debug)]
-struct Bucket {
-    level: f64,
-    at: Moment,
-    spent: f64,
-    rate: QuotaRate,
+/// Invariant: `sum` is the sum over `spends`.
+#[derive(Debug, Default)]
+struct Account {
+    /// What was spent, and when it leaves the window, the earliest first.
+    spends: VecDeque<(Moment, f64)>,
+    sum: f64,
+    /// Units spent by this entry since its start.
+    own: f64,
 }
 
 #[derive(Debug)]
@@ -85,21 +125,19 @@
 }
 
 impl Quota {
-    /// The buckets of an entry that starts now.
+    /// An entry that starts now.
     pub fn new(now: Moment) -> Self {
         Self {
             started: now,
-            buckets: HashMap::new(),
+            organisations: HashMap::new(),
             peers: HashMap::new(),
             entries: 1,
-            heard_part: 1.0,
         }
     }
 
     /// Sets the number of entries that are there, this one included.
-    pub fn set_entries(&mut self, now: Moment, entries: usize) {
+    pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
-        self.update_heard(now);
     }
 
     /// The number of entries that are there, this one included.
@@ -113,50 +151,42 @@
         now: Moment,
         organisation: &Name,
         rate: QuotaRate,
+        measure: Measure,
         units: f64,
     ) -> Result<(), Duration> {
-        self.update_heard(now);
-        let heard_part = self.heard_part;
-        if !self.buckets.contains_key(organisation) {
-            let bucket = self.new_bucket(now, organisation, rate);
-            self.buckets.insert(organisation.clone(), bucket);
+        let heard_part = self.heard_part(now);
+        let allowed = measure.allowed(rate);
+        if !self.organisations.contains_key(organisation) {
+            let account = self.new_account(now, organisation, allowed, measure.window);
+            self.organisations.insert(organisation.clone(), account);
         }
-        let Some(bucket) = self.buckets.get_mut(organisation) else {
+        let Some(account) = self.organisations.get_mut(organisation) else {
             return Err(RETRY_MAX);
         };
-        bucket.set_rate(rate);
-        bucket.fill(now, heard_part);
-        // A request larger than the burst passes when the bucket is full.
-        let needed = units.min(rate.burst);
-        if bucket.level < needed {
-            let seconds = (needed - bucket.level) / (rate.per_second * heard_part);
-            let wait = Duration::try_from_secs_f64(seconds).unwrap_or(RETRY_MAX);
-            return Err(wait.clamp(RETRY_MIN, RETRY_MAX));
+        account.forget(now);
+        // A request beyond the quota passes when nothing else was spent.
+        let room = allowed * heard_part - account.sum;
+        if room < units && account.sum > 0.0 {
+            return Err(account.room_after(now, units - room));
         }
-        bucket.level -= units;
-        bucket.spent += units;
+        account.spend(now + measure.window, units);
+        account.own += units;
         Ok(())
     }
 
     /// Returns what was spent for a request that was not run.
     pub fn refund(&mut self, organisation: &Name, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(organisation) {
-            bucket.level = (bucket.level + units).min(bucket.rate.burst);
-            bucket.spent -= units;
+        if let Some(account) = self.organisations.get_mut(organisation) {
+            account.own -= units;
+            account.take_back(units);
         }
     }
 
     /// Takes in the report of another entry.
-    pub fn hear(&mut self, now: Moment, report: &Report) {
+    pub fn hear(&mut self, now: Moment, window: Duration, report: &Report) {
         let older = report.age > now.since(self.started);
         let known = self.peers.get(&report.from);
-        // What an older entry spent before this one started is in the level
-        // that it reports; what one spent while it was silent came out of
-        // its own part of the rate.
-        let counts = match known {
-            Some(peer) => !peer.is_silent(now),
-            None => !older,
-        };
+        let was_silent = known.is_some_and(|peer| peer.is_silent(now));
         let peer = self.peers.entry(report.from).or_insert_with(|| Peer {
             heard: now,
             spends: HashMap::new(),
@@ -165,59 +195,65 @@
         for spend in &report.spends {
             let organisation = spend.organisation.clone();
             let before = peer.spends.insert(organisation, spend.clone());
-            let Some(bucket) = self.buckets.get_mut(&spend.organisation) else {
+            let Some(account) = self.organisations.get_mut(&spend.organisation) else {
                 continue;
             };
-            if counts {
-                bucket.level -= spend.spent - before.map_or(0.0, |b| b.spent);
-            } else if before.is_none() {
-                bucket.level = bucket.level.min(spend.level);
+            let since = spend.spent - before.as_ref().map_or(0.0, |b| b.spent);
+            match before {
+                // What an older entry spent before this one started is in
+                // the sum that it reports.
+                None if older => account.raise(now, spend.window, window),
+                _ if since < 0.0 => account.take_back(-since),
+                // Nobody knows when in its silence it was spent.
+                _ if was_silent => account.spread(now, since, window),
+                _ => account.spend(now + window, since),
             }
-            bucket.level = bucket.level.min(bucket.rate.burst);
         }
-        self.update_heard(now);
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < FORGOTTEN_AFTER);
     }
 
     /// What this entry tells the others.
-    pub fn report(&self, now: Moment, from: Incarnation) -> Report {
-        let spends = self.buckets.iter().map(|(organisation, bucket)| Spend {
-            organisation: organisation.clone(),
-            spent: bucket.spent,
-            level: bucket.level,
-        });
+    pub fn report(&mut self, now: Moment, from: Incarnation) -> Report {
+        let spend = |(organisation, account): (&Name, &mut Account)| {
+            account.forget(now);
+            Spend {
+                organisation: organisation.clone(),
+                spent: account.own,
+                window: account.sum,
+            }
+        };
         Report {
             from,
             age: now.since(self.started),
-            spends: spends.collect(),
+            spends: self.organisations.iter_mut().map(spend).collect(),
         }
     }
 
-    /// A bucket at the lowest level that another entry has reported.
-    fn new_bucket(&self, now: Moment, organisation: &Name, rate: QuotaRate) -> Bucket {
-        let heard = self.peers.values().filter(|p| !p.is_silent(now));
-        let levels = heard.filter_map(|p| p.spends.get(organisation).map(|s| s.level));
-        Bucket {
-            level: levels.fold(rate.burst * self.heard_part, f64::min),
-            at: now,
-            spent: 0.0,
-            rate,
-        }
+    /// The part of the entries that is heard, this one included.
+    fn heard_part(&self, now: Moment) -> f64 {
+        let heard = self.peers.values().filter(|p| !p.is_silent(now)).count() + 1;
+        heard.min(self.entries) as f64 / self.entries as f64
     }
 
-    fn update_heard(&mut self, now: Moment) {
-        self.peers
-            .retain(|_, peer| now.since(peer.heard) < FORGOTTEN_AFTER);
-        let heard = self.peers.values().filter(|p| !p.is_silent(now)).count();
-        let heard = (heard + 1).min(self.entries);
-        let part = heard as f64 / self.entries as f64;
-        if part < self.heard_part {
-            // Those that fell silent may spend their part of what is left.
-            let kept = part / self.heard_part;
-            for bucket in self.buckets.values_mut().filter(|b| b.level > 0.0) {
-                bucket.level *= kept;
-            }
-        }
-        self.heard_part = part;
+    /// An account with the highest sum that another entry has reported, or
+    /// with what may have been spent before this entry started.
+    fn new_account(
+        &self,
+        now: Moment,
+        organisation: &Name,
+        allowed: f64,
+        window: Duration,
+    ) -> Account {
+        let mut account = Account::default();
+        let age = now.since(self.started).as_secs_f64() / window.as_secs_f64();
+        let assumed = allowed * ASSUMED_SPENT * (1.0 - age);
+        let heard = self.peers.values().filter(|p| !p.is_silent(now));
+        let reported = heard.filter_map(|p| p.spends.get(organisation).map(|s| s.window));
+        let spent = reported.reduce(f64::max);
+        let heard_part = self.heard_part(now);
+        account.raise(now, spent.unwrap_or(assumed * heard_part), window);
+        account
     }
 }
 
@@ -227,15 +263,69 @@
     }
 }
 
-impl Bucket {
-    fn set_rate(&mut self, rate: QuotaRate) {
-        self.rate = rate;
-        self.level = self.level.min(rate.burst);
+impl Account {
+    fn spend(&mut self, leaves: Moment, units: f64) {
+        if units > 0.0 {
+            let later = self.spends.iter().rev().take_while(|(at, _)| *at > leaves);
+            let place = self.spends.len() - later.count();
+            self.spends.insert(place, (leaves, units));
+            self.sum += units;
+        }
+    }
+
+    fn forget(&mut self, now: Moment) {
+        while let Some((leaves, units)) = self.spends.front().copied() {
+            if leaves > now {
+                break;
+            }
+            self.spends.pop_front();
+            self.sum -= units;
+        }
+        if self.spends.is_empty() {
+            self.sum = 0.0;
+        }
     }
 
-    fn fill(&mut self, now: Moment, part: f64) {
-        let seconds = now.since(self.at).as_secs_f64();
-        self.at = now;
-        self.level = (self.level + seconds * self.rate.per_second * part).min(self.rate.burst);
+    /// Takes back the latest spending.
+    fn take_back(&mut self, units: f64) {
+        let mut left = units;
+        while left > 0.0 {
+            let Some((_, last)) = self.spends.back_mut() else {
+                return;
+            };
+            let taken = left.min(*last);
+            *last -= taken;
+            left -= taken;
+            self.sum -= taken;
+            if *last <= 0.0 {
+                self.spends.pop_back();
+            }
+        }
+    }
+
+    /// Raises the sum to `sum`, as if the difference had been spent evenly in
+    /// the last window.
+    fn raise(&mut self, now: Moment, sum: f64, window: Duration) {
+        self.spread(now, sum - self.sum, window);
+    }
+
+    /// Spends `units` as if evenly in the last window.
+    fn spread(&mut self, now: Moment, units: f64, window: Duration) {
+        for part in 1..=PARTS {
+            let leaves = now + window * part / PARTS;
+            self.spend(leaves, units / f64::from(PARTS));
+        }
+    }
+
+    /// The time until `units` have left the window.
+    fn room_after(&self, now: Moment, units: f64) -> Duration {
+        let mut left = units;
+        for (leaves, spent) in &self.spends {
+            left -= spent;
+            if left <= 0.0 {
+                return now.until(*leaves).clamp(RETRY_MIN, RETRY_MAX);
+            }
+        }
+        RETRY_MAX
     }
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -269,6 +269,19 @@
             let reason = Reason::Value("must lie between 0 and 1".to_owned());
             self.report("limits.retry_ratio".to_owned(), reason);
         }
+        if limits.quota_window.is_zero() {
+            let reason = Reason::Value("must be longer than nothing".to_owned());
+            self.report("limits.quota_window".to_owned(), reason);
+        }
+        for (key, value) in [
+            ("quota_over", limits.quota_over),
+            ("quota_slack", limits.quota_slack),
+        ] {
+            if !(value >= 0.0 && value.is_finite()) {
+                let reason = Reason::Value("must be a number from 0".to_owned());
+                self.report(format!("limits.{key}"), reason);
+            }
+        }
         if limits.probes == 0 {
             let reason = Reason::Value("must be at least 1".to_owned());
             self.report("limits.probes".to_owned(), reason);
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -274,6 +274,13 @@
     /// The window over which repeats are counted.
     #[serde_as(as = "DurationText")]
     pub retry_window: Duration,
+    /// The window over which the use of quotas is summed.
+    #[serde_as(as = "DurationText")]
+    pub quota_window: Duration,
+    /// What is tolerated beyond a quota in a window, as a part of it.
+    pub quota_over: f64,
+    /// Tokens that are tolerated in a window beyond that part.
+    pub quota_slack: f64,
     /// Whether upstreams are found by discovery and not in these settings.
     pub discovered: bool,
     /// The time a dispatched request may run.
@@ -311,6 +318,9 @@
             retry_ratio: 0.2,
             retry_slack: 10,
             retry_window: Duration::from_secs(10),
+            quota_window: Duration::from_secs(8),
+            quota_over: 0.0,
+            quota_slack: 0.0,
             discovered: false,
             run: Duration::from_secs(600),
             drain: Duration::from_secs(60),
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -9400,7 +9400,7 @@
             self.reader.get_data_field::<f64>(0)
         }
         #[inline]
-        pub fn get_level(self) -> f64 {
+        pub fn get_window(self) -> f64 {
             self.reader.get_data_field::<f64>(1)
         }
     }
@@ -9482,11 +9482,11 @@
             self.builder.set_data_field::<f64>(0, value);
         }
         #[inline]
-        pub fn get_level(self) -> f64 {
+        pub fn get_window(self) -> f64 {
             self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn set_level(&mut self, value: f64)  {
+        pub fn set_window(&mut self, value: f64)  {
             self.builder.set_data_field::<f64>(1, value);
         }
     }
@@ -9535,7 +9535,7 @@
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
@@ -9556,7 +9556,7 @@
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 118, 101, 108, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 0, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9585,7 +9585,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0xfb31_3806_f441_2887;
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -182,7 +182,7 @@
         Ok::<_, Error>(Spend {
             organisation: Name::new(s.get_organisation()?.to_str()?),
             spent: s.get_spent(),
-            level: s.get_level(),
+            window: s.get_window(),
         })
     };
     Ok(Report {
@@ -205,7 +205,7 @@
         let mut slot = spends.reborrow().get(i);
         slot.set_organisation(spend.organisation.as_str());
         slot.set_spent(spend.spent);
-        slot.set_level(spend.level);
+        slot.set_window(spend.window);
     }
 }
 
