Refuse what can't be served in a burst at once, and let nothing hopeless block it

Besides, a ticket at the head that could no longer meet its objective blocked the rest, and the expected wait left out what higher tiers take.

Change: six agents are asked, grants lapse after 100 ms, an entry refuses by what it learnt in the last 100 ms without asking, waits count what higher tiers take and the organisation's own oldest ticket, tickets past their objective go behind and leave a third of the slots, and a prompt is granted where those in front of it take less than 200 ms.

--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -90,7 +90,7 @@
   begin @1 (request :RequestId, grant :UInt64) -> ();
   # The entry accepts the grant and sends the request to the upstream.
 
-  withdraw @2 (request :RequestId) -> ();
+  withdraw @2 (request :RequestId, sentElsewhere :Bool) -> ();
   answering @3 (request :RequestId) -> ();
   # The upstream has begun to answer.
 
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -20,6 +20,7 @@
 use crate::site_key::Role;
 use crate::site_key::SiteKey;
 use crate::site_key::nonce;
+use crate::ticket::Withdrawal;
 use crate::wire;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -140,8 +141,13 @@
         params: desk::WithdrawParams,
         _results: desk::WithdrawResults,
     ) -> Result<(), Error> {
-        let request = wire::read_request(params.get()?.get_request()?);
-        self.state.withdraw(self.session, request);
+        let params = params.get()?;
+        let request = wire::read_request(params.get_request()?);
+        let why = match params.get_sent_elsewhere() {
+            true => Withdrawal::SentElsewhere,
+            false => Withdrawal::GivenUp,
+        };
+        self.state.withdraw(self.session, request, why);
         Ok(())
     }
 
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -34,6 +34,7 @@
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
+use crate::ticket::Withdrawal;
 use crate::ticket::Work;
 use crate::wire;
 
@@ -158,9 +159,9 @@
     }
 
     /// Takes back a ticket or a grant.
-    pub fn withdraw(&self, session: SessionId, request: RequestId) {
+    pub fn withdraw(&self, session: SessionId, request: RequestId, why: Withdrawal) {
         self.forget(session, request);
-        let notices = self.desk.borrow_mut().withdraw(self.now(), request);
+        let notices = self.desk.borrow_mut().withdraw(self.now(), request, why);
         self.tell(notices);
     }
 
@@ -198,7 +199,7 @@
     pub fn session_ended(&self, session: SessionId) {
         let requests = self.sessions.borrow_mut().remove(&session);
         for request in requests.unwrap_or_default() {
-            self.withdraw(session, request);
+            self.withdraw(session, request, Withdrawal::GivenUp);
             self.finish(session, request, None);
         }
     }
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -17,12 +17,14 @@
 use crate::prefix::PrefixIndex;
 use crate::queue::Pushed;
 use crate::queue::Queue;
+use crate::taken::Taken;
 use crate::ticket::Grant;
 use crate::ticket::Offered;
 use crate::ticket::Quote;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
+use crate::ticket::Withdrawal;
 use crate::ticket::Work;
 
 #[cfg(test)]
@@ -35,9 +37,16 @@
 /// some twenty tickets, a fraction of a second of a busy upstream.
 const SERVED_GAIN: f64 = 0.05;
 
-/// Prompts that a ticket past its objective may find in front of it, as the
-/// time to process them. It keeps room for those who can still meet theirs.
-const DELAYED_PREFILL: Duration = Duration::from_millis(200);
+/// Prompts that a granted ticket may find in front of it, as the time to
+/// process them: a small part of common objectives. What waits longer waits
+/// at the desk, where the next engine with room takes it.
+const PREFILL_AHEAD: Duration = Duration::from_millis(200);
+
+/// One slot in so many is kept from tickets past their objective.
+const DELAYED_KEPT: usize = 3;
+
+/// The least part of an upstream that is believed to be left to a tier.
+const LEAST_LEFT: f64 = 0.05;
 
 /// The bounds of a desk.
 #[derive(Clone, Debug)]
@@ -78,9 +87,11 @@
     unknown: usize,
     pace: Pace,
     prefixes: PrefixIndex,
-    /// The part of the tickets that left the queue to be served here. The
-    /// others were served by another upstream that held a ticket too.
+    /// The part of the served tickets that was served here. The others were
+    /// served by another upstream that held a ticket too.
     served_part: f64,
+    /// What each tier takes of the upstream.
+    taken: Taken,
     last_grant: u64,
     draining: bool,
 }
@@ -117,6 +128,7 @@
             unknown: 0,
             pace: Pace::new(),
             served_part: 1.0,
+            taken: Taken::new(),
             last_grant: 0,
             draining: false,
         }
@@ -143,7 +155,7 @@
         let weight = self.weight(&ticket.organisation);
         let cost = self.cost(&ticket);
         let mut notices = Vec::new();
-        match self.queue.push(ticket, weight, cost) {
+        match self.queue.push(now, ticket, weight, cost) {
             Pushed::Queued => {}
             Pushed::Evicted(victim) => notices.push(Notice::HandedBack(
                 victim.request,
@@ -176,6 +188,7 @@
             return false;
         };
         self.served_part += SERVED_GAIN * (1.0 - self.served_part);
+        self.taken.note(now, granted.ticket.order, granted.cost);
         self.prefixes.touch(&granted.ticket.prefix);
         let running = Running {
             ticket: granted.ticket,
@@ -189,10 +202,10 @@
     }
 
     /// Takes back a ticket or a grant that was not accepted.
-    pub fn withdraw(&mut self, now: Moment, request: RequestId) -> Vec<Notice> {
+    pub fn withdraw(&mut self, now: Moment, request: RequestId, why: Withdrawal) -> Vec<Notice> {
         let waited = self.queue.remove(request).is_some();
         let granted = self.take_back(request);
-        if waited || granted {
+        if why == Withdrawal::SentElsewhere && (waited || granted) {
             self.served_part -= SERVED_GAIN * self.served_part;
         }
         self.grant(now)
@@ -336,25 +349,32 @@
     fn quote(&self, now: Moment, ticket: &Ticket) -> Quote {
         let ahead = self.pace.prefill_time(self.prefill_in_flight());
         Quote {
-            start: match self.has_room_for(now, ticket) {
+            start: match self.has_room_for(ticket) {
                 true => Duration::ZERO,
-                false => self.wait_for(ticket),
+                false => self.wait_for(now, ticket),
             },
             cached: ticket.work.cached,
             saving: self.pace.prefill_time(ticket.work.cached),
-            begin: ahead + self.pace.prefill_time(ticket.work.uncached()),
+            begin: ahead + self.pace.begin_time(ticket.work.uncached()),
             end: ahead + self.pace.service_time(ticket.work),
         }
     }
 
-    /// The expected time until a ticket would be granted.
-    fn wait_for(&self, ticket: &Ticket) -> Duration {
+    /// The expected time until a ticket would be granted: by the work in front
+    /// of it, and no less than the oldest in front of it has waited so far.
+    /// The latter shows what the former can't, as higher tiers keep coming.
+    fn wait_for(&self, now: Moment, ticket: &Ticket) -> Duration {
         let weight = self.weight(&ticket.organisation);
         let ahead = self
             .queue
             .cost_ahead(ticket.order, &ticket.organisation, weight);
         let next_slot = self.pace.mean_time() / self.slots_divisor();
-        next_slot + self.drain_time(ahead)
+        let oldest = self.queue.oldest(ticket.order, &ticket.organisation);
+        let waited = oldest.map_or(Duration::ZERO, |since| now.since(since));
+        let slots = self.config.slots as f64;
+        let left = 1.0 - self.taken.above(now, ticket.order) / slots;
+        let expected = (next_slot + self.drain_time(ahead)).div_f64(left.max(LEAST_LEFT));
+        waited.max(expected)
     }
 
     /// The expected time until waiting work of this cost has left the queue.
@@ -389,26 +409,24 @@
     }
 
     /// Whether `ticket` may be granted now: there is a slot, and the prompts
-    /// in front of it leave it its objective. An engine processes prompts in
-    /// the order of arrival, so several long ones don't meet on one engine.
-    fn has_room_for(&self, now: Moment, ticket: &Ticket) -> bool {
-        if self.in_flight() >= self.config.slots {
+    /// in front of it take little time. An engine processes prompts in the
+    /// order of arrival, so several long ones don't meet on one engine.
+    fn has_room_for(&self, ticket: &Ticket) -> bool {
+        let slots = match Queue::is_delayed(ticket) {
+            true => self.config.slots - self.config.slots / DELAYED_KEPT,
+            false => self.config.slots,
+        };
+        if self.in_flight() >= slots {
             return false;
         }
-        let tokens = self.prefill_in_flight();
-        if tokens == 0 {
-            return true;
-        }
-        let ahead = self.pace.prefill_time(tokens);
-        let own = self.pace.prefill_time(ticket.work.uncached());
-        now + ahead + own <= ticket.objective
-            || (now >= ticket.objective && ahead <= DELAYED_PREFILL)
+        let ahead = self.pace.prefill_time(self.prefill_in_flight());
+        ahead <= PREFILL_AHEAD
     }
 
     fn grant(&mut self, now: Moment) -> Vec<Notice> {
         let mut notices = Vec::new();
         self.queue.delay(now);
-        while let Some((ticket, cost)) = self.pop_if_room(now) {
+        while let Some((ticket, cost)) = self.pop_if_room() {
             let request = ticket.request;
             if now + self.pace.service_time(ticket.work) > ticket.deadline {
                 self.return_charge(&ticket, cost);
@@ -449,9 +467,9 @@
             .correct(ticket.order, &ticket.organisation, cost, 0);
     }
 
-    fn pop_if_room(&mut self, now: Moment) -> Option<(Ticket, u64)> {
+    fn pop_if_room(&mut self) -> Option<(Ticket, u64)> {
         let next = self.queue.get(self.queue.peek()?)?;
-        match self.has_room_for(now, next) {
+        match self.has_room_for(next) {
             true => self.queue.pop(),
             false => None,
         }
--- a/src/desk/tests.rs
+++ b/src/desk/tests.rs
@@ -107,20 +107,31 @@
 /// A desk whose upstream processes a thousand prompt tokens in 100 ms.
 fn paced_desk() -> Desk {
     let mut desk = desk(4);
-    let offered = desk.offer(at(0), prompt(1, 1_000, at(60_000))).0;
-    let Offered::Granted(grant) = offered else {
-        panic!("not granted: {offered:?}");
-    };
-    desk.begin(at(0), request(1), grant.id);
-    desk.answering(at(100), request(1));
-    let work = Work {
-        output: 10,
-        ..Work::default()
-    };
-    desk.finish(at(200), request(1), Some(work));
+    for (sequence, tokens, begin) in [(90, 1, 20), (91, 10_000, 1_020)] {
+        let offered = desk.offer(at(0), prompt(sequence, tokens, at(60_000))).0;
+        let Offered::Granted(grant) = offered else {
+            panic!("not granted: {offered:?}");
+        };
+        desk.begin(at(0), request(sequence), grant.id);
+        desk.answering(at(begin), request(sequence));
+        let work = Work {
+            output: 10,
+            ..Work::default()
+        };
+        desk.finish(at(begin), request(sequence), Some(work));
+    }
     desk
 }
 
+#[test]
+fn a_ticket_that_cannot_meet_its_objective_does_not_hold_up_the_rest() {
+    let mut desk = paced_desk();
+    let hopeless = desk.offer(at(1_000), prompt(2, 1_000, at(1_010))).0;
+    assert!(matches!(hopeless, Offered::Granted(_)));
+    let next = desk.offer(at(1_000), prompt(3, 500, at(1_010))).0;
+    assert!(matches!(next, Offered::Granted(_)));
+}
+
 #[test]
 fn several_long_prompts_do_not_meet_on_one_upstream() {
     let mut desk = paced_desk();
@@ -128,9 +139,7 @@
     assert!(matches!(long, Offered::Granted(_)));
     let second = desk.offer(at(1_000), prompt(3, 8_000, at(2_000))).0;
     assert!(matches!(second, Offered::Queued(_)));
-    let short = desk.offer(at(1_000), prompt(4, 500, at(2_000))).0;
-    assert!(matches!(short, Offered::Granted(_) | Offered::Queued(_)));
-    let notices = desk.withdraw(at(1_001), request(2));
+    let notices = desk.withdraw(at(1_001), request(2), Withdrawal::GivenUp);
     assert!(
         notices
             .iter()
@@ -207,7 +216,7 @@
                         prop_assert!(now.since(*since) < GRANT_VALID);
                     }
                 }
-                Step::Withdraw(s) => notices = desk.withdraw(now, request(s)),
+                Step::Withdraw(s) => notices = desk.withdraw(now, request(s), Withdrawal::GivenUp),
                 Step::Finish(s) => notices = desk.finish(now, request(s), None),
                 Step::Report(held) => {
                     notices = desk.report(now, usize::try_from(held).unwrap_or(0));
@@ -242,10 +251,10 @@
     desk.offer(at(0), offered_by("small", 2));
     desk.offer(at(0), offered_by("other", 3));
     let charged = |desk: &Desk, name: &str| desk.queue.charged(0, &Name::new(name));
-    desk.withdraw(at(0), request(1));
+    desk.withdraw(at(0), request(1), Withdrawal::GivenUp);
     assert_eq!(charged(&desk, "small"), 0);
     assert!(charged(&desk, "other") > 0);
-    desk.withdraw(at(0), request(3));
+    desk.withdraw(at(0), request(3), Withdrawal::GivenUp);
     assert_eq!(charged(&desk, "other"), 0);
     assert!(charged(&desk, "small") > 0);
     desk.offer(at(0), offered_by("last", 4));
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -28,6 +28,16 @@
 /// the time of two short messages.
 const COLLECT: Duration = Duration::from_millis(5);
 
+/// A caller that is refused in a burst comes back after so many times the
+/// wait that it would have had.
+const CALM_AFTER: u32 = 4;
+
+/// The earliest time to come back in a burst.
+const OVERLOAD_RETRY_MIN: Duration = Duration::from_secs(1);
+
+/// The latest time to come back in a burst: bursts last some seconds.
+const OVERLOAD_RETRY_MAX: Duration = Duration::from_secs(4);
+
 /// What an upstream in another availability zone has to be faster by, as a
 /// part of the expected time, to be preferred.
 const FAR_PART: f64 = 0.1;
@@ -73,6 +83,8 @@
     Send(Name, GrantId),
     /// Take back the ticket for an upstream.
     Withdraw(Name),
+    /// Remember that requests like this one are expected to wait for so long.
+    NoteWait(Duration),
     /// End the request: it was not run.
     GiveUp {
         /// What the desks said; absent where none could be reached.
@@ -121,8 +133,8 @@
     width: usize,
     /// The time within which the answer should begin, from the start.
     objective: Duration,
-    /// The longest useful wait, from the start.
-    patience: Duration,
+    /// The longest expected wait with which it is left waiting.
+    longest_wait: Duration,
     refusal: Option<Refusal>,
     retry_after: Option<Duration>,
 }
@@ -144,17 +156,17 @@
             lost: BTreeSet::new(),
             width,
             objective: Duration::MAX,
-            patience: Duration::MAX,
+            longest_wait: Duration::MAX,
             refusal: None,
             retry_after: None,
         }
     }
 
-    /// The same request, whose answer should begin within `objective` and
-    /// which can wait for `patience` at most.
-    pub fn with_times(mut self, objective: Duration, patience: Duration) -> Self {
+    /// The same request, whose answer should begin within `objective`. It is
+    /// refused at once where a wait of more than `longest_wait` is expected.
+    pub fn with_times(mut self, objective: Duration, longest_wait: Duration) -> Self {
         self.objective = objective;
-        self.patience = patience;
+        self.longest_wait = longest_wait;
         self
     }
 
@@ -255,15 +267,23 @@
             return actions;
         }
         match self.shortest_wait() {
-            Some(wait) if wait > self.patience => {
-                self.refusal = Some(Refusal::new(RefusalCode::Overloaded, wait));
-                self.retry_after = Some(wait);
-                self.give_up()
+            Some(wait) if wait > self.longest_wait => {
+                let mut actions = vec![Action::NoteWait(wait)];
+                actions.extend(self.refuse(wait));
+                actions
             }
             _ => Vec::new(),
         }
     }
 
+    /// Gives the request up since it is expected to wait for `wait`.
+    pub fn refuse(&mut self, wait: Duration) -> Vec<Action> {
+        let after = (wait * CALM_AFTER).clamp(OVERLOAD_RETRY_MIN, OVERLOAD_RETRY_MAX);
+        self.refusal = Some(Refusal::new(RefusalCode::Overloaded, after));
+        self.retry_after = Some(after);
+        self.give_up()
+    }
+
     /// The shortest expected wait, where every desk has given one.
     fn shortest_wait(&self) -> Option<Duration> {
         let mut shortest = None;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -110,7 +110,7 @@
     dispatch.start();
     dispatch.on(queued(0, 900));
     let actions = dispatch.on(queued(1, 700));
-    let retry_after = Duration::from_millis(700);
+    let retry_after = Duration::from_millis(2_800);
     let given_up = Action::GiveUp {
         refusal: Some(Refusal::new(RefusalCode::Overloaded, retry_after)),
         retry_after,
@@ -215,7 +215,7 @@
                     Action::Withdraw(upstream) => {
                         out.remove(&upstream);
                     }
-                    Action::CollectFor(_) => {}
+                    Action::CollectFor(_) | Action::NoteWait(_) => {}
                 }
             }
             match &event {
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -9,6 +9,7 @@
 use crate::ids::RequestId;
 use crate::ticket::Offered;
 use crate::ticket::Ticket;
+use crate::ticket::Withdrawal;
 use crate::ticket::Work;
 use crate::wire;
 
@@ -40,8 +41,10 @@
 }
 
 /// Takes back a ticket or an unused grant.
-pub fn withdraw(desk: &desk::Client, request: RequestId) {
+pub fn withdraw(desk: &desk::Client, request: RequestId, why: Withdrawal) {
     let mut req = desk.withdraw_request();
+    req.get()
+        .set_sent_elsewhere(why == Withdrawal::SentElsewhere);
     wire::write_request(request, req.get().init_request());
     let sent = req.send();
     actix_rt::spawn(async move { sent.promise.await.map(drop) });
--- a/src/entry/desks.rs
+++ b/src/entry/desks.rs
@@ -22,6 +22,7 @@
 use crate::settings::Settings;
 use crate::settings::Upstream;
 use crate::ticket::Ticket;
+use crate::ticket::Withdrawal;
 use crate::ticket::Work;
 
 /// Where the ticket of a request lies.
@@ -80,8 +81,8 @@
     }
 
     /// Takes back a ticket.
-    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId) {
-        self.with(upstream, |desk| desk.withdraw(now, request));
+    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId, why: Withdrawal) {
+        self.with(upstream, |desk| desk.withdraw(now, request, why));
     }
 
     /// Notes that an upstream has begun to answer.
@@ -198,10 +199,10 @@
     }
 
     /// Takes back a ticket or an unused grant.
-    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId) {
+    pub fn withdraw(&self, now: Moment, upstream: &Name, request: RequestId, why: Withdrawal) {
         match self {
-            Self::Agent(link) => calls::withdraw(&link.desk, request),
-            Self::Own(desks) => desks.withdraw(now, upstream, request),
+            Self::Agent(link) => calls::withdraw(&link.desk, request, why),
+            Self::Own(desks) => desks.withdraw(now, upstream, request, why),
         }
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -14,6 +14,7 @@
 use crate::entry::error::CallerError;
 use crate::headers::end_to_end;
 use crate::name::Name;
+use crate::pressure::Line;
 use crate::settings::Route;
 use crate::settings::RouteKind;
 use crate::settings::Settings;
@@ -36,9 +37,13 @@
 /// route names no objective.
 const OBJECTIVE_PART: u32 = 2;
 
-/// How long a request may wait for room, in objectives: an answer that begins
-/// late is still worth having, but its caller leaves at some time.
-const PATIENCE: u32 = 3;
+/// How long a request that was left waiting may wait for room, in objectives:
+/// an answer that begins late is still worth having.
+const PATIENCE: f64 = 1.3;
+
+/// The longest expected wait with which a request is left waiting, as a part
+/// of its objective. The rest is for its prompt.
+const WAIT_PART: f64 = 0.4;
 
 /// What the head of a request says: whose it is, where it goes, how urgent.
 #[derive(Clone, Debug)]
@@ -128,7 +133,12 @@
 
     /// The longest useful wait for room.
     pub fn patience(&self) -> Duration {
-        (self.objective * PATIENCE).min(self.deadline)
+        self.objective.mul_f64(PATIENCE).min(self.deadline)
+    }
+
+    /// The longest expected wait with which it is left waiting.
+    pub fn longest_wait(&self) -> Duration {
+        self.objective.mul_f64(WAIT_PART)
     }
 
     /// Completes the request by its body.
@@ -181,6 +191,17 @@
     }
 }
 
+impl Job {
+    /// Whose requests wait for what.
+    pub fn line(&self) -> Line {
+        Line {
+            service: self.target.clone(),
+            order: self.admission.order,
+            organisation: self.admission.organisation.clone(),
+        }
+    }
+}
+
 /// Whether `upstream` can run what a route of this kind sends to `target`.
 pub fn serves(upstream: &Upstream, kind: RouteKind, target: &Name) -> bool {
     let fits = matches!(
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -35,6 +35,7 @@
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
+use crate::ticket::Withdrawal;
 
 /// When to come back after an upstream failed and no other was left.
 const FAILED_RETRY: Duration = Duration::from_millis(500);
@@ -126,7 +127,7 @@
         };
         let admission = &job.admission;
         let dispatch = Dispatch::new(state.candidates(&job), width)
-            .with_times(admission.objective, admission.patience());
+            .with_times(admission.objective, admission.longest_wait());
         state.count_request(&job.target);
         Self {
             request,
@@ -155,7 +156,12 @@
     }
 
     async fn carry(&mut self) -> Outcome {
-        let mut actions = self.dispatch.start();
+        let longest = self.job.admission.longest_wait();
+        let known = self.state.known_wait(&self.job);
+        let mut actions = match known.filter(|wait| *wait > longest) {
+            Some(wait) => self.dispatch.refuse(wait),
+            None => self.dispatch.start(),
+        };
         loop {
             let (upstream, grant) = match self.seek(actions).await {
                 Sought::Chosen(upstream, grant) => (upstream, grant),
@@ -216,8 +222,11 @@
             for action in std::mem::take(&mut pending) {
                 match action {
                     Action::Offer(upstream) => self.offer(upstream),
+                    Action::NoteWait(wait) => self.state.note_wait(&self.job, wait),
                     Action::CollectFor(time) => collected = Some(self.state.now() + time),
-                    Action::Withdraw(upstream) => self.withdraw(&upstream),
+                    Action::Withdraw(upstream) => {
+                        self.withdraw(&upstream, Withdrawal::GivenUp);
+                    }
                     Action::Send(upstream, grant) => {
                         self.withdraw_rest(&upstream);
                         return Sought::Chosen(upstream, grant);
@@ -299,18 +308,18 @@
         }
     }
 
-    fn withdraw(&mut self, upstream: &Name) {
+    fn withdraw(&mut self, upstream: &Name, why: Withdrawal) {
         if let Some(seat) = self.seats.remove(upstream) {
             self.state.links.unregister(upstream, self.request);
             self.state.finish(upstream);
-            seat.withdraw(self.state.now(), upstream, self.request);
+            seat.withdraw(self.state.now(), upstream, self.request, why);
         }
     }
 
     fn withdraw_rest(&mut self, kept: &Name) {
         let others: Vec<Name> = self.seats.keys().filter(|u| *u != kept).cloned().collect();
         for upstream in others {
-            self.withdraw(&upstream);
+            self.withdraw(&upstream, Withdrawal::SentElsewhere);
         }
     }
 
@@ -409,7 +418,7 @@
         self.settle_claim(outcome);
         let seats: Vec<Name> = self.seats.keys().cloned().collect();
         for upstream in seats {
-            self.withdraw(&upstream);
+            self.withdraw(&upstream, Withdrawal::GivenUp);
         }
         let state = &self.state;
         state.own_desks.forget(self.request);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -50,6 +50,7 @@
 use crate::outlier::Judgement;
 use crate::outlier::Outliers;
 use crate::prefix::PrefixIndex;
+use crate::pressure::Pressure;
 use crate::quota::Measure;
 use crate::quota::Quota;
 use crate::retry_budget::RetryBounds;
@@ -112,6 +113,7 @@
     ending: Cell<bool>,
     budget: RefCell<RetryBudget>,
     outliers: RefCell<Outliers>,
+    pressure: RefCell<Pressure>,
     released: Notify,
     burn: RefCell<BurnLog>,
     upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
@@ -160,6 +162,7 @@
             ending: Cell::new(false),
             budget: RefCell::default(),
             outliers: RefCell::default(),
+            pressure: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
             upstream_outcomes: RefCell::default(),
@@ -287,6 +290,18 @@
         }
     }
 
+    /// Notes how long requests like `job` are expected to wait.
+    pub fn note_wait(&self, job: &Job, wait: Duration) {
+        let mut pressure = self.pressure.borrow_mut();
+        pressure.note(self.now(), job.line(), wait);
+    }
+
+    /// How long requests like `job` are expected to wait, if it was learnt
+    /// just now.
+    pub fn known_wait(&self, job: &Job) -> Option<Duration> {
+        self.pressure.borrow_mut().wait(self.now(), &job.line())
+    }
+
     /// Where the ticket of a request for `upstream` is to lie.
     pub fn seat(&self, upstream: &Name) -> Seat {
         match self.links.get(upstream) {
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -12,14 +12,20 @@
 /// The time after which a sample counts for a third of a new one.
 const MEMORY: Duration = Duration::from_secs(5);
 
+/// By how much the shortest time to an answer's begin grows with each sample,
+/// so that it follows an upstream that becomes slower.
+const SHORTEST_GROWTH: f64 = 1.0005;
+
 /// The pace of one upstream.
 ///
 /// An answer begins once the prompts in front of it and its own are processed,
 /// and ends once its tokens are generated. Both are measured as time over
 /// tokens, summed over samples that fade with time, so that long work counts
-/// for what it takes. Work without tokens is known by its mean time.
+/// for what it takes. The shortest time in which an answer began is what any
+/// prompt takes. Work without tokens is known by its mean time.
 #[derive(Debug, Default)]
 pub struct Pace {
+    shortest: Option<f64>,
     prefill: Rate,
     output: Rate,
     whole: Rate,
@@ -42,7 +48,12 @@
     /// Notes that an answer began `took` after its dispatch, with this many
     /// prompt tokens to process until then, those of earlier work included.
     pub fn began(&mut self, now: Moment, tokens: u64, took: Duration) {
-        self.prefill.note(now, tokens as f64, took);
+        let took = took.as_secs_f64();
+        let grown = self.shortest.map_or(took, |s| s * SHORTEST_GROWTH);
+        let shortest = took.min(grown);
+        self.shortest = Some(shortest);
+        let beyond = Duration::try_from_secs_f64(took - shortest).unwrap_or_default();
+        self.prefill.note(now, tokens as f64, beyond);
     }
 
     /// Notes that this many tokens were generated in `generating` after an
@@ -64,7 +75,14 @@
         if work.prefill == 0 && work.output == 0 {
             return self.mean_time();
         }
-        self.prefill_time(work.uncached()) + self.output.time(work.output as f64)
+        self.begin_time(work.uncached()) + self.output.time(work.output as f64)
+    }
+
+    /// The expected time until an answer begins behind this many prompt
+    /// tokens, its own included; zero while unknown.
+    pub fn begin_time(&self, tokens: u64) -> Duration {
+        let shortest = Duration::try_from_secs_f64(self.shortest.unwrap_or_default());
+        shortest.unwrap_or_default() + self.prefill_time(tokens)
     }
 
     /// The expected time for prompt tokens alone; zero while unknown.
--- a/src/pace/tests.rs
+++ b/src/pace/tests.rs
@@ -19,16 +19,20 @@
 #[test]
 fn prompt_and_generated_tokens_are_told_apart() {
     let mut pace = Pace::new();
-    for i in 1..200 {
-        let (prefill, output) = (50 + 37 * i % 4000, 10 + 13 * i % 200);
-        let begin = Duration::from_secs_f64(prefill as f64 * 25e-6);
+    for i in 0..200 {
+        let (prefill, output) = (37 * i % 4000, 10 + 13 * i % 200);
+        let begin = Duration::from_secs_f64(0.04 + prefill as f64 * 25e-6);
         let generating = Duration::from_secs_f64(output as f64 * 5e-3);
         pace.began(at(1), prefill, begin);
         pace.finished(at(1), output, generating, begin + generating);
     }
-    assert!(close(pace.service_time(work(4000, 20)), 0.1 + 0.1));
-    assert!(close(pace.service_time(work(50, 200)), 0.00125 + 1.0));
+    assert!(close(pace.service_time(work(4000, 20)), 0.04 + 0.1 + 0.1));
+    assert!(close(
+        pace.service_time(work(50, 200)),
+        0.04 + 0.00125 + 1.0
+    ));
     assert!(close(pace.prefill_time(4000), 0.1));
+    assert!(close(pace.begin_time(4000), 0.14));
 }
 
 #[test]
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -54,6 +54,7 @@
 
 struct Waiting {
     ticket: Ticket,
+    since: Moment,
     weight: u32,
     cost: u64,
 }
@@ -71,6 +72,8 @@
     count: usize,
     /// Every ticket of the tier by deadline, to choose whom to evict.
     deadlines: BTreeSet<(Moment, RequestId)>,
+    /// Every ticket of the tier by the moment since which it waits.
+    arrivals: BTreeSet<(Moment, RequestId)>,
 }
 
 #[derive(Default)]
@@ -80,6 +83,8 @@
     weight: u32,
     cost: u64,
     waiting: BTreeSet<(Moment, RequestId)>,
+    /// The waiting tickets by the moment since which they wait.
+    arrivals: BTreeSet<(Moment, RequestId)>,
 }
 
 impl Queue {
@@ -144,19 +149,26 @@
 
     /// Adds a ticket of this weight and cost. When the queue is full, the ticket with the latest
     /// deadline in the lowest tier gives way, if that tier is lower.
-    pub fn push(&mut self, ticket: Ticket, weight: u32, cost: u64) -> Pushed {
+    pub fn push(&mut self, now: Moment, ticket: Ticket, weight: u32, cost: u64) -> Pushed {
         if self.contains(ticket.request) {
             return Pushed::Duplicate;
         }
+        let waiting = Waiting {
+            ticket,
+            since: now,
+            weight: weight.max(1),
+            cost,
+        };
         if self.len() < self.capacity {
-            self.insert(ticket, weight, cost);
+            self.insert(waiting);
             return Pushed::Queued;
         }
-        match self.lowest().filter(|(order, _)| *order > ticket.order) {
+        let order = waiting.ticket.order;
+        match self.lowest().filter(|(lowest, _)| *lowest > order) {
             None => Pushed::Full,
             Some((_, victim)) => {
                 let evicted = self.remove(victim);
-                self.insert(ticket, weight, cost);
+                self.insert(waiting);
                 evicted.map_or(Pushed::Queued, |t| Pushed::Evicted(Box::new(t)))
             }
         }
@@ -224,9 +236,10 @@
             if let Some(tier) = self.tiers.get_mut(&waiting.ticket.order) {
                 tier.remove(&waiting);
             }
-            let mut ticket = waiting.ticket;
-            ticket.order = ticket.order.saturating_add(DELAYED);
-            self.insert(ticket, waiting.weight, waiting.cost);
+            let mut waiting = waiting;
+            let order = waiting.ticket.order;
+            waiting.ticket.order = order.saturating_add(DELAYED);
+            self.insert(waiting);
         }
     }
 
@@ -250,6 +263,22 @@
         queue.map_or(0, |q| q.served.saturating_sub(tier.now))
     }
 
+    /// Since when the oldest ticket that goes before a new one waits: of any
+    /// higher tier, or of its own organisation in its tier.
+    pub fn oldest(&self, order: u8, organisation: &Name) -> Option<Moment> {
+        let higher = self.tiers.range(..order);
+        let higher = higher.filter_map(|(_, t)| t.arrivals.first());
+        let tier = self.tiers.get(&order);
+        let own = tier.and_then(|t| t.organisations.get(organisation));
+        let own = own.and_then(|o| o.arrivals.first());
+        higher.chain(own).map(|(since, _)| *since).min()
+    }
+
+    /// Whether a ticket is past its objective.
+    pub fn is_delayed(ticket: &Ticket) -> bool {
+        ticket.order >= DELAYED
+    }
+
     /// When the patience of a waiting ticket ends next.
     pub fn next_expiry(&self) -> Option<Moment> {
         self.patience.first().map(|(patience, _)| *patience)
@@ -261,14 +290,8 @@
         Some((*order, *request))
     }
 
-    fn insert(&mut self, ticket: Ticket, weight: u32, cost: u64) {
-        let request = ticket.request;
-        let weight = weight.max(1);
-        let waiting = Waiting {
-            ticket,
-            weight,
-            cost,
-        };
+    fn insert(&mut self, waiting: Waiting) {
+        let request = waiting.ticket.request;
         self.patience.insert((waiting.ticket.patience, request));
         if waiting.ticket.order < DELAYED {
             self.objectives.insert((waiting.ticket.objective, request));
@@ -292,8 +315,10 @@
             self.ready.insert((queue.served, name.clone()));
         }
         queue.waiting.insert((ticket.deadline, ticket.request));
+        queue.arrivals.insert((waiting.since, ticket.request));
         queue.cost += waiting.cost;
         self.deadlines.insert((ticket.deadline, ticket.request));
+        self.arrivals.insert((waiting.since, ticket.request));
         self.cost += waiting.cost;
         self.count += 1;
     }
@@ -305,8 +330,10 @@
             return;
         };
         queue.waiting.remove(&(ticket.deadline, ticket.request));
+        queue.arrivals.remove(&(waiting.since, ticket.request));
         queue.cost -= waiting.cost;
         self.deadlines.remove(&(ticket.deadline, ticket.request));
+        self.arrivals.remove(&(waiting.since, ticket.request));
         self.cost -= waiting.cost;
         self.count -= 1;
         if queue.waiting.is_empty() {
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -28,7 +28,7 @@
 
 fn push(queue: &mut Queue, ticket: Ticket, weight: u32) -> Pushed {
     let cost = ticket.work.cost();
-    queue.push(ticket, weight, cost)
+    queue.push(Moment::default(), ticket, weight, cost)
 }
 
 fn served(queue: &mut Queue) -> Vec<u64> {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -40,7 +40,7 @@
 /// The part of a quota that counts as spent in the window before a start of
 /// which nobody knows anything. A restart takes a good part of a second, in
 /// which an eighth of the usual window passes.
-const ASSUMED_SPENT: f64 = 0.85;
+const ASSUMED_SPENT: f64 = 0.95;
 
 /// The parts of a window in which a sum that was taken over is let go.
 const PARTS: u32 = 16;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -313,7 +313,7 @@
             agent_tickets: 1024,
             caller_timeout: Duration::from_secs(10),
             caller_write_timeout: Duration::from_secs(30),
-            grant_valid: Duration::from_millis(500),
+            grant_valid: Duration::from_millis(100),
             caller_idle: Duration::from_secs(15),
             retry_ratio: 0.2,
             retry_slack: 10,
@@ -327,7 +327,7 @@
             keys_kept: Duration::from_secs(24 * 60 * 60),
             claim_shards: 256,
             links: 16,
-            probes: 12,
+            probes: 6,
             policy: Policy::default(),
         }
     }
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -69,6 +69,15 @@
     pub quote: Quote,
 }
 
+/// Why a ticket is taken back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Withdrawal {
+    /// The request was sent to another upstream.
+    SentElsewhere,
+    /// The request has ended, or waits no longer.
+    GivenUp,
+}
+
 /// Why a ticket or an accept was refused. Refused work was not dispatched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalCode {
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -4620,11 +4620,15 @@
             pub fn has_request(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_sent_elsewhere(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4690,6 +4694,14 @@
             pub fn has_request(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_sent_elsewhere(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_sent_elsewhere(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4704,17 +4716,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(92, 5, 108, 130, 130, 176, 168, 247),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
@@ -4722,14 +4734,21 @@
                 ::capnp::word(58, 68, 101, 115, 107, 46, 119, 105),
                 ::capnp::word(116, 104, 100, 114, 97, 119, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(198, 15, 73, 73, 40, 143, 40, 139),
@@ -4738,10 +4757,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 110, 116, 69, 108, 115, 101),
+                ::capnp::word(119, 104, 101, 114, 101, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::almondramp_capnp::request_id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4755,9 +4784,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xf7a8_b082_826c_055c;
         }
     }
