Rank routes within an organisation's tier, and prefer the own availability zone

Cause: where an organisation has a rank of its own, all its requests waited alike, so that in a burst long reviews were refused as often as labels. On Lada half of all prices were bytes between zones.

Change: a route's rank decides within its organisation's; agents of the own zone are asked first, and another zone has to be faster by 0.4; the assumption is for the fleet.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -33,14 +33,14 @@
 const CALM_AFTER: u32 = 4;
 
 /// The earliest time to come back in a burst.
-const OVERLOAD_RETRY_MIN: Duration = Duration::from_secs(1);
+const OVERLOAD_RETRY_MIN: Duration = Duration::from_secs(2);
 
 /// The latest time to come back in a burst: bursts last some seconds.
-const OVERLOAD_RETRY_MAX: Duration = Duration::from_secs(4);
+const OVERLOAD_RETRY_MAX: Duration = Duration::from_secs(5);
 
 /// What an upstream in another availability zone has to be faster by, as a
 /// part of the expected time, to be preferred.
-const FAR_PART: f64 = 0.1;
+const FAR_PART: f64 = 0.4;
 
 /// An upstream that could run a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -75,7 +75,7 @@
 
 #[test]
 fn the_own_availability_zone_is_preferred_where_it_is_hardly_slower() {
-    for (near, far, expected) in [(105, 100, 0), (150, 100, 1)] {
+    for (near, far, expected) in [(130, 100, 0), (150, 100, 1)] {
         let mut dispatch = Dispatch::new(choices(2), 2);
         dispatch.start();
         dispatch.on(granted(0, quote(0, 0, near)));
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -129,7 +129,11 @@
 
     async fn tell(&self, key: &SiteKey) {
         let now = self.clock.now();
-        let report = self.quota.borrow_mut().report(now, self.incarnation);
+        let window = self.current.settings().limits.quota_window;
+        let report = self
+            .quota
+            .borrow_mut()
+            .report(now, window, self.incarnation);
         let mut message = Builder::new_default();
         wire::write_report(&report, message.init_root::<spend_report::Builder<'_>>());
         let mut datagram = serialize::write_message_to_words(&message);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -41,6 +41,12 @@
 /// an answer that begins late is still worth having.
 const PATIENCE: f64 = 1.3;
 
+/// Ranks of routes that are told apart within the tier of an organisation.
+const ROUTE_RANKS: u8 = 8;
+
+/// The lowest rank in which a request waits.
+const LOWEST_RANK: u8 = 120;
+
 /// The longest expected wait with which a request is left waiting, as a part
 /// of its objective. The rest is for its prompt.
 const WAIT_PART: f64 = 0.4;
@@ -54,7 +60,7 @@
     pub route: Route,
     /// The tier.
     pub tier: Name,
-    /// The tier's rank.
+    /// The rank in which it waits; 0 is the highest.
     pub order: u8,
     /// The time within which the answer is useful.
     pub deadline: Duration,
@@ -121,9 +127,9 @@
             .map_or(deadline, |d| d.min(deadline));
         let objective = route.objective.unwrap_or(deadline / OBJECTIVE_PART);
         Ok(Self {
+            order: order(settings, &organisation, route, rank.order),
             organisation,
             route: route.clone(),
-            order: rank.order,
             tier,
             deadline,
             objective,
@@ -136,6 +142,12 @@
         self.objective.mul_f64(PATIENCE).min(self.deadline)
     }
 
+    /// Ranks of routes that are told apart within the tier of an organisation.
+    const ROUTE_RANKS: u8 = 8;
+
+    /// The lowest rank in which a request waits.
+    const LOWEST_RANK: u8 = 120;
+
     /// The longest expected wait with which it is left waiting.
     pub fn longest_wait(&self) -> Duration {
         self.objective.mul_f64(WAIT_PART)
@@ -276,6 +288,19 @@
     route.tier.clone().or(lowest.map(|(name, _)| name.clone()))
 }
 
+/// The rank in which a request waits. Where the organisation's tier goes
+/// before the route's, the route's decides among requests of equal rank.
+fn order(settings: &Settings, organisation: &Name, route: &Route, rank: u8) -> u8 {
+    let owner = settings.organisations.get(organisation);
+    if !owner.is_some_and(|o| o.tier_first) {
+        return rank.saturating_mul(ROUTE_RANKS).min(LOWEST_RANK);
+    }
+    let tier = route.tier.as_ref().and_then(|t| settings.tiers.get(t));
+    let within = tier.map_or(0, |t| t.order.min(ROUTE_RANKS - 1));
+    let rank = rank.saturating_mul(ROUTE_RANKS);
+    rank.saturating_add(within).min(LOWEST_RANK)
+}
+
 fn lower_tier(settings: &Settings, tier: Name, wanted: Option<Name>) -> Result<Name, CallerError> {
     let Some(wanted) = wanted else {
         return Ok(tier);
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -115,6 +115,9 @@
     sum: f64,
     /// Units spent by this entry since its start.
     own: f64,
+    /// Units that may have been spent by all entries in the window before
+    /// this one started.
+    assumed: f64,
 }
 
 #[derive(Debug)]
@@ -156,6 +159,7 @@
     ) -> Result<(), Duration> {
         let heard_part = self.heard_part(now);
         let allowed = measure.allowed(rate);
+        let unforgotten = self.unforgotten(now, measure.window);
         if !self.organisations.contains_key(organisation) {
             let account = self.new_account(now, organisation, allowed, measure.window);
             self.organisations.insert(organisation.clone(), account);
@@ -165,8 +169,9 @@
         };
         account.forget(now);
         // A request beyond the quota passes when nothing else was spent.
-        let room = allowed * heard_part - account.sum;
-        if room < units && account.sum > 0.0 {
+        let known = allowed - account.assumed * unforgotten;
+        let room = known * heard_part - account.sum;
+        if room < units && (account.sum > 0.0 || unforgotten > 0.0) {
             return Err(account.room_after(now, units - room));
         }
         account.spend(now + measure.window, units);
@@ -187,6 +192,7 @@
         let older = report.age > now.since(self.started);
         let known = self.peers.get(&report.from);
         let was_silent = known.is_some_and(|peer| peer.is_silent(now));
+        let unforgotten = self.unforgotten(now, window);
         let peer = self.peers.entry(report.from).or_insert_with(|| Peer {
             heard: now,
             spends: HashMap::new(),
@@ -202,7 +208,10 @@
             match before {
                 // What an older entry spent before this one started is in
                 // the sum that it reports.
-                None if older => account.raise(now, spend.window, window),
+                None if older => {
+                    let known = account.sum + account.assumed * unforgotten;
+                    account.spread(now, spend.window - known, window);
+                }
                 _ if since < 0.0 => account.take_back(-since),
                 // Nobody knows when in its silence it was spent.
                 _ if was_silent => account.spread(now, since, window),
@@ -214,13 +223,14 @@
     }
 
     /// What this entry tells the others.
-    pub fn report(&mut self, now: Moment, from: Incarnation) -> Report {
+    pub fn report(&mut self, now: Moment, window: Duration, from: Incarnation) -> Report {
+        let unforgotten = self.unforgotten(now, window);
         let spend = |(organisation, account): (&Name, &mut Account)| {
             account.forget(now);
             Spend {
                 organisation: organisation.clone(),
                 spent: account.own,
-                window: account.sum,
+                window: account.sum + account.assumed * unforgotten,
             }
         };
         Report {
@@ -236,6 +246,12 @@
         heard.min(self.entries) as f64 / self.entries as f64
     }
 
+    /// The part of the window that lies before this entry's start.
+    fn unforgotten(&self, now: Moment, window: Duration) -> f64 {
+        let age = now.since(self.started).as_secs_f64() / window.as_secs_f64();
+        (1.0 - age).max(0.0)
+    }
+
     /// An account with the highest sum that another entry has reported, or
     /// with what may have been spent before this entry started.
     fn new_account(
@@ -246,13 +262,12 @@
         window: Duration,
     ) -> Account {
         let mut account = Account::default();
-        let age = now.since(self.started).as_secs_f64() / window.as_secs_f64();
-        let assumed = allowed * ASSUMED_SPENT * (1.0 - age);
         let heard = self.peers.values().filter(|p| !p.is_silent(now));
         let reported = heard.filter_map(|p| p.spends.get(organisation).map(|s| s.window));
-        let spent = reported.reduce(f64::max);
-        let heard_part = self.heard_part(now);
-        account.raise(now, spent.unwrap_or(assumed * heard_part), window);
+        match reported.reduce(f64::max) {
+            Some(spent) => account.spread(now, spent, window),
+            None => account.assumed = allowed * ASSUMED_SPENT,
+        }
         account
     }
 }
@@ -303,12 +318,6 @@
         }
     }
 
-    /// Raises the sum to `sum`, as if the difference had been spent evenly in
-    /// the last window.
-    fn raise(&mut self, now: Moment, sum: f64, window: Duration) {
-        self.spread(now, sum - self.sum, window);
-    }
-
     /// Spends `units` as if evenly in the last window.
     fn spread(&mut self, now: Moment, units: f64, window: Duration) {
         for part in 1..=PARTS {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -29,7 +29,7 @@
 /// Orders the candidates of one request, those to be asked first in front.
 ///
 /// With late binding the upstream that holds the longest part of the prompt
-/// comes first, then one in the entry's own zone, then the others at random.
+/// comes first, then those in the entry's own zone, then the others at random.
 /// The other policies are baselines for measurements.
 pub fn order<R>(
     policy: Policy,
@@ -63,17 +63,14 @@
     R: Rng,
 {
     candidates.shuffle(rng);
+    // The sort is stable, so those that are alike stay in random order.
+    candidates.sort_by_key(|c| !c.near);
     let best = candidates.iter().map(|c| c.matched).max();
     let holder = best
         .filter(|matched| *matched > 0)
         .and_then(|matched| candidates.iter().position(|c| c.matched == matched));
-    let mut front = 0;
     if let Some(i) = holder {
-        candidates.swap(front, i);
-        front += 1;
-    }
-    if let Some(i) = candidates.iter().skip(front).position(|c| c.near) {
-        candidates.swap(front, front + i);
+        candidates[..=i].rotate_right(1);
     }
 }
 
