--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -12,7 +12,6 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use slog::Logger;
-use slog::warn;
 
 pub use listener::reader_options;
 pub use load::EngineLoad;
@@ -125,7 +124,7 @@
     }
 }
 
-/// Serves entries; its stop drains the agent.
+/// Serves entries; its stop hands their tickets back.
 #[derive(Default)]
 struct ListenerService {
     state: std::cell::OnceCell<Rc<AgentState>>,
@@ -161,16 +160,10 @@
 
     fn stop(&self) -> LocalBoxFuture<'_, ()> {
         async move {
-            let Some(state) = self.state.get() else {
-                return;
-            };
-            state.drain();
-            let within = state.current.settings().limits.drain;
-            if actix_rt::time::timeout(within, state.idle()).await.is_err() {
-                warn!(
-                    state.log,
-                    "requests were still in flight when the drain time ended"
-                );
+            // Entries send and pass on by themselves; nothing waits for the
+            // agent but tickets, and those are handed back.
+            if let Some(state) = self.state.get() {
+                state.drain();
             }
         }
         .boxed_local()
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -218,17 +218,6 @@
         self.tell(notices);
     }
 
-    /// Waits until nothing is granted or running.
-    pub async fn idle(&self) {
-        loop {
-            let changed = self.changed.notified();
-            if self.desk.borrow().is_idle() {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Ticks the desk whenever it has something to do.
     pub async fn run_timer(self: Rc<Self>) {
         loop {
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -297,11 +297,6 @@
         self.draining
     }
 
-    /// Whether nothing is granted or running.
-    pub fn is_idle(&self) -> bool {
-        self.grants.is_empty() && self.running.is_empty()
-    }
-
     /// The number of waiting tickets.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -142,12 +142,6 @@
         self.objective.mul_f64(PATIENCE).min(self.deadline)
     }
 
-    /// Ranks of routes that are told apart within the tier of an organisation.
-    const ROUTE_RANKS: u8 = 8;
-
-    /// The lowest rank in which a request waits.
-    const LOWEST_RANK: u8 = 120;
-
     /// The longest expected wait with which it is left waiting.
     pub fn longest_wait(&self) -> Duration {
         self.objective.mul_f64(WAIT_PART)
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -32,15 +32,14 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(300);
 
 /// The part of the tolerated use beyond a quota that callers get.
-const OVER_USED: f64 = 0.5;
+const OVER_USED: f64 = 0.4;
 
 /// The part of the tolerated units beyond that part that callers get.
-const SLACK_USED: f64 = 0.6;
+const SLACK_USED: f64 = 0.45;
 
 /// The part of a quota that counts as spent in the window before a start of
-/// which nobody knows anything. A restart takes a good part of a second, in
-/// which an eighth of the usual window passes.
-const ASSUMED_SPENT: f64 = 0.95;
+/// which nobody knows anything: all that may have been.
+const ASSUMED_SPENT: f64 = 1.0;
 
 /// The parts of a window in which a sum that was taken over is let go.
 const PARTS: u32 = 16;
