--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -238,7 +238,7 @@
 
     fn silent(&self) -> Ended {
         info!(self.state.log, "upstream fell silent";
-            "request" => %self.request,
+            "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream);
         self.state.judge(self.upstream, Judgement::Failed);
         Ended::Broken
@@ -246,7 +246,7 @@
 
     fn failed(&self, e: &ExchangeError) -> Ended {
         info!(self.state.log, "exchange with the upstream failed";
-            "request" => %self.request,
+            "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream,
             "error" => %e);
         if e.is_not_sent() {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -204,10 +204,7 @@
     channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
 ) -> Response<BoxBody> {
     let (replies, mut received) = mpsc::channel(REPLIES_AHEAD);
-    let id = match &accepted.job.caller_id {
-        Some(id) => id.to_string(),
-        None => accepted.request.to_string(),
-    };
+    let id = accepted.job.logged_id(accepted.request).to_string();
     let serving = Serving::new(Rc::clone(state), accepted, channel, replies);
     actix_rt::spawn(serving.run());
     let mut response = match received.recv().await {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -13,6 +13,7 @@
 use crate::entry::auth::KeyTable;
 use crate::entry::error::CallerError;
 use crate::headers::end_to_end;
+use crate::ids::RequestId;
 use crate::name::Name;
 use crate::pressure::Line;
 use crate::settings::Route;
@@ -198,6 +199,15 @@
 }
 
 impl Job {
+    /// The id under which the request is logged: the caller's own, if it has
+    /// one.
+    pub fn logged_id(&self, request: RequestId) -> Name {
+        match &self.caller_id {
+            Some(id) => id.clone(),
+            None => Name::new(&request.to_string()),
+        }
+    }
+
     /// Whose requests wait for what.
     pub fn line(&self) -> Line {
         Line {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -195,7 +195,7 @@
         let allowed =
             !arrived || (self.attempts < attempts && self.state.may_repeat(&self.job.target));
         info!(self.state.log, "upstream did not serve the request";
-            "request" => self.caller_id(),
+            "request" => %self.job.logged_id(self.request),
             "upstream" => %upstream,
             "may_have_run" => ran,
             "code" => ?refusal.code,
@@ -334,7 +334,7 @@
         seat.begin(now, upstream, self.request, grant);
         self.sent_to = Some(upstream.clone());
         info!(self.state.log, "request sent";
-            "request" => self.caller_id(),
+            "request" => %self.job.logged_id(self.request),
             "upstream" => %upstream,
             "by_agent" => matches!(seat, Seat::Agent(_)),
             "waited_ms" => millis(now.since(self.arrived)),
@@ -385,7 +385,7 @@
     async fn fail(&mut self, error: CallerError) -> Outcome {
         let outcome = error.outcome();
         info!(self.state.log, "request given up";
-            "request" => self.caller_id(),
+            "request" => %self.job.logged_id(self.request),
             "code" => error.code(),
             "run" => ?error.run(),
             "attempts" => self.attempts,
@@ -394,13 +394,6 @@
         outcome
     }
 
-    fn caller_id(&self) -> String {
-        match &self.job.caller_id {
-            Some(id) => id.to_string(),
-            None => self.request.to_string(),
-        }
-    }
-
     /// Notes in the store what has become of claimed work.
     fn settle_claim(&mut self, outcome: Outcome) {
         let Some(claimed) = self.claimed.take() else {
@@ -433,7 +426,7 @@
             state.metrics.duration(&admission.tier, took.as_secs_f64());
         }
         info!(state.log, "request ended";
-            "request" => self.caller_id(),
+            "request" => %self.job.logged_id(self.request),
             "organisation" => %admission.organisation,
             "tier" => %admission.tier,
             "upstream" => self.sent_to.as_deref(),
