--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -77,7 +77,7 @@
         log: Logger,
     ) -> Self {
         let upstream = directory.get(&config.upstream);
-        let desk_config = desk_config(upstream.as_ref(), &current.settings());
+        let desk_config = desk_config(&current.settings(), upstream.as_ref());
         Self {
             config,
             incarnation,
@@ -123,7 +123,7 @@
     }
 
     fn reconfigure(&self) {
-        let config = desk_config(self.upstream().as_ref(), &self.current.settings());
+        let config = desk_config(&self.current.settings(), self.upstream().as_ref());
         self.desk.borrow_mut().set_config(config);
         let notices = self.desk.borrow_mut().tick(self.now());
         self.tell(notices);
@@ -308,16 +308,7 @@
     }
 }
 
-fn desk_config(upstream: Option<&Upstream>, settings: &Settings) -> DeskConfig {
-    let organisations = settings.organisations.iter();
-    DeskConfig {
-        slots: upstream.map_or(0, |u| u.slots as usize),
-        tickets: settings.limits.agent_tickets as usize,
-        grant_valid: settings.limits.grant_valid,
-        weights: organisations
-            .filter(|(_, o)| o.weight != 1)
-            .map(|(name, o)| (name.clone(), o.weight))
-            .collect(),
-        cache_tokens: upstream.map_or(0, |u| u.cache_tokens),
-    }
+fn desk_config(settings: &Settings, upstream: Option<&Upstream>) -> DeskConfig {
+    let slots = upstream.map_or(0, |u| u.slots as usize);
+    DeskConfig::new(settings, upstream, slots)
 }
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -17,6 +17,8 @@
 use crate::prefix::PrefixIndex;
 use crate::queue::Pushed;
 use crate::queue::Queue;
+use crate::settings::Settings;
+use crate::settings::Upstream;
 use crate::taken::Taken;
 use crate::ticket::Grant;
 use crate::ticket::Offered;
@@ -64,6 +66,23 @@
     pub cache_tokens: u64,
 }
 
+impl DeskConfig {
+    /// The bounds of a desk that has this many slots of `upstream`.
+    pub fn new(settings: &Settings, upstream: Option<&Upstream>, slots: usize) -> Self {
+        let organisations = settings.organisations.iter();
+        Self {
+            slots,
+            tickets: settings.limits.agent_tickets as usize,
+            grant_valid: settings.limits.grant_valid,
+            weights: organisations
+                .filter(|(_, o)| o.weight != 1)
+                .map(|(name, o)| (name.clone(), o.weight))
+                .collect(),
+            cache_tokens: upstream.map_or(0, |u| u.cache_tokens),
+        }
+    }
+}
+
 /// Something that has to be told to the entry of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::ids::GrantId;
+use crate::ids::LinkId;
 use crate::name::Name;
 use crate::ticket::Grant;
 use crate::ticket::Offered;
@@ -61,7 +62,7 @@
     /// A desk handed the waiting ticket back.
     HandedBack(Name, Refusal),
     /// The connection to an agent was lost.
-    Lost(Name),
+    Lost(Name, LinkId),
     /// The answers to the first tickets were collected for long enough.
     Collected,
     /// The upstream surely did not run the request that it was sent.
@@ -207,7 +208,7 @@
             (_, Event::Offered(upstream, offered)) => self.offered(&upstream, offered),
             (_, Event::Granted(upstream, grant)) => self.granted(&upstream, grant),
             (_, Event::HandedBack(upstream, refusal)) => self.refused(&upstream, refusal),
-            (_, Event::Lost(upstream)) => self.lost(&upstream),
+            (_, Event::Lost(upstream, _)) => self.lost(&upstream),
             (_, Event::Collected) => self.collected(),
             (_, Event::PatienceEnded) => {
                 let after = self.retry_after.unwrap_or(RETRY_AFTER);
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -145,8 +145,8 @@
     let mut dispatch = Dispatch::new(choices(1), 1);
     dispatch.start();
     let offer = Action::Offer(name(0));
-    assert_eq!(dispatch.on(Event::Lost(name(0))), [offer]);
-    let actions = dispatch.on(Event::Lost(name(0)));
+    assert_eq!(dispatch.on(Event::Lost(name(0), LinkId(1))), [offer]);
+    let actions = dispatch.on(Event::Lost(name(0), LinkId(1)));
     assert!(matches!(actions[..], [Action::GiveUp { .. }]));
 }
 
@@ -176,7 +176,7 @@
         (upstream.clone(), refusal.clone())
             .prop_map(|(u, r)| Event::Offered(u, Offered::Refused(r))),
         (upstream.clone(), refusal.clone()).prop_map(|(u, r)| Event::HandedBack(u, r)),
-        upstream.clone().prop_map(Event::Lost),
+        upstream.clone().prop_map(|u| Event::Lost(u, LinkId(1))),
         (upstream, refusal).prop_map(|(u, r)| Event::NotRun(u, r)),
         Just(Event::Collected),
         Just(Event::PatienceEnded),
@@ -220,7 +220,7 @@
             }
             match &event {
                 Event::NotRun(upstream, _) if at.as_ref() == Some(upstream) => at = None,
-                Event::Lost(u)
+                Event::Lost(u, _)
                 | Event::HandedBack(u, _)
                 | Event::Offered(u, Offered::Refused(_)) => {
                     out.remove(u);
--- a/src/entry/desks.rs
+++ b/src/entry/desks.rs
@@ -16,9 +16,9 @@
 use crate::entry::links::Link;
 use crate::entry::waiter::TicketWaiter;
 use crate::ids::GrantId;
+use crate::ids::LinkId;
 use crate::ids::RequestId;
 use crate::name::Name;
-use crate::settings::Limits;
 use crate::settings::Settings;
 use crate::settings::Upstream;
 use crate::ticket::Ticket;
@@ -143,27 +143,7 @@
         None => slots,
         Some(_) => slots.div_ceil(entries.max(1)),
     };
-    desk_config(&settings.limits, upstream, slots, settings)
-}
-
-/// The bounds of a desk with this many slots.
-pub fn desk_config(
-    limits: &Limits,
-    upstream: &Upstream,
-    slots: usize,
-    settings: &Settings,
-) -> DeskConfig {
-    let organisations = settings.organisations.iter();
-    DeskConfig {
-        slots,
-        tickets: limits.agent_tickets as usize,
-        grant_valid: limits.grant_valid,
-        weights: organisations
-            .filter(|(_, o)| o.weight != 1)
-            .map(|(name, o)| (name.clone(), o.weight))
-            .collect(),
-        cache_tokens: upstream.cache_tokens,
-    }
+    DeskConfig::new(settings, Some(upstream), slots)
 }
 
 /// Offers a ticket at an agent; `events` hears the answer.
@@ -179,10 +159,11 @@
     let offered = calls::offer(&link.desk, ticket, now, waiter);
     let events = events.clone();
     let upstream = upstream.clone();
+    let id = link.id;
     actix_rt::spawn(async move {
         let event = match offered.await {
             Ok(offered) => Event::Offered(upstream, offered),
-            Err(_) => Event::Lost(upstream),
+            Err(_) => Event::Lost(upstream, id),
         };
         // A request that has ended no longer listens.
         let _ = events.send(event);
@@ -190,6 +171,15 @@
 }
 
 impl Seat {
+    /// Whether the ticket lay on this connection. A loss that is heard twice
+    /// must not take the ticket that was offered elsewhere after the first.
+    pub fn is_on(&self, id: LinkId) -> bool {
+        match self {
+            Self::Agent(link) => link.id == id,
+            Self::Own(_) => false,
+        }
+    }
+
     /// Notes that a grant was accepted.
     pub fn begin(&self, now: Moment, upstream: &Name, request: RequestId, grant: GrantId) {
         match self {
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -35,6 +35,7 @@
 use crate::handshake::Admitted;
 use crate::handshake::introduce;
 use crate::ids::Incarnation;
+use crate::ids::LinkId;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::site_key::SiteKey;
@@ -52,6 +53,11 @@
 /// The time for which an agent holds a heartbeat of an idle connection.
 const IDLE_HOLD: Duration = Duration::from_secs(10);
 
+/// New settings are handed on within this time, each entry in its own moment:
+/// most agents then have them from another, and many changes in quick
+/// succession travel as one. Agents decide nothing by what is urgent.
+const HAND_ON_WITHIN: Duration = Duration::from_secs(1);
+
 /// The time without an answer, beyond the hold of a heartbeat, after which a
 /// connection is given up.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -59,6 +65,8 @@
 /// A connection in use.
 #[derive(Clone)]
 pub struct Link {
+    /// Names the connection; an upstream's later connection has another id.
+    pub id: LinkId,
     /// The agent's desk.
     pub desk: desk::Client,
     /// When it was used last.
@@ -98,6 +106,8 @@
     current: Rc<Current>,
     directory: Rc<Directory>,
     log: Logger,
+    /// The id of the last connection that came up.
+    last: Cell<u64>,
     up: RefCell<BTreeMap<Name, Link>>,
     /// Requests that have to hear when the connection to an agent is lost.
     waiting: RefCell<HashMap<Name, HashMap<RequestId, UnboundedSender<Event>>>>,
@@ -118,6 +128,7 @@
             current,
             directory,
             log,
+            last: Cell::new(0),
             up: RefCell::default(),
             waiting: RefCell::default(),
         }
@@ -235,7 +246,9 @@
         if let Err(e) = self.exchange_settings(&desk, revision).await {
             warn!(self.log, "settings not handed over"; "upstream" => %upstream, "error" => %e);
         }
+        self.last.set(self.last.get() + 1);
         let link = Link {
+            id: LinkId(self.last.get()),
             desk,
             usage: Rc::default(),
         };
@@ -259,8 +272,11 @@
             let theirs = tokio::select! {
                 revision = heartbeat(&link.desk, ours, hold) => revision?,
                 () = link.usage.begun() => heartbeat(&link.desk, ours, Duration::ZERO).await?,
-                // A new revision is handed on at once.
-                _ = revisions.changed() => heartbeat(&link.desk, ours, Duration::ZERO).await?,
+                _ = revisions.changed() => {
+                    let spread = rand::rng().random_range(0.0..1.0);
+                    actix_rt::time::sleep(HAND_ON_WITHIN.mul_f64(spread)).await;
+                    heartbeat(&link.desk, self.current.revision(), Duration::ZERO).await?
+                }
             };
             self.exchange_settings(&link.desk, theirs).await?;
         }
@@ -307,11 +323,13 @@
     }
 
     fn down(&self, upstream: &Name) {
-        self.up.borrow_mut().remove(upstream);
+        let Some(link) = self.up.borrow_mut().remove(upstream) else {
+            return;
+        };
         let requests = self.waiting.borrow_mut().remove(upstream);
         for events in requests.unwrap_or_default().into_values() {
             // A request that has ended no longer listens.
-            let _ = events.send(Event::Lost(upstream.clone()));
+            let _ = events.send(Event::Lost(upstream.clone(), link.id));
         }
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod auth;
 mod calls;
+mod charges;
 mod desks;
 mod error;
 mod http;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,6 +16,8 @@
 use crate::dispatch::Event;
 use crate::entry::attempt::Attempt;
 use crate::entry::attempt::Ended;
+use crate::entry::charges::Entered;
+use crate::entry::charges::Spent;
 use crate::entry::desks::Seat;
 use crate::entry::desks::offer_agent;
 use crate::entry::desks::own_desk_config;
@@ -23,11 +25,10 @@
 use crate::entry::keyed::Claimed;
 use crate::entry::relay::Relay;
 use crate::entry::request::Job;
-use crate::entry::state::Entered;
 use crate::entry::state::EntryState;
-use crate::entry::state::Spent;
 use crate::headers::Header;
 use crate::ids::GrantId;
+use crate::ids::LinkId;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
@@ -250,7 +251,9 @@
                 .map_or(until, |c| c.min(until));
             let at = self.state.instant(next);
             tokio::select! {
-                Some(event) = self.heard.recv() => pending = self.dispatch.on(event),
+                Some(event) = self.heard.recv() => if self.is_current(&event) {
+                    pending = self.dispatch.on(event);
+                },
                 () = self.relay.closed() => {
                     self.dispatch.abandon();
                     return Sought::Ended(Outcome::cancelled);
@@ -267,12 +270,22 @@
         }
     }
 
+    /// Whether an event concerns a ticket where it lies now.
+    fn is_current(&self, event: &Event) -> bool {
+        match event {
+            Event::Lost(upstream, id) => self.seats.get(upstream).is_none_or(|s| s.is_on(*id)),
+            _ => true,
+        }
+    }
+
     fn offer(&mut self, upstream: Name) {
         let Some(known) = self.state.directory.get(&upstream) else {
             // The request itself listens until it has ended.
-            let _ = self.events.send(Event::Lost(upstream));
+            let _ = self.events.send(Event::Lost(upstream, LinkId::default()));
             return;
         };
+        // One that lay on a connection that was lost is offered anew.
+        self.withdraw(&upstream, Withdrawal::GivenUp);
         let now = self.state.now();
         let ticket = self.ticket();
         let seat = self.state.seat(&upstream);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -34,7 +34,6 @@
 use crate::entry::auth::KeyTable;
 use crate::entry::desks::OwnDesks;
 use crate::entry::desks::Seat;
-use crate::entry::error::CallerError;
 use crate::entry::links::Links;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::Job;
@@ -51,13 +50,11 @@
 use crate::outlier::Outliers;
 use crate::prefix::PrefixIndex;
 use crate::pressure::Pressure;
-use crate::quota::Measure;
 use crate::quota::Quota;
 use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudget;
 use crate::routing;
 use crate::routing::Candidate;
-use crate::settings::QuotaUnit;
 use crate::settings::Settings;
 use crate::settings::Upstream;
 use crate::ticket::Refusal;
@@ -107,7 +104,7 @@
     affinity: RefCell<HashMap<Name, PrefixIndex>>,
     outstanding: RefCell<HashMap<Name, usize>>,
     /// Requests held, by organisation; none of them is zero.
-    present: RefCell<HashMap<Name, u32>>,
+    pub(super) present: RefCell<HashMap<Name, u32>>,
     rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
     ending: Cell<bool>,
@@ -216,36 +213,6 @@
         self.rng.borrow_mut().random_range(0..total)
     }
 
-    /// Spends what `job` counts for of its organisation's quota.
-    pub fn spend(self: &Rc<Self>, job: &Job) -> Result<Spent, CallerError> {
-        let settings = self.current.settings();
-        let organisation = &job.admission.organisation;
-        let rate = settings.organisations.get(organisation);
-        let Some(rate) = rate.and_then(|o| o.quota) else {
-            return Ok(Spent::nothing(self));
-        };
-        let measure = Measure {
-            window: settings.limits.quota_window,
-            over: settings.limits.quota_over,
-            slack: settings.limits.quota_slack,
-        };
-        let units = match (rate.unit, job.most_tokens) {
-            (QuotaUnit::Requests, _) => 1.0,
-            (QuotaUnit::Tokens, 0) => rate.plain as f64,
-            (QuotaUnit::Tokens, tokens) => tokens as f64,
-        };
-        let now = self.now();
-        let spent = self
-            .quota
-            .borrow_mut()
-            .spend(now, organisation, rate, measure, units);
-        spent.map_err(CallerError::OverQuota)?;
-        Ok(Spent {
-            state: Rc::clone(self),
-            units: Some((organisation.clone(), units)),
-        })
-    }
-
     /// Counts a request for the retry budget of its service.
     pub fn count_request(&self, service: &Name) {
         let bounds = self.retry_bounds();
@@ -321,34 +288,6 @@
         Rc::clone(&keys.1)
     }
 
-    /// Counts a request of an organisation; none if it has as many here as it
-    /// may. The count ends when the result is dropped.
-    pub fn enter(self: &Rc<Self>, organisation: &Name) -> Option<Entered> {
-        let settings = self.current.settings();
-        let known = settings.organisations.get(organisation);
-        let limit = known.and_then(|o| o.concurrency);
-        let mut present = self.present.borrow_mut();
-        let count = present.entry(organisation.clone()).or_default();
-        if limit.is_some_and(|limit| *count >= limit) {
-            return None;
-        }
-        *count += 1;
-        Some(Entered {
-            state: Rc::clone(self),
-            organisation: organisation.clone(),
-        })
-    }
-
-    fn leave(&self, organisation: &Name) {
-        let mut present = self.present.borrow_mut();
-        if let Some(count) = present.get_mut(organisation) {
-            *count -= 1;
-            if *count == 0 {
-                present.remove(organisation);
-            }
-        }
-    }
-
     /// Takes in a request of which the body is yet to come, and has requests
     /// of lower tiers give way where there is no room. None if there is none.
     pub fn hold(
@@ -516,45 +455,3 @@
         self.metrics.render()
     }
 }
-
-/// What was spent of a quota for a request; returned when dropped, unless the
-/// request was run.
-pub struct Spent {
-    state: Rc<EntryState>,
-    units: Option<(Name, f64)>,
-}
-
-impl Spent {
-    fn nothing(state: &Rc<EntryState>) -> Self {
-        Self {
-            state: Rc::clone(state),
-            units: None,
-        }
-    }
-
-    /// Notes that the request may have run.
-    pub fn keep(&mut self) {
-        self.units = None;
-    }
-}
-
-impl Drop for Spent {
-    fn drop(&mut self) {
-        if let Some((organisation, units)) = &self.units {
-            let mut quota = self.state.quota.borrow_mut();
-            quota.refund(organisation, *units);
-        }
-    }
-}
-
-/// A request that counts towards its organisation's limit while this lives.
-pub struct Entered {
-    state: Rc<EntryState>,
-    organisation: Name,
-}
-
-impl Drop for Entered {
-    fn drop(&mut self) {
-        self.state.leave(&self.organisation);
-    }
-}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -44,3 +44,7 @@
 /// Names one grant within the incarnation of the agent that gave it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct GrantId(pub u64);
+
+/// Names one connection to an agent within the life of an entry.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LinkId(pub u64);
--- a/src/log.rs
+++ b/src/log.rs
@@ -87,7 +87,7 @@
     line: Vec<u8>,
     /// The rest of a line of which a part was written.
     rest: Vec<u8>,
-    allowance: f64,
+    lines_left: f64,
     at: Instant,
     dropped: u64,
     told: Instant,
@@ -103,7 +103,7 @@
             output,
             line: Vec::new(),
             rest: Vec::new(),
-            allowance: LINES_AT_ONCE,
+            lines_left: LINES_AT_ONCE,
             at: now,
             dropped: 0,
             told: now,
@@ -134,10 +134,10 @@
         let now = Instant::now();
         let seconds = now.duration_since(self.at).as_secs_f64();
         self.at = now;
-        self.allowance = (self.allowance + seconds * LINES_PER_SECOND).min(LINES_AT_ONCE);
-        let allowed = self.allowance >= 1.0;
+        self.lines_left = (self.lines_left + seconds * LINES_PER_SECOND).min(LINES_AT_ONCE);
+        let allowed = self.lines_left >= 1.0;
         if allowed {
-            self.allowance -= 1.0;
+            self.lines_left -= 1.0;
         }
         allowed
     }
