Believe the latest registration at an address, and count only what may have run

Requests sent to the old names got 421, which took their attempts, and 38 and 30 were refused in two seconds.

Ruled out: a slow start (entries serve 30 ms after theirs, upstreams and settings known); quotas (few refusals there).

Change: of several registrations at one address the one that started last is there; an upstream's word that it did not run a request takes no attempt, only the retry budget.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -59,6 +59,9 @@
     pub agent: Option<SocketAddr>,
     /// Its present life, by which it tells calls that are meant for another.
     pub instance: Option<Name>,
+    /// When it started, on its own clock in Unix milliseconds; absent where it
+    /// tells none.
+    pub started: Option<u64>,
     /// Requests in flight at most; absent where it tells none.
     pub slots: Option<u32>,
     /// Whether it takes no new work.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -84,7 +84,7 @@
     seats: BTreeMap<Name, Seat>,
     /// The upstream that the request was sent to last.
     sent_to: Option<Name>,
-    /// Upstreams that have received the request.
+    /// Upstreams that may have run the request.
     attempts: u32,
     /// Whether an upstream may have run it.
     may_have_run: bool,
@@ -375,10 +375,7 @@
         if !matches!(ended, Ended::NotRun(_)) {
             self.spent.keep();
             self.may_have_run = true;
-        }
-        match ended {
-            Ended::NotRun(refusal) if refusal.code == RefusalCode::Unreachable => {}
-            _ => self.attempts += 1,
+            self.attempts += 1;
         }
         if let Some(work) = work {
             let organisation = &self.job.admission.organisation;
--- a/src/presence.rs
+++ b/src/presence.rs
@@ -5,6 +5,7 @@
 //! which a living upstream registers again.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::Moment;
@@ -78,13 +79,32 @@
 
     /// The upstreams that are there, with what the settings say of them.
     pub fn upstreams(&self, settings: &Settings) -> Upstreams {
-        let there = self.known.iter().chain(&self.missing);
-        there
+        let there = self.known.values().chain(self.missing.values());
+        let newest = newest(there);
+        newest
+            .values()
+            .map(|d| (&d.name, *d))
             .filter_map(|(name, d)| Some((name.clone(), upstream(settings, d)?)))
             .collect()
     }
 }
 
+/// The latest upstream at each address. One that has crashed stays registered
+/// for a while beside the one that has started in its place.
+fn newest<'a, I>(there: I) -> BTreeMap<SocketAddr, &'a Discovered>
+where
+    I: Iterator<Item = &'a Discovered>,
+{
+    let mut newest: BTreeMap<SocketAddr, &Discovered> = BTreeMap::new();
+    for discovered in there {
+        let other = newest.entry(discovered.address).or_insert(discovered);
+        if discovered.started > other.started {
+            *other = discovered;
+        }
+    }
+    newest
+}
+
 /// A discovered upstream; none if the settings don't name its service.
 fn upstream(settings: &Settings, discovered: &Discovered) -> Option<Upstream> {
     let service = settings.services.get(&discovered.service)?;
--- a/src/presence/tests.rs
+++ b/src/presence/tests.rs
@@ -15,14 +15,21 @@
     Settings::new(&Document::new(vec![file])).expect("the settings are valid")
 }
 
+/// Names that begin alike share an address.
+fn address(name: &str) -> SocketAddr {
+    let port = name.bytes().take(2).map(u16::from).sum();
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 fn discovered(name: &str, service: &str) -> Discovered {
     Discovered {
         name: Name::new(name),
         service: Name::new(service),
         zone: Name::new("a"),
-        address: "127.0.0.1:9".parse().expect("an address"),
+        address: address(name),
         agent: None,
         instance: Some(Name::new(name)),
+        started: None,
         slots: None,
         leaving: false,
     }
@@ -84,3 +91,18 @@
     );
     assert_eq!(names(&presence), ["two"]);
 }
+
+#[test]
+fn of_two_at_one_address_the_one_that_started_last_is_there() {
+    let at_start = |name, started| Discovered {
+        started,
+        ..discovered(name, "pool")
+    };
+    for (old, new) in [(Some(1), Some(2)), (None, Some(2))] {
+        let mut presence = Presence::new();
+        presence.listed(at(0), vec![at_start("one-a", old), at_start("one-b", new)]);
+        assert_eq!(names(&presence), ["one-b"]);
+        presence.listed(at(0), vec![at_start("one-a", new), at_start("one-b", old)]);
+        assert_eq!(names(&presence), ["one-a"]);
+    }
+}
