Join nothing foreign to a stream, send nothing to who has begun to leave

By reading: a ticket that waited at an agent was granted and sent after the entry knew that its upstream leaves. Also by reading: a resumed stream took the body of an answer with an error.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -76,7 +76,9 @@
 impl Attempt<'_> {
     /// Sends the request and passes the answer on.
     pub async fn run(&self, relay: &mut Relay, claimed: &mut Option<Claimed>) -> Ended {
-        let Some(upstream) = self.state.directory.get(self.upstream) else {
+        // It may have begun to leave while the ticket waited there.
+        let upstream = self.state.directory.get(self.upstream);
+        let Some(upstream) = upstream.filter(|u| !u.leaving) else {
             return self.unreachable();
         };
         let until = self.state.instant(self.cut);
@@ -146,10 +148,15 @@
             }
         }
         let status = answer.head.status;
+        if relay.has_begun() && !(200..300).contains(&status) {
+            // What is no part of the stream must not be joined to it.
+            self.state.judge(self.upstream, Judgement::Failed);
+            return Ended::Broken;
+        }
         if status >= 500 {
             self.state.judge(self.upstream, Judgement::Failed);
             let attempts = self.job.admission.route.attempts;
-            if relay.has_begun() || (self.job.idempotent && attempts > 1) {
+            if self.job.idempotent && attempts > 1 {
                 return Ended::Broken;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,25 +4,30 @@
 //!
 //! 1. [`programs`], [`cli`] and [`config`] start a daemon; [`daemon`] runs the
 //!    services of its [`kernel`] until it is told to stop.
-//! 2. [`entry`] takes the request in over [`http_server`]. [`holding`] says
-//!    whether there is room, [`claims`] whether its idempotency key is free.
-//! 3. [`routing`] orders the upstreams among those of the [`subset`] that the
-//!    entry is connected to; [`dispatch`] decides which agent gets a
-//!    [`ticket`] and which grant is accepted.
-//! 4. [`wire`] carries messages to the [`agent`] and back, after a
-//!    [`handshake`] with the [`site_key`].
-//! 5. At the agent [`desk`] decides who waits in the [`queue`] and who is
-//!    granted room, by the measured [`pace`] and the [`prefix`] chunks that
-//!    the engine is believed to hold.
-//! 6. The agent calls the upstream by [`http_client`], reads its [`usage`] and
-//!    streams the answer back; the entry counts the [`outcome`] in [`metrics`]
-//!    and [`burn`].
+//! 2. [`entry`] takes the request in over [`http_server`] and reads it by its
+//!    [`dialect`], the product's own being [`openai`]. [`holding`] says whether
+//!    there is room, [`quota`] whether its organisation may, [`claims`] whether
+//!    its idempotency key is free.
+//! 3. [`routing`] orders the upstreams of the [`directory`]; [`dispatch`]
+//!    decides which desk gets a [`ticket`] and which grant is accepted.
+//!    [`pressure`] spares asking where the answer is known.
+//! 4. A [`desk`] decides who waits in the [`queue`] and who is granted room, by
+//!    the measured [`pace`], by what tiers have [`taken`] and by the [`prefix`]
+//!    chunks that the engine is believed to hold. It is the [`agent`]'s, reached
+//!    by [`wire`] after a [`handshake`] with the [`site_key`], or the entry's own.
+//! 5. The entry sends the request to the upstream by an [`exchange`] and passes
+//!    the answer on; [`events`] tell where a stream goes on elsewhere.
+//!    [`retry_budget`] and [`outlier`] say whether and where.
+//! 6. The entry reads the answer's [`usage`], tells the desk, and counts the
+//!    [`outcome`] in [`metrics`] and [`burn`].
 //!
 //! Beside that way: [`settings`] are merged and checked, kept as
 //! [`stored_settings`] in the [`object_store`], changed by [`apply`], brought
-//! in by [`settings_service`] and in force as [`current`]. [`membership`]
-//! reads the [`host_list`]; a [`lease`] covers orders to engines. [`operator`]
-//! is the operators' program, with the [`burn_report`].
+//! in by [`settings_service`] and in force as [`current`]. On a platform
+//! [`discovery`] brings in settings and upstreams, of which [`presence`] says
+//! who is there. [`membership`] reads the [`host_list`]; a [`lease`] covers
+//! orders to engines. [`operator`] is the operators' program, with the
+//! [`burn_report`].
 
 pub mod agent;
 pub mod agent_client;
