Count what was spent before a quota was lowered as the part that it was

After a quota is lowered, what an organisation had spent by the former one filled the window, so that it was shut out for up to a window (72 of 107 refusals within 4 s of the change). Ruled out: the rate itself (refusals stop when the old spending has left). Change: spending counts as the part of the quota that it was when it was spent; a rate that is raised again counts all of it. Within a window of the change no more than the lower quota is given beyond what was spent before.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -7,6 +7,10 @@
 //! of them. An entry that starts anew takes the sum of the window from those
 //! that are older, and assumes most of the quota spent where there are none.
 //!
+//! Where a quota is lowered, what was spent before counts as the part of the
+//! quota that it was when it was spent: an organisation that was within its
+//! quota is not shut out for a window.
+//!
 //! Operators may tolerate some use beyond a quota. A part of that tolerance is
 //! given to callers; the rest covers what is spent between two reports.
 
@@ -106,19 +110,45 @@
     entries: usize,
 }
 
-/// Invariant: `sum` is the sum over `spends`.
-#[derive(Debug, Default)]
+/// What is known of one organisation.
+#[derive(Debug)]
 struct Account {
-    /// What was spent, and when it leaves the window, the earliest first.
-    spends: VecDeque<(Moment, f64)>,
+    /// The units of a window that callers get by the rate in force.
+    allowed: f64,
+    /// What was spent, the earliest first.
+    spends: VecDeque<Spending>,
+    /// What `spends` count by `allowed`.
     sum: f64,
     /// Units spent by this entry since its start.
     own: f64,
-    /// Units that may have been spent by all entries in the window before
-    /// this one started.
+    /// The part of `allowed` that may have been spent by all entries in the
+    /// window before this one started.
     assumed: f64,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Spending {
+    /// When it leaves the window.
+    leaves: Moment,
+    units: f64,
+    /// The units of a window that callers got when it was spent.
+    allowed: f64,
+}
+
+impl Spending {
+    /// What it counts where callers get `allowed` units of a window.
+    fn counted(&self, allowed: f64) -> f64 {
+        self.units * self.weight(allowed)
+    }
+
+    fn weight(&self, allowed: f64) -> f64 {
+        match allowed < self.allowed {
+            true => allowed / self.allowed,
+            false => 1.0,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Peer {
     heard: Moment,
@@ -167,8 +197,9 @@
             return Err(RETRY_MAX);
         };
         account.forget(now);
+        account.allow(allowed);
         // A request beyond the quota passes when nothing else was spent.
-        let known = allowed - account.assumed * unforgotten;
+        let known = allowed * (1.0 - account.assumed * unforgotten);
         let room = known * heard_part - account.sum;
         if room < units && (account.sum > 0.0 || unforgotten > 0.0) {
             return Err(account.room_after(now, units - room));
@@ -208,7 +239,7 @@
                 // What an older entry spent before this one started is in
                 // the sum that it reports.
                 None if older => {
-                    let known = account.sum + account.assumed * unforgotten;
+                    let known = account.window(unforgotten);
                     account.spread(now, spend.window - known, window);
                 }
                 _ if since < 0.0 => account.take_back(-since),
@@ -229,7 +260,7 @@
             Spend {
                 organisation: organisation.clone(),
                 spent: account.own,
-                window: account.sum + account.assumed * unforgotten,
+                window: account.window(unforgotten),
             }
         };
         Report {
@@ -260,12 +291,12 @@
         allowed: f64,
         window: Duration,
     ) -> Account {
-        let mut account = Account::default();
+        let mut account = Account::new(allowed);
         let heard = self.peers.values().filter(|p| !p.is_silent(now));
         let reported = heard.filter_map(|p| p.spends.get(organisation).map(|s| s.window));
         match reported.reduce(f64::max) {
             Some(spent) => account.spread(now, spent, window),
-            None => account.assumed = allowed * ASSUMED_SPENT,
+            None => account.assumed = ASSUMED_SPENT,
         }
         account
     }
@@ -278,22 +309,50 @@
 }
 
 impl Account {
+    fn new(allowed: f64) -> Self {
+        Self {
+            allowed,
+            spends: VecDeque::new(),
+            sum: 0.0,
+            own: 0.0,
+            assumed: 0.0,
+        }
+    }
+
+    /// Counts by another rate.
+    fn allow(&mut self, allowed: f64) {
+        if allowed != self.allowed {
+            self.allowed = allowed;
+            self.sum = self.spends.iter().map(|s| s.counted(allowed)).sum();
+        }
+    }
+
+    /// What counts as spent by all entries in the last window.
+    fn window(&self, unforgotten: f64) -> f64 {
+        self.sum + self.allowed * self.assumed * unforgotten
+    }
+
     fn spend(&mut self, leaves: Moment, units: f64) {
         if units > 0.0 {
-            let later = self.spends.iter().rev().take_while(|(at, _)| *at > leaves);
+            let later = self.spends.iter().rev().take_while(|s| s.leaves > leaves);
             let place = self.spends.len() - later.count();
-            self.spends.insert(place, (leaves, units));
+            let spending = Spending {
+                leaves,
+                units,
+                allowed: self.allowed,
+            };
+            self.spends.insert(place, spending);
             self.sum += units;
         }
     }
 
     fn forget(&mut self, now: Moment) {
-        while let Some((leaves, units)) = self.spends.front().copied() {
-            if leaves > now {
+        while let Some(first) = self.spends.front() {
+            if first.leaves > now {
                 break;
             }
+            self.sum -= first.counted(self.allowed);
             self.spends.pop_front();
-            self.sum -= units;
         }
         if self.spends.is_empty() {
             self.sum = 0.0;
@@ -304,14 +363,14 @@
     fn take_back(&mut self, units: f64) {
         let mut left = units;
         while left > 0.0 {
-            let Some((_, last)) = self.spends.back_mut() else {
+            let Some(last) = self.spends.back_mut() else {
                 return;
             };
-            let taken = left.min(*last);
-            *last -= taken;
+            let taken = left.min(last.units);
+            last.units -= taken;
             left -= taken;
-            self.sum -= taken;
-            if *last <= 0.0 {
+            self.sum -= taken * last.weight(self.allowed);
+            if last.units <= 0.0 {
                 self.spends.pop_back();
             }
         }
@@ -325,13 +384,13 @@
         }
     }
 
-    /// The time until `units` have left the window.
+    /// The time until spending that counts `units` has left the window.
     fn room_after(&self, now: Moment, units: f64) -> Duration {
         let mut left = units;
-        for (leaves, spent) in &self.spends {
-            left -= spent;
+        for spending in &self.spends {
+            left -= spending.counted(self.allowed);
             if left <= 0.0 {
-                return now.until(*leaves).clamp(RETRY_MIN, RETRY_MAX);
+                return now.until(spending.leaves).clamp(RETRY_MIN, RETRY_MAX);
             }
         }
         RETRY_MAX
