Pass the last upstream's error on, and no error through the events of a stream

Cause: an idempotent request that failed at every upstream that its route allows was answered by a 502 of ours in place of the upstream's own 500. Behind it lay another: an error's body on a route that may be resumed was read as events, so that the answer was broken off before its end. Change: the last try's answer is passed on as it is; only a success is a stream. Test: the_error_of_the_last_upstream_is_passed_on, which failed for the one and, with the first mend, for the other.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -71,6 +71,8 @@
     pub cut: Moment,
     /// When the request arrived.
     pub arrived: Moment,
+    /// Whether the route allows no other upstream afterwards.
+    pub last: bool,
 }
 
 impl Attempt<'_> {
@@ -155,8 +157,7 @@
         }
         if status >= 500 {
             self.state.judge(self.upstream, Judgement::Failed);
-            let attempts = self.job.admission.route.attempts;
-            if self.job.idempotent && attempts > 1 {
+            if self.job.idempotent && !self.last {
                 return Ended::Broken;
             }
         }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -73,6 +73,10 @@
     /// Begins the answer of another upstream.
     pub async fn head(&mut self, status: u16, headers: Vec<Header>, form: AnswerForm) {
         self.usage = UsageReader::new(form);
+        if !(200..300).contains(&status) {
+            // An error is no stream, and nobody goes on with it.
+            self.events = None;
+        }
         if let Some(events) = &mut self.events {
             events.drop_partial();
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -364,6 +364,7 @@
             deadline: self.deadline,
             cut: self.arrived + timeout,
             arrived: self.arrived,
+            last: self.attempts + 1 >= self.job.admission.route.attempts,
         };
         let ended = attempt.run(&mut self.relay, &mut self.claimed).await;
         let work = match ended {
