Let callers wait for upstreams that are not there yet; ask a replaced one no more

Ruled out: the start itself (ready within 0.1 s), connections to agents (0.1 s). Change: 421 means that another upstream has the address: the registration gets nothing for 10 s, within which it lapses. With no upstream left that might take it, a request waits for others within its patience, and is then told when to come back; a busy service still refuses at once.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -67,6 +67,8 @@
     Collected,
     /// The upstream surely did not run the request that it was sent.
     NotRun(Name, Refusal),
+    /// These upstreams could run the request now.
+    Upstreams(Vec<Choice>),
     /// Waiting has lasted too long.
     PatienceEnded,
     /// The entry needs the room for a request of a higher tier.
@@ -84,6 +86,8 @@
     Send(Name, GrantId),
     /// Take back the ticket for an upstream.
     Withdraw(Name),
+    /// None of the upstreams is there; tell of `Upstreams` after a moment.
+    AwaitUpstreams,
     /// Remember that requests like this one are expected to wait for so long.
     NoteWait(Duration),
     /// End the request: it was not run.
@@ -110,6 +114,8 @@
     Collecting,
     /// Tickets are out; the first grant is accepted.
     Seeking,
+    /// No upstream is there that could take the request.
+    Awaiting,
     /// The request was sent.
     Sent,
     /// A final answer has been given.
@@ -144,8 +150,7 @@
     /// A request that may go to `choices`, the best first, with at most
     /// `width` tickets out at any time.
     pub fn new(choices: Vec<Choice>, width: usize) -> Self {
-        let near = choices.iter().map(|c| (c.upstream.clone(), c.near));
-        let near = near.collect();
+        let near = nearness(&choices);
         let mut spare = choices;
         spare.reverse();
         Self {
@@ -182,7 +187,10 @@
 
     /// Whether the request is not at an upstream.
     pub fn is_seeking(&self) -> bool {
-        matches!(self.state, State::Collecting | State::Seeking)
+        matches!(
+            self.state,
+            State::Collecting | State::Seeking | State::Awaiting
+        )
     }
 
     /// Takes in an event and says what is to be done.
@@ -210,6 +218,8 @@
             (_, Event::HandedBack(upstream, refusal)) => self.refused(&upstream, refusal),
             (_, Event::Lost(upstream, _)) => self.lost(&upstream),
             (_, Event::Collected) => self.collected(),
+            (State::Awaiting, Event::Upstreams(choices)) => self.upstreams(choices),
+            (_, Event::Upstreams(_)) => Vec::new(),
             (_, Event::PatienceEnded) => {
                 let after = self.retry_after.unwrap_or(RETRY_AFTER);
                 let late = Refusal::new(RefusalCode::Expired, after);
@@ -381,11 +391,33 @@
             actions.push(Action::Offer(choice.upstream));
         }
         if self.out() == 0 {
-            return self.give_up();
+            return self.none_left();
         }
         actions
     }
 
+    /// No upstream is left to ask. Callers of upstreams that are not there
+    /// wait for others, as after a restart; those of busy ones come back.
+    fn none_left(&mut self) -> Vec<Action> {
+        let busy = self.refusal.is_some_and(|r| weight(r.code) > 0);
+        if busy {
+            return self.give_up();
+        }
+        self.state = State::Awaiting;
+        vec![Action::AwaitUpstreams]
+    }
+
+    /// Starts anew with the upstreams that are there now.
+    fn upstreams(&mut self, choices: Vec<Choice>) -> Vec<Action> {
+        self.near = nearness(&choices);
+        self.spare = choices;
+        self.spare.reverse();
+        self.tickets.clear();
+        self.lost.clear();
+        self.state = State::Collecting;
+        self.start()
+    }
+
     fn give_up(&mut self) -> Vec<Action> {
         let mut actions = self.withdraw_all();
         self.state = State::Done;
@@ -438,6 +470,11 @@
     }
 }
 
+fn nearness(choices: &[Choice]) -> BTreeMap<Name, bool> {
+    let near = choices.iter().map(|c| (c.upstream.clone(), c.near));
+    near.collect()
+}
+
 fn weight(code: RefusalCode) -> u8 {
     match code {
         RefusalCode::Overloaded | RefusalCode::Evicted => 3,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -141,7 +141,7 @@
                 return Ended::NotRun(Refusal::new(RefusalCode::Overloaded, FULL_RETRY));
             }
             Verdict::WrongInstance => {
-                self.state.judge(self.upstream, Judgement::Unreachable);
+                self.state.judge(self.upstream, Judgement::Replaced);
                 return Ended::NotRun(Refusal::new(RefusalCode::Stale, UNREACHABLE_RETRY));
             }
             Verdict::Foreign => {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -41,6 +41,10 @@
 /// When to come back after an upstream failed and no other was left.
 const FAILED_RETRY: Duration = Duration::from_millis(500);
 
+/// The time between two looks for upstreams while none is there: a small part
+/// of common objectives.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// What goes back to the caller, in order.
 #[derive(Debug)]
 pub enum Reply {
@@ -217,6 +221,7 @@
     /// Waits for room at an upstream.
     async fn seek(&mut self, actions: Vec<Action>) -> Sought {
         let mut collected = None;
+        let mut looks = None;
         let mut pending = actions;
         let patience = (self.arrived + self.job.admission.patience()).min(self.deadline);
         loop {
@@ -225,6 +230,7 @@
                     Action::Offer(upstream) => self.offer(upstream),
                     Action::NoteWait(wait) => self.state.note_wait(&self.job, wait),
                     Action::CollectFor(time) => collected = Some(self.state.now() + time),
+                    Action::AwaitUpstreams => looks = Some(self.state.now() + LOOK_AGAIN),
                     Action::Withdraw(upstream) => {
                         self.withdraw(&upstream, Withdrawal::GivenUp);
                     }
@@ -246,9 +252,8 @@
             } else {
                 patience
             };
-            let next = collected
-                .filter(|c| *c > now)
-                .map_or(until, |c| c.min(until));
+            let wakes = [collected, looks].into_iter().flatten();
+            let next = wakes.filter(|at| *at > now).fold(until, Moment::min);
             let at = self.state.instant(next);
             tokio::select! {
                 Some(event) = self.heard.recv() => if self.is_current(&event) {
@@ -259,11 +264,15 @@
                     return Sought::Ended(Outcome::cancelled);
                 }
                 () = actix_rt::time::sleep_until(at.into()) => {
-                    let event = match self.state.now() >= until {
-                        true => Event::PatienceEnded,
-                        false => Event::Collected,
+                    let now = self.state.now();
+                    let event = if now >= until {
+                        Event::PatienceEnded
+                    } else if looks.take_if(|at| *at <= now).is_some() {
+                        Event::Upstreams(self.state.candidates(&self.job))
+                    } else {
+                        collected = None;
+                        Event::Collected
                     };
-                    collected = None;
                     pending = self.dispatch.on(event);
                 }
             }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -248,6 +248,7 @@
             }
             Judgement::Failed => outliers.failed(now, upstream),
             Judgement::Unreachable => outliers.unreachable(now, upstream),
+            Judgement::Replaced => outliers.replaced(now, upstream),
         };
         if let Some(time) = ejected {
             info!(self.log, "upstream gets no new work for a while";
@@ -372,7 +373,7 @@
         let (ejected, sound): (Vec<Candidate>, Vec<Candidate>) = upstreams
             .iter()
             .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
-            .filter(|(name, _)| !leaving.contains(*name))
+            .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
             .map(|(name, u)| candidate(name, u))
             .partition(|c| outliers.is_ejected(now, &c.upstream));
         // One that fails is better than none.
--- a/src/outlier.rs
+++ b/src/outlier.rs
@@ -24,6 +24,10 @@
 /// The longest time without new work.
 const EJECTED_MAX: Duration = Duration::from_secs(4);
 
+/// The time for which an upstream gets nothing after another one has answered
+/// at its address: its registration lapses within a few heartbeats.
+const REPLACED_FOR: Duration = Duration::from_secs(10);
+
 /// What became of a request at an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Judgement {
@@ -33,6 +37,8 @@
     Failed,
     /// No connection came about.
     Unreachable,
+    /// Another upstream has answered at its address.
+    Replaced,
 }
 
 /// What an entry has seen of its upstreams.
@@ -46,6 +52,7 @@
     failing: f64,
     ejections: u32,
     until: Option<Moment>,
+    replaced_until: Option<Moment>,
 }
 
 impl Outliers {
@@ -83,6 +90,20 @@
         seen.eject(now)
     }
 
+    /// Notes that another upstream has answered at the address of this one.
+    /// Gives the time for which it gets nothing.
+    pub fn replaced(&mut self, now: Moment, upstream: &Name) -> Option<Duration> {
+        let seen = self.upstreams.entry(upstream.clone()).or_default();
+        seen.replaced_until = Some(now + REPLACED_FOR);
+        Some(REPLACED_FOR)
+    }
+
+    /// Whether another upstream has answered at the address of this one.
+    pub fn is_replaced(&self, now: Moment, upstream: &Name) -> bool {
+        let until = self.upstreams.get(upstream).and_then(|s| s.replaced_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Whether an upstream gets no new work now.
     pub fn is_ejected(&self, now: Moment, upstream: &Name) -> bool {
         let until = self.upstreams.get(upstream).and_then(|s| s.until);
--- a/src/outlier/tests.rs
+++ b/src/outlier/tests.rs
@@ -48,3 +48,12 @@
         Some(EJECTED_MIN)
     );
 }
+
+#[test]
+fn one_whose_address_is_another_ones_is_left_out_until_its_registration_has_lapsed() {
+    let upstream = Name::new("replaced");
+    let mut outliers = Outliers::new();
+    outliers.replaced(at(0), &upstream);
+    assert!(outliers.is_replaced(at(9_999), &upstream));
+    assert!(!outliers.is_replaced(at(10_000), &upstream));
+}
