Serve the first callers after a restart of all from what is kept of the tolerated use

Ruled out: hearing of each other (all five known within 0.1 s). Change: 0.35 of what is kept of the users' tolerance is given after such a start, shared by all entries; two such starts in a window stay within it. An entry that knows of no other gives none. Tests: the first callers after a restart of all (failed before); two restarts in a window within what is tolerated.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -5,14 +5,15 @@
 //! all, so that everyone knows what was spent in the last window. Entries that
 //! are silent may be spending too: an equal part of the quota is kept for each
 //! of them. An entry that starts anew takes the sum of the window from those
-//! that are older, and assumes most of the quota spent where there are none.
+//! that are older, and assumes the quota spent where there are none.
 //!
 //! Where a quota is lowered, what was spent before counts as the part of the
 //! quota that it was when it was spent: an organisation that was within its
 //! quota is not shut out for a window.
 //!
 //! Operators may tolerate some use beyond a quota. A part of that tolerance is
-//! given to callers; the rest covers what is spent between two reports.
+//! given to callers; the rest covers what is spent between two reports, and
+//! serves the first callers after a start of all entries.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -41,9 +42,10 @@
 /// The part of the tolerated units beyond that part that callers get.
 const SLACK_USED: f64 = 0.45;
 
-/// The part of a quota that counts as spent in the window before a start of
-/// which nobody knows anything: all that may have been.
-const ASSUMED_SPENT: f64 = 1.0;
+/// The part of what is kept of the tolerated use that callers get after a
+/// start of all entries, of which nobody knows what was spent before: two such
+/// starts in a window leave some of it.
+const RESTART_USED: f64 = 0.35;
 
 /// The parts of a window in which a sum that was taken over is let go.
 const PARTS: u32 = 16;
@@ -69,12 +71,25 @@
 impl Measure {
     /// The units of a window that callers get.
     fn allowed(self, rate: QuotaRate) -> f64 {
-        let quota = rate.per_second * self.window.as_secs_f64() + rate.burst;
-        let slack = match rate.unit {
-            QuotaUnit::Tokens => self.slack * SLACK_USED,
+        let quota = self.quota(rate);
+        quota + quota * self.over * OVER_USED + self.slack(rate) * SLACK_USED
+    }
+
+    /// The tolerated units of a window beyond those that callers get.
+    fn kept(self, rate: QuotaRate) -> f64 {
+        let over = self.quota(rate) * self.over;
+        over * (1.0 - OVER_USED) + self.slack(rate) * (1.0 - SLACK_USED)
+    }
+
+    fn quota(self, rate: QuotaRate) -> f64 {
+        rate.per_second * self.window.as_secs_f64() + rate.burst
+    }
+
+    fn slack(self, rate: QuotaRate) -> f64 {
+        match rate.unit {
+            QuotaUnit::Tokens => self.slack,
             QuotaUnit::Requests => 0.0,
-        };
-        quota * (1.0 + self.over * OVER_USED) + slack
+        }
     }
 }
 
@@ -190,7 +205,8 @@
         let allowed = measure.allowed(rate);
         let unforgotten = self.unforgotten(now, measure.window);
         if !self.organisations.contains_key(organisation) {
-            let account = self.new_account(now, organisation, allowed, measure.window);
+            let kept = measure.kept(rate);
+            let account = self.new_account(now, organisation, allowed, kept, measure.window);
             self.organisations.insert(organisation.clone(), account);
         }
         let Some(account) = self.organisations.get_mut(organisation) else {
@@ -289,6 +305,7 @@
         now: Moment,
         organisation: &Name,
         allowed: f64,
+        kept: f64,
         window: Duration,
     ) -> Account {
         let mut account = Account::new(allowed);
@@ -296,7 +313,9 @@
         let reported = heard.filter_map(|p| p.spends.get(organisation).map(|s| s.window));
         match reported.reduce(f64::max) {
             Some(spent) => account.spread(now, spent, window),
-            None => account.assumed = ASSUMED_SPENT,
+            // One that knows of no other can't share what is kept.
+            None if self.entries == 1 => account.assumed = 1.0,
+            None => account.assumed = (1.0 - RESTART_USED * kept / allowed).max(0.0),
         }
         account
     }
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -110,10 +110,15 @@
     spent: Vec<(u64, f64)>,
     /// The number of the next life.
     next: u64,
+    measure: Measure,
 }
 
 impl Fleet {
     fn new(count: u64) -> Self {
+        Self::with_measure(count, MEASURE)
+    }
+
+    fn with_measure(count: u64, measure: Measure) -> Self {
         let start = |life| {
             let mut quota = Quota::new(at(0));
             quota.set_entries(usize::try_from(count).unwrap_or(1));
@@ -124,6 +129,7 @@
             silent: vec![0; usize::try_from(count).unwrap_or(1)],
             spent: Vec::new(),
             next: count,
+            measure,
         }
     }
 
@@ -143,7 +149,9 @@
     }
 
     fn spend(&mut self, now: u64, entry: usize, units: f64) {
-        if spend(&mut self.entries[entry].1, now, units).is_ok() {
+        let quota = &mut self.entries[entry].1;
+        let passed = quota.spend(at(now), &organisation(), RATE, self.measure, units);
+        if passed.is_ok() {
             self.spent.push((now, units));
         }
     }
@@ -223,6 +231,50 @@
     assert!(worst <= QUOTA * 1.05 + 500.0, "{worst}");
 }
 
+const TOLERANT: Measure = Measure {
+    over: 0.1,
+    slack: 10_000.0,
+    ..MEASURE
+};
+
+const TOLERATED: f64 = QUOTA * 1.1 + 10_000.0;
+
+#[test]
+fn two_restarts_of_all_entries_in_a_window_stay_within_what_is_tolerated() {
+    let mut fleet = Fleet::with_measure(5, TOLERANT);
+    for now in (0..30_000).step_by(10) {
+        for begun in [13_000, 17_000] {
+            // Each takes a second, and they start one after the other.
+            if let Some(entry) = (0..5).find(|entry| now == begun + 800 + 40 * entry) {
+                fleet.restart(now, usize::try_from(entry).unwrap_or(0));
+            }
+        }
+        if now % 50 == 0 {
+            fleet.exchange(now);
+        }
+        let entry = usize::try_from(now / 10 % 5).unwrap_or(0);
+        let down = [13_000, 17_000]
+            .iter()
+            .any(|t| (*t..t + 1_000).contains(&now));
+        if !down {
+            fleet.spend(now, entry, 100.0);
+        }
+    }
+    let worst = fleet.worst_window();
+    assert!(worst <= TOLERATED, "{worst}");
+}
+
+#[test]
+fn the_first_callers_after_a_restart_of_all_entries_are_served() {
+    let mut fleet = Fleet::with_measure(5, TOLERANT);
+    (0..5).for_each(|entry| fleet.restart(GROWN_UP, entry));
+    fleet.exchange(GROWN_UP);
+    for entry in 0..5 {
+        fleet.spend(GROWN_UP + 10, entry, 400.0);
+    }
+    assert_eq!(fleet.spent.len(), 5);
+}
+
 #[test]
 fn without_faults_the_quota_is_used_up() {
     let mut fleet = Fleet::new(5);
