Use only the upstreams to whose agents an entry connects

Cause: where a service has more agents than an entry keeps connections to, the entry sent to the others by its own estimate, one request each at least. Change: an upstream that has an agent is used by the entries that connect to it, also while that connection is down.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +39,7 @@
 use crate::ids::LinkId;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::settings::Upstream;
 use crate::site_key::SiteKey;
 use crate::subset;
 
@@ -109,6 +111,8 @@
     /// The id of the last connection that came up.
     last: Cell<u64>,
     up: RefCell<BTreeMap<Name, Link>>,
+    /// The upstreams to whose agents it connects.
+    chosen: RefCell<BTreeSet<Name>>,
     /// Requests that have to hear when the connection to an agent is lost.
     waiting: RefCell<HashMap<Name, HashMap<RequestId, UnboundedSender<Event>>>>,
 }
@@ -130,6 +134,7 @@
             log,
             last: Cell::new(0),
             up: RefCell::default(),
+            chosen: RefCell::default(),
             waiting: RefCell::default(),
         }
     }
@@ -139,6 +144,13 @@
         self.up.borrow().get(upstream).cloned()
     }
 
+    /// Whether this entry sends to `upstream`: it has no agent, or is one of
+    /// those to whose agents the entry connects. Without this bound every
+    /// entry would use a part of every upstream that no agent sees.
+    pub fn may_use(&self, name: &Name, upstream: &Upstream) -> bool {
+        upstream.agent.is_none() || self.chosen.borrow().contains(name)
+    }
+
     /// The number of connections that are up.
     pub fn count(&self) -> usize {
         self.up.borrow().len()
@@ -160,7 +172,6 @@
 
     /// Connects to the agents of the directory, and follows changes.
     pub async fn run(self: Rc<Self>) {
-        let site_key = self.config.site_key.wait().await;
         let mut changes = self.directory.subscribe();
         let mut revisions = self.current.subscribe();
         let mut tasks: BTreeMap<(Name, SocketAddr), JoinHandle<()>> = BTreeMap::new();
@@ -173,6 +184,7 @@
                 .filter(|(name, _)| chosen.contains(*name))
                 .filter_map(|(name, u)| Some(((name.clone(), u.agent?), ())))
                 .collect();
+            self.chosen.replace(chosen);
             tasks.retain(|key, task| {
                 let keep = wanted.contains_key(key);
                 if !keep {
@@ -184,10 +196,9 @@
             for key in wanted.into_keys() {
                 let (name, address) = key.clone();
                 let this = Rc::clone(&self);
-                let site_key = site_key.clone();
                 tasks
                     .entry(key)
-                    .or_insert_with(|| actix_rt::spawn(this.keep(name, address, site_key)));
+                    .or_insert_with(|| actix_rt::spawn(this.keep(name, address)));
             }
             let changed = tokio::select! {
                 changed = changes.changed() => changed,
@@ -200,7 +211,8 @@
     }
 
     /// Keeps one connection up.
-    async fn keep(self: Rc<Self>, upstream: Name, address: SocketAddr, key: SiteKey) {
+    async fn keep(self: Rc<Self>, upstream: Name, address: SocketAddr) {
+        let key = self.config.site_key.wait().await;
         let mut pause = RECONNECT_MIN;
         loop {
             let since = Instant::now();
