Refuse at once what would wait in vain in lasting overload

An agent judges by its own queue and a request stays where any of the six that it asks expects a short wait; with 51 agents one of six nearly always does. Ruled out: the number of connections (trial with all agents: the same). Change: throttle, a module without network or clock: for each line (service, rank, organisation) an entry counts what came and what got room in the last two seconds, lets 1.2 times the latter wait and refuses the rest at once, by chance. Tests: lasting overload (fewer than a quarter of the served wait in vain, all room is used), a load that fits, another organisation, an overload that is over. A dispatch test expected no action for a request that waits; it is told now.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -86,6 +86,8 @@
     Send(Name, GrantId),
     /// Take back the ticket for an upstream.
     Withdraw(Name),
+    /// The request waits at desks that have no room for it now.
+    Waits,
     /// None of the upstreams is there; tell of `Upstreams` after a moment.
     AwaitUpstreams,
     /// Remember that requests like this one are expected to wait for so long.
@@ -283,7 +285,8 @@
                 actions.extend(self.refuse(wait));
                 actions
             }
-            _ => Vec::new(),
+            Some(_) => vec![Action::Waits],
+            None => Vec::new(),
         }
     }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -92,6 +92,8 @@
     attempts: u32,
     /// Whether an upstream may have run it.
     may_have_run: bool,
+    /// Whether the throttle has counted it.
+    counted: bool,
     events: UnboundedSender<Event>,
     heard: UnboundedReceiver<Event>,
     relay: Relay,
@@ -145,6 +147,7 @@
             sent_to: None,
             attempts: 0,
             may_have_run: false,
+            counted: false,
             events,
             heard,
             claimed,
@@ -163,8 +166,13 @@
     async fn carry(&mut self) -> Outcome {
         let longest = self.job.admission.longest_wait();
         let known = self.state.known_wait(&self.job);
-        let mut actions = match known.filter(|wait| *wait > longest) {
-            Some(wait) => self.dispatch.refuse(wait),
+        let known = known.filter(|wait| *wait > longest);
+        let throttled = || self.state.is_throttled(&self.job).then_some(longest);
+        let mut actions = match known.or_else(throttled) {
+            Some(wait) => {
+                self.state.note_came(&self.job);
+                self.dispatch.refuse(wait)
+            }
             None => self.dispatch.start(),
         };
         loop {
@@ -228,13 +236,19 @@
             for action in std::mem::take(&mut pending) {
                 match action {
                     Action::Offer(upstream) => self.offer(upstream),
-                    Action::NoteWait(wait) => self.state.note_wait(&self.job, wait),
+                    Action::NoteWait(wait) => {
+                        self.note_came();
+                        self.state.note_wait(&self.job, wait);
+                    }
+                    Action::Waits => self.note_came(),
                     Action::CollectFor(time) => collected = Some(self.state.now() + time),
                     Action::AwaitUpstreams => looks = Some(self.state.now() + LOOK_AGAIN),
                     Action::Withdraw(upstream) => {
                         self.withdraw(&upstream, Withdrawal::GivenUp);
                     }
                     Action::Send(upstream, grant) => {
+                        self.note_came();
+                        self.state.note_room(&self.job);
                         self.withdraw_rest(&upstream);
                         return Sought::Chosen(upstream, grant);
                     }
@@ -279,6 +293,13 @@
         }
     }
 
+    /// Counts the request once, however often it is sent.
+    fn note_came(&mut self) {
+        if !std::mem::replace(&mut self.counted, true) {
+            self.state.note_came(&self.job);
+        }
+    }
+
     /// Whether an event concerns a ticket where it lies now.
     fn is_current(&self, event: &Event) -> bool {
         match event {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -57,6 +57,7 @@
 use crate::routing::Candidate;
 use crate::settings::Settings;
 use crate::settings::Upstream;
+use crate::throttle::Throttle;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
@@ -111,6 +112,7 @@
     budget: RefCell<RetryBudget>,
     outliers: RefCell<Outliers>,
     pressure: RefCell<Pressure>,
+    throttle: RefCell<Throttle>,
     released: Notify,
     burn: RefCell<BurnLog>,
     upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
@@ -160,6 +162,7 @@
             budget: RefCell::default(),
             outliers: RefCell::default(),
             pressure: RefCell::default(),
+            throttle: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
             upstream_outcomes: RefCell::default(),
@@ -270,6 +273,24 @@
         self.pressure.borrow_mut().wait(self.now(), &job.line())
     }
 
+    /// Whether a request like `job` is to be refused, since lately far more
+    /// of them came than got room.
+    pub fn is_throttled(&self, job: &Job) -> bool {
+        let mut throttle = self.throttle.borrow_mut();
+        let part = throttle.refused_part(self.now(), &job.line());
+        part > 0.0 && self.rng.borrow_mut().random_bool(part)
+    }
+
+    /// Notes that a request like `job` came, and whether it got room at once.
+    pub fn note_came(&self, job: &Job) {
+        self.throttle.borrow_mut().came(self.now(), job.line());
+    }
+
+    /// Notes that a request like `job` got room.
+    pub fn note_room(&self, job: &Job) {
+        self.throttle.borrow_mut().got_room(self.now(), job.line());
+    }
+
     /// Where the ticket of a request for `upstream` is to lie.
     pub fn seat(&self, upstream: &Name) -> Seat {
         match self.links.get(upstream) {
@@ -373,6 +394,7 @@
         let (ejected, sound): (Vec<Candidate>, Vec<Candidate>) = upstreams
             .iter()
             .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
+            .filter(|(name, u)| self.links.may_use(name, u))
             .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
             .map(|(name, u)| candidate(name, u))
             .partition(|c| outliers.is_ejected(now, &c.upstream));
@@ -392,6 +414,7 @@
         self.affinity.borrow_mut().retain(|name, _| stays(name));
         let mut outstanding = self.outstanding.borrow_mut();
         outstanding.retain(|name, count| *count > 0 || stays(name));
+        self.throttle.borrow_mut().forget_idle(self.now());
     }
 
     /// Notes which hosts are about to be taken away.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 mod strict_connector;
 pub mod subset;
 pub mod taken;
+pub mod throttle;
 pub mod ticket;
 pub mod units;
 pub mod usage;
