--- a/src/current.rs
+++ b/src/current.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -110,6 +111,18 @@
         self.revision() > Revision::default()
     }
 
+    /// Waits `within` this time until settings are in force; says whether they
+    /// are.
+    pub async fn settled(&self, within: Duration) -> bool {
+        if self.is_ready() {
+            return true;
+        }
+        let mut revisions = self.subscribe();
+        let settled = revisions.wait_for(|revision| *revision > Revision::default());
+        let settled = actix_rt::time::timeout(within, settled).await;
+        settled.is_ok_and(|revision| revision.is_ok())
+    }
+
     /// Puts a configuration in force if its revision is higher than the
     /// present one, and says whether it was.
     pub fn adopt(&self, revision: Revision, document: Document) -> Result<bool, SettingsError> {
--- a/src/current/tests.rs
+++ b/src/current/tests.rs
@@ -72,3 +72,16 @@
     ));
     assert_eq!(theirs.revision(), Revision(3));
 }
+
+#[actix_rt::test]
+async fn callers_wait_for_the_first_settings_and_no_longer_than_allowed() {
+    let current = Current::new();
+    assert!(!current.settled(Duration::ZERO).await);
+    let adopting = async {
+        let adopted = current.adopt(Revision(1), document(1));
+        assert!(adopted.expect("the settings are valid"));
+    };
+    let (settled, ()) = futures::join!(current.settled(Duration::MAX), adopting);
+    assert!(settled);
+    assert!(current.settled(Duration::ZERO).await);
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::burn::BurnKey;
+use crate::clock::Moment;
 use crate::dispatch::Event;
 use crate::entry::error::CallerError;
 use crate::entry::keyed;
@@ -43,6 +44,10 @@
 /// Parts of an answer that wait for a slow caller.
 const REPLIES_AHEAD: usize = 4;
 
+/// The time after a start in which callers wait for the first settings: a
+/// platform that answers tells them within a fraction of it.
+const FIRST_SETTINGS: Duration = Duration::from_secs(1);
+
 /// When an organisation that has used up its limit may come back.
 const LIMITED_RETRY: Duration = Duration::from_secs(1);
 
@@ -135,10 +140,11 @@
     if state.is_ending() {
         return Err(CallerError::Stopping.into());
     }
-    if !state.current.is_ready() {
+    let arrived = state.now();
+    let left = arrived.until(Moment::new(FIRST_SETTINGS));
+    if !state.current.settled(left).await {
         return Err(CallerError::NotReady.into());
     }
-    let arrived = state.now();
     let settings = state.current.settings();
     let dialect = Rc::clone(&state.dialect);
     let draw = |total| state.draw(total);
