Learn an upstream's pace from its running requests

Cause: the time for a generated token was known only once an answer had ended. Ruled out: asking more agents (no quote of theirs tells engines apart then). Change: the report that an agent reads beside its upstream tells of each running request; progress, a module without network or clock, makes of two reports what was generated in between. The stand-alone engine's report tells no such thing. Tests: the pace of long answers before they end, prompts that are processed, an engine that stands still, a request that was put back.

--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -11,6 +11,8 @@
 
 use crate::agent::state::AgentState;
 use crate::http_client::new_client;
+use crate::progress::Progress;
+use crate::progress::RunningRequest;
 
 /// The time between two looks at a report that lags.
 const LAGGING_LOOK: Duration = Duration::from_secs(2);
@@ -18,11 +20,19 @@
 /// The time that the upstream gets to answer.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What an upstream says of its load.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    /// The requests that it holds.
+    pub held: usize,
+    /// The requests that it works on, where it tells of each.
+    pub running: Vec<RunningRequest>,
+}
+
 /// How an upstream tells its load.
 pub trait LoadSource {
-    /// The requests that the upstream at `address` holds; none if it can't
-    /// be read.
-    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<usize>>;
+    /// The report of the upstream at `address`; none if it can't be read.
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<LoadReport>>;
 
     /// The time between two looks.
     fn interval(&self) -> Duration;
@@ -58,11 +68,15 @@
 }
 
 impl LoadSource for EngineLoad {
-    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<usize>> {
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<LoadReport>> {
         let req = self.client.get(format!("http://{address}/load"));
         async move {
             let mut res = req.send().await.ok()?;
-            res.json::<Load>().await.ok().map(|load| load.running)
+            let load = res.json::<Load>().await.ok()?;
+            Some(LoadReport {
+                held: load.running,
+                running: Vec::new(),
+            })
         }
         .boxed_local()
     }
@@ -78,11 +92,15 @@
 
 /// Reads the report of a model engine until the task ends.
 pub async fn follow(state: Rc<AgentState>, source: Rc<dyn LoadSource>) {
+    let mut progress = Progress::new();
     loop {
         if let Some(address) = state.address().filter(|_| state.is_model()) {
             let read = actix_rt::time::timeout(ENGINE_TIMEOUT, source.read(address));
-            if let Ok(Some(held)) = read.await {
-                state.reported(held, source.is_fresh());
+            if let Ok(Some(report)) = read.await {
+                state.reported(report.held, source.is_fresh());
+                if let Some(generated) = progress.note(state.now(), &report.running) {
+                    state.generated(generated);
+                }
             }
         }
         actix_rt::time::sleep(source.interval()).await;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -15,6 +15,7 @@
 
 pub use listener::reader_options;
 pub use load::EngineLoad;
+pub use load::LoadReport;
 pub use load::LoadSource;
 
 use crate::agent::orders::Orders;
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -26,6 +26,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::progress::Generated;
 use crate::settings::Fencing;
 use crate::settings::Settings;
 use crate::settings::Upstream;
@@ -194,6 +195,11 @@
         }
     }
 
+    /// Takes in what the upstream has generated since its last report.
+    pub fn generated(&self, generated: Generated) {
+        self.desk.borrow_mut().generated(self.now(), generated);
+    }
+
     /// Ends the requests of a connection that has ended: its entry is gone,
     /// or goes on without this agent.
     pub fn session_ended(&self, session: SessionId) {
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -15,6 +15,7 @@
 use crate::pace::Pace;
 use crate::prefix::CHUNK_TOKENS;
 use crate::prefix::PrefixIndex;
+use crate::progress::Generated;
 use crate::queue::Pushed;
 use crate::queue::Queue;
 use crate::settings::Settings;
@@ -270,6 +271,11 @@
         self.grant(now)
     }
 
+    /// Takes in what the upstream has generated since its last report.
+    pub fn generated(&mut self, now: Moment, generated: Generated) {
+        self.pace.generated(now, generated.tokens, generated.took);
+    }
+
     /// Hands back what has waited too long, takes back grants that lapsed,
     /// and grants the room that this leaves.
     pub fn tick(&mut self, now: Moment) -> Vec<Notice> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod presence;
 pub mod pressure;
 pub mod programs;
+pub mod progress;
 pub mod prompt;
 pub mod queue;
 pub mod quota;
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -65,6 +65,12 @@
         self.whole.note(now, 1.0, whole);
     }
 
+    /// Notes that this many tokens were generated in `took`, summed over the
+    /// requests that were running.
+    pub fn generated(&mut self, now: Moment, tokens: u64, took: Duration) {
+        self.output.note(now, tokens as f64, took);
+    }
+
     /// Whether any work has ended.
     pub fn is_known(&self) -> bool {
         self.whole.units > 0.0
