Explain a request from the logs of several processes

almondramp explain ID reads JSON lines from files or standard input, prints the request's lines in the order of time and the cause of its end, as a table or in JSON, and names the lines that it could not read.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -76,6 +76,15 @@
         /// The form of the report.
         format: ReportFormat,
     },
+    /// Show the way of a request through logs.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// The logs; standard input where there are none.
+        files: Vec<PathBuf>,
+        /// The form of the report.
+        format: ReportFormat,
+    },
     /// Print the completions for a shell.
     Completions(Shell),
 }
@@ -161,6 +170,7 @@
                 .arg(site_key_arg()),
         )
         .subcommand(report_command())
+        .subcommand(explain_command())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -211,6 +221,14 @@
             upstream: text(matches, "upstream"),
         }),
         "report" => report_action(matches),
+        "explain" => {
+            let files = matches.get_many::<PathBuf>("file").unwrap_or_default();
+            Some(OperatorAction::Explain {
+                id: text(matches, "id"),
+                files: files.cloned().collect(),
+                format: format(matches),
+            })
+        }
         "completions" => {
             let shell = matches.get_one::<Shell>("shell");
             shell.copied().map(OperatorAction::Completions)
@@ -219,6 +237,26 @@
     }
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Show the way of a request through the logs of several processes")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("The request's id, as its caller knows it")
+                .required(true),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("Logs in JSON lines [default: standard input]")
+                .value_parser(value_parser!(PathBuf))
+                .value_hint(ValueHint::FilePath)
+                .action(ArgAction::Append),
+        )
+        .arg(format_arg())
+}
+
 fn report_command() -> Command {
     Command::new("report")
         .about("Report what the entries have counted")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod events;
 pub mod exchange;
 pub mod exit_codes;
+pub mod explain;
 pub mod handshake;
 pub mod headers;
 pub mod health;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,6 +1,7 @@
 //! What operators do from the command line.
 
 mod agents;
+mod explain;
 mod store;
 
 use std::io::Write;
@@ -55,6 +56,7 @@
             let report = actix_rt::System::new().block_on(burn_report(&entries));
             print_burn(&report, format)
         }
+        OperatorAction::Explain { id, files, format } => explain::explain(&id, &files, format),
         OperatorAction::Completions(_) => Ok(ExitCode::Success),
     }
 }
--- a/tests/it/operators.rs
+++ b/tests/it/operators.rs
@@ -39,6 +39,34 @@
     insta::assert_snapshot!(text(&output.stderr));
 }
 
+#[test]
+fn explain_prints_one_request_from_several_logs_and_tells_what_it_could_not_read() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (one, two) = (folder.path().join("one"), folder.path().join("two"));
+    let line = |ts: &str, rest: &str| {
+        format!("{{\"ts\":\"2026-12-01T10:00:{ts}Z\",\"request\":\"r-1\",{rest}}}\n")
+    };
+    let ended = line("02", "\"msg\":\"request given up\",\"code\":\"late\"");
+    let sent = line("01.5", "\"msg\":\"request sent\",\"upstream\":\"i-1\"");
+    fs::write(&one, format!("{ended}no log line\n")).expect("a file");
+    fs::write(&two, sent).expect("a file");
+    let output = almondramp(&["explain", "r-1", path(&one), path(&two)]);
+    assert_eq!(output.status.code(), Some(4));
+    let printed = text(&output.stdout);
+    let (first, last) = (printed.find("sent"), printed.find("given up"));
+    assert!(first < last && first.is_some(), "{printed}");
+    assert!(
+        printed.contains("r-1: refused: it found no room"),
+        "{printed}"
+    );
+    assert!(text(&output.stderr).contains("one:2: no JSON object"));
+    let output = almondramp(&["explain", "r-9", path(&two), "--format", "json"]);
+    assert_eq!(output.status.code(), Some(1));
+    let missing = almondramp(&["explain", "r-1", "/nowhere/at/all"]);
+    assert_eq!(missing.status.code(), Some(1));
+    assert!(text(&missing.stderr).contains("cannot read /nowhere/at/all"));
+}
+
 #[test]
 fn help_and_version_are_there_for_every_program() {
     for program in [
