--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -78,9 +78,7 @@
 impl Attempt<'_> {
     /// Sends the request and passes the answer on.
     pub async fn run(&self, relay: &mut Relay, claimed: &mut Option<Claimed>) -> Ended {
-        // It may have begun to leave while the ticket waited there.
-        let upstream = self.state.directory.get(self.upstream);
-        let Some(upstream) = upstream.filter(|u| !u.leaving) else {
+        let Some(upstream) = self.staying() else {
             return self.unreachable();
         };
         let until = self.state.instant(self.cut);
@@ -95,10 +93,21 @@
         }
     }
 
+    /// The upstream; none if it has begun to leave, or is gone, since the
+    /// ticket was offered.
+    fn staying(&self) -> Option<Upstream> {
+        let upstream = self.state.directory.get(self.upstream);
+        upstream.filter(|u| !u.leaving)
+    }
+
     /// Sends the request and waits for the head of its answer.
     async fn open(&self, upstream: &Upstream, relay: &Relay) -> Result<Answer, Ended> {
         let stream = exchange::connect(upstream.address).await;
         let stream = stream.map_err(|e| self.failed(&e))?;
+        // It may have begun to leave while the connection came about.
+        if self.staying().is_none() {
+            return Err(self.unreachable());
+        }
         self.state.sent(self.upstream, &self.job.prefix);
         let call = self.call(upstream, relay);
         let sent = exchange::send(stream, &call);
