--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,143 @@
+//! What decisions cost, by the number of requests that wait, and what a large
+//! configuration costs.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::time::Duration;
+
+use almondramp::clock::Moment;
+use almondramp::desk::Desk;
+use almondramp::desk::DeskConfig;
+use almondramp::ids::Incarnation;
+use almondramp::ids::RequestId;
+use almondramp::name::Name;
+use almondramp::pressure::Line;
+use almondramp::settings::Document;
+use almondramp::settings::File;
+use almondramp::settings::Settings;
+use almondramp::throttle::Throttle;
+use almondramp::ticket::Ticket;
+use almondramp::ticket::Withdrawal;
+use almondramp::ticket::Work;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+
+const NOW: Moment = Moment::new(Duration::from_secs(1));
+
+const LATER: Moment = Moment::new(Duration::from_secs(60));
+
+fn ticket(sequence: u64) -> Ticket {
+    Ticket {
+        request: RequestId {
+            incarnation: Incarnation(1),
+            sequence,
+        },
+        organisation: Name::new(&format!("organisation-{}", sequence % 50)),
+        order: (sequence % 3) as u8,
+        deadline: LATER,
+        objective: LATER,
+        patience: LATER,
+        work: Work {
+            prefill: 1_000,
+            cached: 0,
+            output: 100,
+        },
+        prefix: Vec::new(),
+        idempotent: false,
+    }
+}
+
+/// A desk without free slots at which so many tickets wait.
+fn busy_desk(waiting: u64) -> Desk {
+    let mut desk = Desk::new(DeskConfig {
+        slots: 8,
+        tickets: 20_000,
+        grant_valid: Duration::from_secs(600),
+        weights: BTreeMap::new(),
+        cache_tokens: 0,
+    });
+    for sequence in 0..waiting + 8 {
+        desk.offer(NOW, ticket(sequence));
+    }
+    desk
+}
+
+fn desk_decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("desk: offer and withdraw");
+    for waiting in [10, 100, 1_000, 10_000] {
+        let mut desk = busy_desk(waiting);
+        let mut sequence = 1_000_000;
+        group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
+            b.iter(|| {
+                sequence += 1;
+                let ticket = ticket(sequence);
+                let request = ticket.request;
+                black_box(desk.offer(NOW, ticket));
+                desk.withdraw(NOW, request, Withdrawal::GivenUp)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn throttle_decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("throttle: part and count");
+    for lines in [10, 100, 1_000, 10_000] {
+        let line = |i: u64| Line {
+            service: Name::new("pool"),
+            order: 1,
+            organisation: Name::new(&format!("organisation-{i}")),
+        };
+        let mut throttle = Throttle::new();
+        (0..lines).for_each(|i| throttle.came(NOW, line(i)));
+        let one = line(lines / 2);
+        group.bench_function(BenchmarkId::from_parameter(lines), |b| {
+            b.iter(|| {
+                throttle.came(NOW, one.clone());
+                throttle.refused_part(NOW, &one)
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Settings with so many routes, over 16 files.
+fn document(routes: usize) -> Document {
+    let mut texts = vec![String::new(); 16];
+    for i in 0..routes {
+        let route = format!(
+            "[routes.route-{i}]\nkind = \"service\"\nhost = \"h{i}.example\"\npath = \"/p{i}/\"\nservice = \"pool\"\n\
+             tier = \"usual\"\n"
+        );
+        texts[i % 16].push_str(&route);
+    }
+    let routes = texts.into_iter().enumerate().map(|(i, text)| File {
+        name: Name::new(&format!("routes-{i:02}.toml")),
+        text,
+    });
+    let base = File {
+        name: Name::new("base.toml"),
+        text:
+            "tiers.usual.order = 0\ntiers.usual.deadline = \"1s\"\nservices.pool.kind = \"service\"\n\
+               limits.discovered = true"
+                .to_owned(),
+    };
+    Document::new(std::iter::once(base).chain(routes).collect())
+}
+
+fn settings(c: &mut Criterion) {
+    let mut group = c.benchmark_group("settings: read and check");
+    group.sample_size(10);
+    for routes in [10, 100, 1_000, 10_000] {
+        let document = document(routes);
+        group.bench_function(BenchmarkId::from_parameter(routes), |b| {
+            b.iter(|| Settings::new(&document).unwrap_or_else(|e| panic!("{e}")));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, desk_decisions, throttle_decisions, settings);
+criterion_main!(benches);
