Tell that answers were collected also where that fell due while the entry was busy

Found in reading: the end of collecting the answers to the first tickets was forgotten where it fell due while another event was handled. A request of which one agent was silent then waited until its patience was over, though others had granted it room. Change: the moments for which a request waits are in a type of their own; one that has passed is still due. Tests: what fell due while the entry was busy, each moment once and in its time. The old rule dropped such a moment by its code; no test was run against it. The desk's bounds moved to a file of their own.

--- a/src/desk.rs
+++ b/src/desk.rs
@@ -4,7 +4,6 @@
 //! upstream without an agent that it can reach. A desk does no I/O. It takes
 //! the time as an argument and returns what has to be told to whom.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -18,8 +17,6 @@
 use crate::progress::Generated;
 use crate::queue::Pushed;
 use crate::queue::Queue;
-use crate::settings::Settings;
-use crate::settings::Upstream;
 use crate::taken::Taken;
 use crate::ticket::Grant;
 use crate::ticket::Offered;
@@ -30,9 +27,12 @@
 use crate::ticket::Withdrawal;
 use crate::ticket::Work;
 
+mod config;
 #[cfg(test)]
 mod tests;
 
+pub use config::DeskConfig;
+
 /// The shortest time after which coming back is suggested.
 const RETRY_FLOOR: Duration = Duration::from_millis(100);
 
@@ -51,39 +51,6 @@
 /// The least part of an upstream that is believed to be left to a tier.
 const LEAST_LEFT: f64 = 0.05;
 
-/// The bounds of a desk.
-#[derive(Clone, Debug)]
-pub struct DeskConfig {
-    /// Requests in flight at the upstream at most, grants included.
-    pub slots: usize,
-    /// Waiting tickets at most.
-    pub tickets: usize,
-    /// The time within which a grant may be accepted.
-    pub grant_valid: Duration,
-    /// Weights of organisations; 1 for those not named.
-    pub weights: BTreeMap<Name, u32>,
-    /// Prompt tokens that the engine's cache is believed to hold at most;
-    /// zero for an upstream without one.
-    pub cache_tokens: u64,
-}
-
-impl DeskConfig {
-    /// The bounds of a desk that has this many slots of `upstream`.
-    pub fn new(settings: &Settings, upstream: Option<&Upstream>, slots: usize) -> Self {
-        let organisations = settings.organisations.iter();
-        Self {
-            slots,
-            tickets: settings.limits.agent_tickets as usize,
-            grant_valid: settings.limits.grant_valid,
-            weights: organisations
-                .filter(|(_, o)| o.weight != 1)
-                .map(|(name, o)| (name.clone(), o.weight))
-                .collect(),
-            cache_tokens: upstream.map_or(0, |u| u.cache_tokens),
-        }
-    }
-}
-
 /// Something that has to be told to the entry of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
@@ -141,7 +108,7 @@
     pub fn new(config: DeskConfig) -> Self {
         Self {
             queue: Queue::new(config.tickets),
-            prefixes: PrefixIndex::new(cache_chunks(&config)),
+            prefixes: PrefixIndex::new(config.cache_chunks()),
             config,
             grants: HashMap::new(),
             running: HashMap::new(),
@@ -157,8 +124,8 @@
     /// Puts new bounds in force. Work that is already in flight stays.
     pub fn set_config(&mut self, config: DeskConfig) {
         self.queue.set_capacity(config.tickets);
-        if cache_chunks(&config) != cache_chunks(&self.config) {
-            self.prefixes = PrefixIndex::new(cache_chunks(&config));
+        if config.cache_chunks() != self.config.cache_chunks() {
+            self.prefixes = PrefixIndex::new(config.cache_chunks());
         }
         self.config = config;
     }
@@ -509,10 +476,6 @@
     }
 }
 
-fn cache_chunks(config: &DeskConfig) -> usize {
-    usize::try_from(config.cache_tokens / CHUNK_TOKENS).unwrap_or(usize::MAX)
-}
-
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/src/desk/tests.rs
+++ b/src/desk/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -25,9 +25,10 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How long the answers to the first tickets are collected before the best
-/// grant among them is accepted: a round trip between availability zones and
-/// the time of two short messages.
-const COLLECT: Duration = Duration::from_millis(5);
+/// grant among them is accepted, where an agent is silent: several round trips
+/// between availability zones, so that the answers of the others are in also
+/// where a slow host reads them late.
+const COLLECT: Duration = Duration::from_millis(20);
 
 /// A caller that is refused in a burst comes back after so many times the
 /// wait that it would have had.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod serve;
 mod state;
 mod waiter;
+mod wakes;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -59,7 +59,7 @@
             let Some(record) = self.due() else {
                 continue;
             };
-            match self.write(&record, version.take()).await {
+            match self.write(record, version.take()).await {
                 Ok(written) => {
                     version = Some(written);
                     failures = 0;
@@ -101,25 +101,30 @@
     }
 
     /// The record, where this entry keeps it and there is anything in it.
-    fn due(&self) -> Option<Record> {
+    fn due(&self) -> Option<Bytes> {
         let now = self.clock.now();
         let mut quota = self.quota.borrow_mut();
         if !quota.keeps_record(now, self.incarnation) {
             return None;
         }
-        quota.record(now, self.window(), unix_millis())
+        let record = quota.record(now, self.window(), unix_millis())?;
+        match serde_json::to_vec(&record) {
+            Ok(value) => Some(Bytes::from(value)),
+            Err(e) => {
+                warn!(self.log, "record of spending not written as JSON"; "error" => %e);
+                None
+            }
+        }
     }
 
-    async fn write(&self, record: &Record, known: Option<Version>) -> Result<Version, StoreError> {
+    async fn write(&self, record: Bytes, known: Option<Version>) -> Result<Version, StoreError> {
         let name = Name::new(OBJECT);
         let known = match known {
             Some(version) => Some(version),
             None => self.store.get(name.clone()).await?.map(|o| o.version),
         };
         let expected = known.map_or(Expected::Absent, Expected::Version);
-        // Numbers and names always have a form in JSON.
-        let value = serde_json::to_vec(record).map_err(|_| StoreError::TooLarge)?;
-        self.store.put(name, Bytes::from(value), expected).await
+        self.store.put(name, record, expected).await
     }
 
     fn window(&self) -> Duration {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,6 +26,8 @@
 use crate::entry::relay::Relay;
 use crate::entry::request::Job;
 use crate::entry::state::EntryState;
+use crate::entry::wakes::Due;
+use crate::entry::wakes::Wakes;
 use crate::headers::Header;
 use crate::ids::GrantId;
 use crate::ids::LinkId;
@@ -228,8 +230,7 @@
 
     /// Waits for room at an upstream.
     async fn seek(&mut self, actions: Vec<Action>) -> Sought {
-        let mut collected = None;
-        let mut looks = None;
+        let mut wakes = Wakes::new();
         let mut pending = actions;
         let patience = (self.arrived + self.job.admission.patience()).min(self.deadline);
         loop {
@@ -241,8 +242,8 @@
                         self.state.note_wait(&self.job, wait);
                     }
                     Action::Waits => self.note_came(),
-                    Action::CollectFor(time) => collected = Some(self.state.now() + time),
-                    Action::AwaitUpstreams => looks = Some(self.state.now() + LOOK_AGAIN),
+                    Action::CollectFor(time) => wakes.collect_until(self.state.now() + time),
+                    Action::AwaitUpstreams => wakes.look_at(self.state.now() + LOOK_AGAIN),
                     Action::Withdraw(upstream) => {
                         self.withdraw(&upstream, Withdrawal::GivenUp);
                     }
@@ -258,7 +259,6 @@
                     } => return Sought::Ended(self.give_up(refusal, retry_after).await),
                 }
             }
-            let now = self.state.now();
             // A request that went on after a part of its answer has its
             // deadline only.
             let until = if self.relay.has_begun() {
@@ -266,10 +266,10 @@
             } else {
                 patience
             };
-            let wakes = [collected, looks].into_iter().flatten();
-            let next = wakes.filter(|at| *at > now).fold(until, Moment::min);
-            let at = self.state.instant(next);
+            let at = self.state.instant(wakes.next(until));
             tokio::select! {
+                // What has been heard goes before the clock.
+                biased;
                 Some(event) = self.heard.recv() => if self.is_current(&event) {
                     pending = self.dispatch.on(event);
                 },
@@ -278,14 +278,11 @@
                     return Sought::Ended(Outcome::cancelled);
                 }
                 () = actix_rt::time::sleep_until(at.into()) => {
-                    let now = self.state.now();
-                    let event = if now >= until {
-                        Event::PatienceEnded
-                    } else if looks.take_if(|at| *at <= now).is_some() {
-                        Event::Upstreams(self.state.candidates(&self.job))
-                    } else {
-                        collected = None;
-                        Event::Collected
+                    let event = match wakes.due(self.state.now(), until) {
+                        Some(Due::Patience) => Event::PatienceEnded,
+                        Some(Due::Look) => Event::Upstreams(self.state.candidates(&self.job)),
+                        Some(Due::Collected) => Event::Collected,
+                        None => continue,
                     };
                     pending = self.dispatch.on(event);
                 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -281,7 +281,7 @@
         part > 0.0 && self.rng.borrow_mut().random_bool(part)
     }
 
-    /// Notes that a request like `job` came, and whether it got room at once.
+    /// Notes that a request like `job` came.
     pub fn note_came(&self, job: &Job) {
         self.throttle.borrow_mut().came(self.now(), job.line());
     }
