Write what has come of an answer before it is broken off

Cause: an upstream broke its answer off right after its head. The entry passed head and break on at once, and the HTTP server drops what it has not written when a body ends with an error: the caller saw no head, and whole events could have been lost the same way. Ruled out: the caller's connection (other requests on the entry were served), a time-out (the error was an end of file after 10 to 110 ms). Change: the break follows 20 ms after what came before it. The load tool records why a request had no answer, and the histories print it.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -44,6 +44,10 @@
 /// Parts of an answer that wait for a slow caller.
 const REPLIES_AHEAD: usize = 4;
 
+/// The time in which the parts of an answer that have come are written to its
+/// caller before the connection is closed: several turns of a busy process.
+const WRITTEN_WITHIN: Duration = Duration::from_millis(20);
+
 /// The time after a start in which callers wait for the first settings: a
 /// platform that answers tells them within a fraction of it.
 const FIRST_SETTINGS: Duration = Duration::from_secs(1);
@@ -254,6 +258,8 @@
             Some(Reply::Bytes(bytes)) => Some((Ok(bytes), Some(received))),
             Some(Reply::End) => None,
             Some(Reply::Broken | Reply::Error(_) | Reply::Head(..)) | None => {
+                // The error drops what the server has not written yet.
+                actix_rt::time::sleep(WRITTEN_WITHIN).await;
                 Some((Err(Truncated), None))
             }
         }
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -83,7 +83,7 @@
     pub took: Duration,
     /// The HTTP status; 0 without an answer.
     pub status: u16,
-    /// The code of a refusal.
+    /// The code of a refusal, or why there was no answer.
     pub code: String,
     /// What a refusal says of the run.
     pub run: String,
@@ -245,19 +245,23 @@
     let mut text = Vec::new();
     let mut whole = false;
     let mut status = 0;
-    if let Ok(mut res) = sent.await {
-        status = res.status().as_u16();
-        whole = true;
-        while let Some(part) = res.next().await {
-            match part {
-                Ok(bytes) => text.extend_from_slice(&bytes),
-                // A stream that has failed may never end.
-                Err(_) => {
-                    whole = false;
-                    break;
+    let mut unanswered = None;
+    match sent.await {
+        Ok(mut res) => {
+            status = res.status().as_u16();
+            whole = true;
+            while let Some(part) = res.next().await {
+                match part {
+                    Ok(bytes) => text.extend_from_slice(&bytes),
+                    // A stream that has failed may never end.
+                    Err(_) => {
+                        whole = false;
+                        break;
+                    }
                 }
             }
         }
+        Err(e) => unanswered = Some(e.to_string()),
     }
     let took = started.elapsed();
     let error = serde_json::from_slice::<Value>(&text).unwrap_or_default();
@@ -270,7 +274,7 @@
         sent: planned.at,
         took,
         status,
-        code: error_text("code"),
+        code: unanswered.unwrap_or_else(|| error_text("code")),
         run: error_text("run"),
         whole,
         valid,
--- a/tests/it/histories.rs
+++ b/tests/it/histories.rs
@@ -210,9 +210,10 @@
         let (env, records, faults) = history(seed).await;
         let entries_fail = |f: &Fault| matches!(f, Fault::KillEntry | Fault::StopEntry);
         let violations = check(&records, &runs(&env), faults.iter().any(entries_fail));
+        let unanswered: Vec<&LoadRecord> = records.iter().filter(|r| r.status == 0).collect();
         assert!(
             violations.is_empty(),
-            "seed {seed}, {faults:?}: {violations:?}"
+            "seed {seed}, {faults:?}: {violations:?}; without an answer: {unanswered:?}"
         );
         requests += records.len();
         served += records.iter().filter(|r| r.valid).count();
