--- a/src/lease.rs
+++ b/src/lease.rs
@@ -22,7 +22,7 @@
 /// The time for which a lease is held after it was written.
 pub const TERM: Duration = Duration::from_secs(10);
 
-/// Allowance for clocks of different rates, as part of the term.
+/// Margin for clocks of different rates, as part of the term.
 const MARGIN: Duration = Duration::from_secs(1);
 
 /// Grows with every holder; an upstream that checks it refuses older ones.
