Keep working when the store comes back from an older copy

Cause: the platform may restore its store from a copy some seconds old. Then revisions go back and are given out again, objects are missing, and registrations are those of before.

Ruled out: giving up the settings in force for older ones; a process never goes back (ActiveSettings), as before.

--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use awc::Client;
-use bytes::Bytes;
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,14 +20,12 @@
 use crate::agent::state::AgentState;
 use crate::clock::Timestamp;
 use crate::http_client::new_client;
+use crate::lease;
 use crate::lease::FencingNumber;
 use crate::lease::Lease;
-use crate::lease::LeaseAction;
-use crate::lease::LeaseRecord;
+use crate::lease::LeaseError;
 use crate::name::Name;
-use crate::object_store::Expected;
 use crate::object_store::ObjectStore;
-use crate::object_store::StoreError;
 use crate::settings::Fencing;
 
 /// The longest pause before a check of the models that the engine has loaded.
@@ -51,15 +48,9 @@
     /// of its fencing number.
     #[error("the engine refused the order with status {0}")]
     Refused(u16),
-    /// The object store failed while the lease was acquired.
+    /// The lease could not be acquired.
     #[error("the lease cannot be acquired")]
-    Store(#[from] StoreError),
-    /// The lease record can't be decoded or encoded.
-    #[error("the lease is malformed")]
-    Malformed(#[from] serde_json::Error),
-    /// Another process holds the lease.
-    #[error("another process holds the lease")]
-    Held,
+    Lease(#[from] LeaseError),
     /// The lease expired before the order was sent.
     #[error("the lease has expired")]
     Expired,
@@ -121,7 +112,7 @@
                     info!(self.state.log, "model load ordered"; "model" => %model);
                     actix_rt::time::sleep(ORDER_PAUSE).await;
                 }
-                Err(OrderError::Held) => {}
+                Err(OrderError::Lease(LeaseError::Held)) => {}
                 Err(e) => {
                     warn!(self.state.log, "model load order failed"; "model" => %model, "error" => %e)
                 }
@@ -185,23 +176,8 @@
 
     async fn acquire_lease(&mut self) -> Result<(), OrderError> {
         let name = Name::new(&format!("almondramp-lease-{}", self.state.config.upstream));
-        let object = self.store.get(name.clone()).await?;
-        let record = match &object {
-            Some(object) => Some(serde_json::from_slice::<LeaseRecord>(&object.value)?),
-            None => None,
-        };
-        let version = object.map(|o| o.version);
-        let started = self.state.now();
-        let action = self
-            .lease
-            .observe(started, version.as_ref(), record.as_ref());
-        let LeaseAction::Write(next) = action else {
-            return Err(OrderError::Held);
-        };
-        let expected = version.map_or(Expected::Absent, Expected::Version);
-        let value = Bytes::from(serde_json::to_vec(&next)?);
-        self.store.put(name, value, expected).await?;
-        self.lease.record_write(started, &next);
+        let state = &self.state;
+        lease::acquire(&mut self.lease, &self.store, name, || state.now()).await?;
         Ok(())
     }
 }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -48,25 +48,23 @@
         }
     }
 
-    fn verify_hello(&self, hello: schema::hello::Reader<'_>) -> Result<(), Error> {
+    /// Returns the site key that the peer has proved to hold.
+    fn verify_hello(&self, hello: schema::hello::Reader<'_>) -> Result<SiteKey, Error> {
         if hello.get_version() != PROTOCOL_VERSION {
             let text = format!("protocol version {PROTOCOL_VERSION} is needed");
             return Err(Error::unimplemented(text));
         }
-        let key = self.site_key()?;
-        let proof = hello.get_proof()?;
-        if key.verify(Role::Entry, hello.get_nonce()?, &self.nonce, proof) {
-            return Ok(());
+        let holder = &self.state.config.site_key;
+        if holder.get().is_none() {
+            let text = "the site key is not known yet";
+            return Err(Error::overloaded(text.to_owned()));
         }
-        warn!(self.state.log, "peer refused: site key does not match");
-        Err(Error::failed("the site key does not match".to_owned()))
-    }
-}
-
-impl Gate {
-    fn site_key(&self) -> Result<SiteKey, Error> {
-        let key = self.state.config.site_key.get();
-        key.ok_or_else(|| Error::overloaded("the site key is not known yet".to_owned()))
+        let (nonce, proof) = (hello.get_nonce()?, hello.get_proof()?);
+        let accepted = holder.find(|key| key.verify(Role::Entry, nonce, &self.nonce, proof));
+        accepted.ok_or_else(|| {
+            warn!(self.state.log, "peer refused: site key does not match");
+            Error::failed("the site key does not match".to_owned())
+        })
     }
 }
 
@@ -87,10 +85,9 @@
         mut results: gate::HelloResults,
     ) -> Result<(), Error> {
         let hello = params.get()?.get_hello()?;
-        self.verify_hello(hello)?;
+        let key = self.verify_hello(hello)?;
         self.authenticated.set(true);
         let state = &self.state;
-        let key = self.site_key()?;
         let proof = key.prove(Role::Agent, hello.get_nonce()?, &self.nonce);
         let mut welcome = results.get().init_welcome();
         welcome.set_version(PROTOCOL_VERSION);
--- a/src/apply.rs
+++ b/src/apply.rs
@@ -130,7 +130,9 @@
         match store.put(Name::new(SETTINGS_OBJECT), value, expected).await {
             Ok(_) => return Ok(outcome(next.revision, base, local, &merged, true)),
             Err(StoreError::Conflict) => {}
-            Err(e @ StoreError::OutcomeUnknown) => unknown_outcome = Some(e),
+            Err(e @ (StoreError::OutcomeUnknown | StoreError::Restored)) => {
+                unknown_outcome = Some(e)
+            }
             Err(e) if unknown_outcome.is_some() => return Err(ApplyError::OutcomeUnknown(e)),
             Err(e) => return Err(ApplyError::NotWritten(e)),
         }
--- a/src/claims/claim_store.rs
+++ b/src/claims/claim_store.rs
@@ -192,7 +192,7 @@
                     shard.cached.replace(Some(ShardState { version, table }));
                     return Ok(verdicts);
                 }
-                Err(StoreError::Conflict | StoreError::OutcomeUnknown) => {}
+                Err(StoreError::Conflict | StoreError::OutcomeUnknown | StoreError::Restored) => {}
                 Err(StoreError::TooLarge) => return Err(ClaimError::Full),
                 Err(StoreError::Unreachable | StoreError::Refused(_)) => {
                     return Err(ClaimError::Unavailable);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -27,11 +27,13 @@
 use crate::kernel::Service;
 use crate::name::Name;
 use crate::object_store::ObjectStore;
+use crate::object_store::RestoreWatch;
 use crate::object_store::StoreError;
 use crate::registrations::Registrations;
 use crate::settings::Document;
 use crate::site_key;
 use crate::site_key::KeyHolder;
+use crate::site_key::SiteKey;
 
 /// The pause after a change of the upstreams, which lets one call cover a burst
 /// of changes. It is a small part of the time that a platform gives entries
@@ -45,6 +47,13 @@
 /// each failure.
 const RETRY_MAX: Duration = Duration::from_millis(800);
 
+/// The longest random delay before a process writes again what a platform that was
+/// restored from an older copy may lack. It spreads the writes of all processes.
+const RESTORE_SPREAD: Duration = Duration::from_secs(1);
+
+/// The shortest time between two checks of the site key.
+const KEY_CHECK_PAUSE: Duration = Duration::from_secs(1);
+
 /// An upstream as registered at the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DiscoveredUpstream {
@@ -98,6 +107,21 @@
 
     /// Returns the object store that holds the site key.
     fn key_store(&self) -> &dyn ObjectStore;
+
+    /// Returns a watch for restores of the platform from an older copy.
+    fn restores(&self) -> RestoreWatch {
+        RestoreWatch::new(self.key_store().timelines())
+    }
+}
+
+/// News on the registered upstreams.
+enum UpstreamNews {
+    /// The platform lists these.
+    Listed(Vec<DiscoveredUpstream>),
+    /// The platform can't be reached.
+    Unreachable,
+    /// The platform was restored from an older copy.
+    Restored,
 }
 
 /// The state of a process that is updated with what discovery finds.
@@ -169,7 +193,7 @@
         _registry: &'a mut Registry,
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         let follower = || Rc::clone(&self.follower);
-        actix_rt::spawn(follower().load_site_key());
+        actix_rt::spawn(follower().maintain_site_key());
         match self.scope.clone() {
             DiscoveryScope::All(name, peer) => {
                 actix_rt::spawn(follower().follow_configuration());
@@ -189,14 +213,48 @@
 }
 
 impl Follower {
-    async fn load_site_key(self: Rc<Self>) {
+    /// Loads the site key. Checks it after the platform was restored from an older
+    /// copy, which may lack it, and when a peer holds another one.
+    async fn maintain_site_key(self: Rc<Self>) {
+        let mut restores = self.platform.restores();
+        let key = self
+            .query_site_key(|| site_key::load_or_create(self.platform.key_store()))
+            .await;
+        restores.start();
+        self.state.key.set(key);
+        loop {
+            tokio::select! {
+                timeline = restores.restored() => {
+                    info!(self.log, "platform was restored from an older copy"; "timeline" => timeline.0);
+                    sleep_up_to(RESTORE_SPREAD).await;
+                }
+                () = self.state.key.mismatch() => {}
+            }
+            let held = self.state.key.wait().await;
+            let agreed = self
+                .query_site_key(|| site_key::agree(self.platform.key_store(), held.clone()))
+                .await;
+            if self.state.key.set(agreed) {
+                warn!(
+                    self.log,
+                    "site key replaced by the one that the platform keeps"
+                );
+            }
+            actix_rt::time::sleep(KEY_CHECK_PAUSE).await;
+        }
+    }
+
+    async fn query_site_key<F, Fut>(&self, query: F) -> SiteKey
+    where
+        F: Fn() -> Fut,
+        Fut: Future<Output = Result<SiteKey, StoreError>>,
+    {
         let mut backoff = Backoff::new("site key", self.log.clone());
         loop {
-            let key = site_key::load_or_create(self.platform.key_store()).await;
-            match key {
+            match query().await {
                 Ok(key) => {
-                    self.state.key.set(key);
-                    return backoff.record_success();
+                    backoff.record_success();
+                    return key;
                 }
                 Err(e) => backoff.wait_after_failure(&e).await,
             }
@@ -241,12 +299,16 @@
         loop {
             let next_tick = registrations.next_tick().map(|at| self.clock.instant(at));
             tokio::select! {
-                Some(answer) = rx.recv() => match answer {
-                    Some(listed) => registrations.update(self.clock.now(), listed),
-                    None => {
+                Some(news) = rx.recv() => match news {
+                    UpstreamNews::Listed(listed) => registrations.update(self.clock.now(), listed),
+                    UpstreamNews::Unreachable => {
                         registrations.mark_unreachable();
                         continue;
                     }
+                    UpstreamNews::Restored => {
+                        registrations.mark_restored();
+                        continue;
+                    }
                 },
                 () = sleep_until(next_tick) => {
                     registrations.tick(self.clock.now());
@@ -259,22 +321,26 @@
         }
     }
 
-    /// Sends each new list of the platform to `tx`, or `None` when the query
-    /// fails. Returns when the receiver is closed.
-    async fn poll_upstreams(self: Rc<Self>, tx: UnboundedSender<Option<Vec<DiscoveredUpstream>>>) {
+    /// Sends what the platform tells of the upstreams to `tx`. Returns when the
+    /// receiver is closed.
+    async fn poll_upstreams(self: Rc<Self>, tx: UnboundedSender<UpstreamNews>) {
         let mut backoff = Backoff::new("upstreams", self.log.clone());
+        let mut restores = self.platform.restores();
         loop {
             match self.platform.upstreams().await {
                 Ok(None) => backoff.record_success(),
                 Ok(Some(listed)) => {
                     backoff.record_success();
-                    if tx.send(Some(listed)).is_err() {
+                    if restores.is_restored() && tx.send(UpstreamNews::Restored).is_err() {
+                        return;
+                    }
+                    if tx.send(UpstreamNews::Listed(listed)).is_err() {
                         return;
                     }
                     actix_rt::time::sleep(CHANGE_BATCH_PAUSE).await;
                 }
                 Err(e) => {
-                    if tx.send(None).is_err() {
+                    if tx.send(UpstreamNews::Unreachable).is_err() {
                         return;
                     }
                     backoff.wait_after_failure(&e).await;
@@ -314,17 +380,23 @@
         }
     }
 
+    /// Registers this entry and discovers the others, and does both again when the
+    /// platform was restored from an older copy.
     async fn discover_peers(self: Rc<Self>, name: Name, peer: SocketAddr) {
+        let mut restores = self.platform.restores();
         let mut backoff = Backoff::new("entries", self.log.clone());
         loop {
             let discovered = async {
                 self.platform.announce(name.clone(), peer).await?;
+                restores.start();
                 self.platform.peers().await
             };
             match discovered.await {
                 Ok(peers) => {
+                    backoff.record_success();
                     self.state.peers.send_replace(peers);
-                    return backoff.record_success();
+                    restores.restored().await;
+                    sleep_up_to(RESTORE_SPREAD).await;
                 }
                 Err(e) => backoff.wait_after_failure(&e).await,
             }
@@ -332,6 +404,12 @@
     }
 }
 
+/// Sleeps for a random time up to `longest`.
+async fn sleep_up_to(longest: Duration) {
+    let fraction = rand::rng().random_range(0.0..1.0);
+    actix_rt::time::sleep(longest.mul_f64(fraction)).await;
+}
+
 async fn sleep_until(at: Option<std::time::Instant>) {
     match at {
         Some(at) => actix_rt::time::sleep_until(at.into()).await,
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -223,9 +223,9 @@
 
     /// Maintains one connection and reconnects, with backoff, when it is lost.
     async fn maintain(self: Rc<Self>, upstream: Name, address: SocketAddr) {
-        let key = self.config.site_key.wait().await;
         let mut backoff = RECONNECT_MIN;
         loop {
+            let key = self.config.site_key.wait().await;
             let started = Instant::now();
             self.run_connection(&upstream, address, &key).await;
             if started.elapsed() > RECONNECT_MAX {
@@ -257,6 +257,9 @@
             Ok(Ok(authenticated)) => authenticated,
             Ok(Err(e)) => {
                 warn!(self.log, "could not authenticate to agent"; "upstream" => %upstream, "error" => %e);
+                if e.is_key_mismatch() {
+                    self.config.site_key.report_mismatch();
+                }
                 return;
             }
             Err(_) => return,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -29,7 +29,6 @@
 use crate::quota::Quota;
 use crate::quota::QuotaReport;
 use crate::site_key::KeyHolder;
-use crate::site_key::SiteKey;
 use crate::wire;
 
 /// The shortest interval between two reports. It limits spending beyond a quota
@@ -113,7 +112,7 @@
     /// Sends and receives reports, once the site key is known, until the task is
     /// aborted.
     pub async fn run(self: Rc<Self>) {
-        let key = self.key.wait().await;
+        self.key.wait().await;
         let receiving = async {
             let mut buf = vec![0; MAX_REPORT_SIZE];
             loop {
@@ -126,7 +125,7 @@
         };
         let sending = async {
             loop {
-                self.send_report(&key).await;
+                self.send_report().await;
                 let peers = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
                 let interval = INTERVAL_PER_PEER * peers;
                 actix_rt::time::sleep(interval.clamp(INTERVAL_MIN, INTERVAL_MAX)).await;
@@ -135,7 +134,8 @@
         futures::future::join(receiving, sending).await;
     }
 
-    async fn send_report(&self, key: &SiteKey) {
+    async fn send_report(&self) {
+        let key = self.key.wait().await;
         let now = self.clock.now();
         let window = self.active_settings.settings().limits.quota_window;
         let report = self
@@ -154,13 +154,14 @@
     }
 
     fn receive(&self, datagram: &[u8], peer: SocketAddr) {
-        let Some(key) = self.key.get() else {
+        if self.key.get().is_none() {
             return;
-        };
+        }
         let Some((message, tag)) = datagram.split_last_chunk::<TAG_SIZE>() else {
             return;
         };
-        if !key.is_signed(message, tag) {
+        let accepted = self.key.find(|key| key.is_signed(message, tag));
+        if accepted.is_none() {
             warn!(self.log, "rejected a quota report that is not signed with the site key"; "peer" => %peer);
             return;
         }
--- a/src/handshake.rs
+++ b/src/handshake.rs
@@ -2,6 +2,7 @@
 //! authentication with the site key.
 
 use capnp::Error;
+use capnp::ErrorKind;
 use thiserror::Error as ThisError;
 
 use crate::active_settings::Revision;
@@ -28,6 +29,18 @@
     InvalidProof,
 }
 
+impl HandshakeError {
+    /// Returns whether the agent may hold another site key: it refused the proof, or
+    /// its own does not match.
+    pub fn is_key_mismatch(&self) -> bool {
+        match self {
+            Self::Rpc(e) => e.kind == ErrorKind::Failed,
+            Self::UnsupportedVersion(_) => false,
+            Self::InvalidProof => true,
+        }
+    }
+}
+
 /// An agent with which the handshake succeeded: both sides have proved that
 /// they hold the site key.
 pub struct AuthenticatedAgent {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -7,6 +7,11 @@
 //! never hold the lease at the same time as long as the rates of their clocks
 //! differ by less than the margin allows. After a pause, a holder finds that its
 //! term has expired.
+//!
+//! A store that is restored from an older copy may have lost the latest holders.
+//! Their terms have expired a whole term after the restore, so nobody takes the
+//! lease before that. Fencing numbers of different timelines never repeat,
+//! because the timeline is their upper part.
 
 use std::time::Duration;
 
@@ -15,11 +20,16 @@
 
 use crate::clock::Timestamp;
 use crate::name::Name;
+use crate::object_store::Timeline;
 use crate::object_store::Version;
 
+mod acquire;
 #[cfg(test)]
 mod tests;
 
+pub use acquire::LeaseError;
+pub use acquire::acquire;
+
 /// Term of a lease, which starts with each write. The holder counts it shorter
 /// and other processes count it longer, each by `CLOCK_MARGIN`.
 pub const LEASE_TERM: Duration = Duration::from_secs(10);
@@ -28,12 +38,28 @@
 /// and added to the time that others wait.
 const CLOCK_MARGIN: Duration = Duration::from_secs(1);
 
+/// Number of low bits of a fencing number that count the changes of the holder
+/// within one timeline of the store.
+const FENCING_COUNT_BITS: u32 = 40;
+
 /// Number that grows with every change of the holder. An upstream that checks
 /// fencing numbers refuses orders with a lower one than it has received.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct FencingNumber(pub u64);
 
+impl FencingNumber {
+    /// Returns a number below all those of the holders in this timeline and above
+    /// all those of earlier ones.
+    fn before_first(timeline: Timeline) -> Self {
+        Self(timeline.0 << FENCING_COUNT_BITS)
+    }
+
+    fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// Value of a lease's object in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRecord {
@@ -60,8 +86,8 @@
 #[derive(Debug)]
 pub struct Lease {
     process: Name,
-    /// Version that was read last, and when it was first read.
-    observed: Option<(Option<Version>, Timestamp)>,
+    /// Timeline and version that were read last, and when they were first read.
+    observed: Option<(Timeline, Option<Version>, Timestamp)>,
     held: Option<HeldTerm>,
 }
 
@@ -82,32 +108,38 @@
         }
     }
 
-    /// Processes the record that was read from the store and returns the next
-    /// step.
+    /// Processes the record that was read from the store in this timeline and
+    /// returns the next step.
     pub fn observe(
         &mut self,
         now: Timestamp,
+        timeline: Timeline,
         version: Option<&Version>,
         record: Option<&LeaseRecord>,
     ) -> LeaseAction {
         let unchanged_since = match &self.observed {
-            Some((same, unchanged_since)) if same.as_ref() == version => *unchanged_since,
+            Some((known, same, unchanged_since))
+                if *known == timeline && same.as_ref() == version =>
+            {
+                *unchanged_since
+            }
             _ => now,
         };
-        self.observed = Some((version.cloned(), unchanged_since));
-        let Some(record) = record else {
-            return LeaseAction::Write(self.record(FencingNumber(1), 1));
-        };
-        if record.holder == self.process {
-            return LeaseAction::Write(self.record(record.fencing, record.writes + 1));
-        }
+        self.observed = Some((timeline, version.cloned(), unchanged_since));
+        let floor = FencingNumber::before_first(timeline);
+        let is_after_restore = record.map_or(timeline > Timeline::default(), |r| r.fencing < floor);
         let takeover_at = unchanged_since + LEASE_TERM + CLOCK_MARGIN;
-        match now >= takeover_at {
-            true => {
-                let next = FencingNumber(record.fencing.0 + 1);
-                LeaseAction::Write(self.record(next, record.writes + 1))
+        let writes = record.map_or(0, |r| r.writes) + 1;
+        let next = record.map_or(floor, |r| r.fencing.max(floor)).next();
+        match record {
+            _ if now >= takeover_at => LeaseAction::Write(self.record(next, writes)),
+            // The holder that was lost in the restore may still be active.
+            _ if is_after_restore => LeaseAction::Wait(takeover_at),
+            None => LeaseAction::Write(self.record(next, writes)),
+            Some(record) if record.holder == self.process => {
+                LeaseAction::Write(self.record(record.fencing, writes))
             }
-            false => LeaseAction::Wait(takeover_at),
+            Some(_) => LeaseAction::Wait(takeover_at),
         }
     }
 
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -9,7 +9,7 @@
 #[test]
 fn a_holder_has_no_fencing_number_after_its_term_expires() {
     let mut lease = Lease::new(Name::new("a"));
-    let LeaseAction::Write(record) = lease.observe(at(0), None, None) else {
+    let LeaseAction::Write(record) = lease.observe(at(0), Timeline(0), None, None) else {
         panic!("a free lease is written");
     };
     lease.record_write(at(0), &record);
@@ -27,14 +27,37 @@
     };
     let mut lease = Lease::new(Name::new("b"));
     let takeover_at = at(11_000);
-    let action = lease.observe(at(0), Some(&version), Some(&record));
+    let action = lease.observe(at(0), Timeline(0), Some(&version), Some(&record));
     assert_eq!(action, LeaseAction::Wait(takeover_at));
-    let LeaseAction::Write(next) = lease.observe(takeover_at, Some(&version), Some(&record)) else {
+    let LeaseAction::Write(next) =
+        lease.observe(takeover_at, Timeline(0), Some(&version), Some(&record))
+    else {
         panic!("an expired lease is written");
     };
     assert_eq!(next.fencing, FencingNumber(5));
 }
 
+#[test]
+fn after_a_restore_nobody_takes_the_lease_before_the_lost_term_has_expired() {
+    let version = Version::new("v1");
+    let record = LeaseRecord {
+        holder: Name::new("a"),
+        fencing: FencingNumber(4),
+        writes: 1,
+    };
+    for record in [None, Some(&record)] {
+        let mut lease = Lease::new(Name::new("a"));
+        let version = record.map(|_| &version);
+        let action = lease.observe(at(0), Timeline(1), version, record);
+        assert_eq!(action, LeaseAction::Wait(at(11_000)));
+        let action = lease.observe(at(11_000), Timeline(1), version, record);
+        let LeaseAction::Write(next) = action else {
+            panic!("the lost term has expired");
+        };
+        assert!(next.fencing > FencingNumber(1_000_000));
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Read(usize),
@@ -72,7 +95,7 @@
                     let now = at(real_millis + offsets[i]);
                     let version = stored.as_ref().map(|(v, _)| Version::new(&v.to_string()));
                     let record = stored.as_ref().map(|(_, r)| r);
-                    if let LeaseAction::Write(next) = leases[i].observe(now, version.as_ref(), record) {
+                    if let LeaseAction::Write(next) = leases[i].observe(now, Timeline(0), version.as_ref(), record) {
                         pending_writes[i] = Some((now, stored.as_ref().map(|(v, _)| *v), next));
                     }
                 }
--- a/src/object_store/http.rs
+++ b/src/object_store/http.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use tokio::sync::watch;
 
 use crate::http_client::new_client;
 use crate::http_client::was_not_sent;
@@ -23,15 +24,18 @@
 use crate::object_store::Object;
 use crate::object_store::ObjectStore;
 use crate::object_store::StoreError;
+use crate::object_store::Timeline;
+use crate::object_store::TimelineReceiver;
 use crate::object_store::Version;
 
 /// Timeout of a reply, in addition to the time that a watch waits.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Client of the object API at one address.
+/// Client of the object API at one address. The API names no timeline.
 pub struct HttpObjectStore {
     base: Name,
     client: Client,
+    timeline: watch::Sender<Option<Timeline>>,
 }
 
 struct Reply {
@@ -46,6 +50,7 @@
         Self {
             base: Name::new(base.trim_end_matches('/')),
             client: new_client(),
+            timeline: watch::Sender::default(),
         }
     }
 
@@ -135,6 +140,10 @@
         }
         async move { self.read(req, wait).await }.boxed_local()
     }
+
+    fn timelines(&self) -> TimelineReceiver {
+        self.timeline.subscribe()
+    }
 }
 
 /// Converts the status of a failed call to an error. A call refused with a client
--- a/src/object_store/memory.rs
+++ b/src/object_store/memory.rs
@@ -8,6 +8,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::name::Name;
 use crate::object_store::Expected;
@@ -15,20 +16,34 @@
 use crate::object_store::Object;
 use crate::object_store::ObjectStore;
 use crate::object_store::StoreError;
+use crate::object_store::Timeline;
+use crate::object_store::TimelineReceiver;
 use crate::object_store::Version;
 
-/// In-memory object store. No version is used twice.
-#[derive(Default)]
+/// In-memory object store. Within a timeline no version is used twice.
 pub struct MemoryObjectStore {
     objects: RefCell<BTreeMap<Name, Object>>,
     writes: RefCell<u64>,
     change_notify: Notify,
+    timeline: watch::Sender<Option<Timeline>>,
+}
+
+/// Copy of the objects of a store, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    objects: BTreeMap<Name, Object>,
+    writes: u64,
 }
 
 impl MemoryObjectStore {
     /// Creates an empty store.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            objects: RefCell::default(),
+            writes: RefCell::default(),
+            change_notify: Notify::new(),
+            timeline: watch::Sender::new(Some(Timeline::default())),
+        }
     }
 
     /// Returns the current object named `name`.
@@ -86,6 +101,24 @@
         actix_rt::time::timeout(wait, changed).await.ok().flatten()
     }
 
+    /// Returns a copy of the objects as they are now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            objects: self.objects.borrow().clone(),
+            writes: *self.writes.borrow(),
+        }
+    }
+
+    /// Replaces the objects by those of an older copy and starts a new timeline.
+    /// The versions given out since the copy was made are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.objects.replace(copy.objects);
+        self.writes.replace(copy.writes);
+        self.timeline
+            .send_modify(|t| *t = Some(Timeline(t.unwrap_or_default().0 + 1)));
+        self.change_notify.notify_waiters();
+    }
+
     fn next_version(&self) -> Version {
         let mut writes = self.writes.borrow_mut();
         *writes += 1;
@@ -93,6 +126,12 @@
     }
 }
 
+impl Default for MemoryObjectStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ObjectStore for MemoryObjectStore {
     fn get(&self, name: Name) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
         async move { Ok(self.read(&name)) }.boxed_local()
@@ -115,4 +154,8 @@
     ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
         async move { Ok(self.wait_for_change(&name, known.as_ref(), wait).await) }.boxed_local()
     }
+
+    fn timelines(&self) -> TimelineReceiver {
+        self.timeline.subscribe()
+    }
 }
--- a/src/object_store/mod.rs
+++ b/src/object_store/mod.rs
@@ -8,16 +8,20 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use thiserror::Error;
+use tokio::sync::watch;
 
 use crate::name::Name;
 
 mod http;
 mod memory;
+mod restore_watch;
 #[cfg(test)]
 pub mod tests;
 
 pub use http::HttpObjectStore;
 pub use memory::MemoryObjectStore;
+pub use memory::StoreCopy;
+pub use restore_watch::RestoreWatch;
 
 /// Maximum size of an object's value, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1 << 20;
@@ -25,6 +29,16 @@
 /// Opaque version of an object; versions can only be compared for equality.
 pub type Version = Name;
 
+/// Timeline of a store: its history since it was last restored from an older
+/// copy. A store that is restored loses the latest writes and may give their
+/// versions out again, so versions of different timelines can't be compared.
+/// Each restore raises the number.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Timeline(pub u64);
+
+/// Receiver of a store's timeline; `None` until the store has named one.
+pub type TimelineReceiver = watch::Receiver<Option<Timeline>>;
+
 /// Stored object.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Object {
@@ -59,6 +73,10 @@
     /// the outcome open. A write may have taken effect.
     #[error("no conclusive reply from the object store; a write may have taken effect")]
     OutcomeUnknown,
+    /// The store was restored from an older copy during the call. A read is out of
+    /// date; a write may be lost.
+    #[error("the object store was restored from an older copy during the call")]
+    Restored,
     /// The value is larger than `MAX_OBJECT_BYTES`. Nothing was written.
     #[error("the value exceeds {MAX_OBJECT_BYTES} bytes")]
     TooLarge,
@@ -86,4 +104,7 @@
         known: Option<Version>,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>>;
+
+    /// Returns a receiver of the store's timeline.
+    fn timelines(&self) -> TimelineReceiver;
 }
--- a/src/object_store/tests.rs
+++ b/src/object_store/tests.rs
@@ -144,6 +144,10 @@
     ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>> {
         self.inner.watch(name, known, wait)
     }
+
+    fn timelines(&self) -> TimelineReceiver {
+        self.inner.timelines()
+    }
 }
 
 #[actix_rt::test]
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -4,6 +4,12 @@
 //! upstreams are still running. After an outage, upstreams without a
 //! registration are kept for a short time in which a running upstream
 //! registers again.
+//!
+//! A platform that was restored from an older copy can also list upstreams that
+//! have left since, or list them as not leaving yet. A process does not go back
+//! on what it knew: an upstream that leaves keeps leaving until its end, and one
+//! whose registration was removed shortly before the restore gets no work until
+//! it registers again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,10 +32,21 @@
 /// for the registration to be reported.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 
+/// The time for which a removed registration is remembered. It is several times
+/// the age of the copies from which a platform is restored.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
+
 /// The registered upstreams, and those kept after an outage of the platform.
 #[derive(Debug, Default)]
 pub struct Registrations {
     registered: BTreeMap<Name, DiscoveredUpstream>,
+    /// The upstreams whose registrations were removed recently, with the times.
+    removed: BTreeMap<Name, (DiscoveredUpstream, Timestamp)>,
+    /// The removed upstreams that an older copy of the platform's state lists again,
+    /// as it lists them.
+    outdated: BTreeMap<Name, DiscoveredUpstream>,
+    /// Whether the platform was restored from an older copy since the last update.
+    restored: bool,
     /// Upstreams whose registration is missing since the last outage.
     missing: BTreeMap<Name, DiscoveredUpstream>,
     /// Whether the platform has been unreachable since the last update.
@@ -49,6 +66,13 @@
         self.unreachable = true;
     }
 
+    /// Records that the platform was restored from an older copy. Registrations
+    /// that the copy lacks are written again, as after an outage.
+    pub fn mark_restored(&mut self) {
+        self.unreachable = true;
+        self.restored = true;
+    }
+
     /// Replaces the registered upstreams with `listed`. For
     /// [`REREGISTRATION_TIME`] after an outage, upstreams that are not in
     /// `listed` are kept.
@@ -56,17 +80,51 @@
         if std::mem::take(&mut self.unreachable) {
             self.keep_until = Some(now + REREGISTRATION_TIME);
         }
-        let listed = listed.into_iter().map(|d| (d.name.clone(), d));
-        let before = std::mem::replace(&mut self.registered, listed.collect());
-        let keep_missing = self.keep_until.is_some_and(|until| now < until);
-        if keep_missing {
-            self.missing.extend(before);
+        let mut listed: BTreeMap<Name, DiscoveredUpstream> =
+            listed.into_iter().map(|d| (d.name.clone(), d)).collect();
+        self.mark_outdated(now, &listed);
+        for (name, discovered) in &mut listed {
+            discovered.leaving |= self.is_known_to_leave(discovered);
+            self.removed.remove(name);
+        }
+        let before = std::mem::replace(&mut self.registered, listed);
+        let gone = before
+            .into_iter()
+            .filter(|(name, _)| !self.registered.contains_key(name));
+        match self.keep_until.is_some_and(|until| now < until) {
+            true => self.missing.extend(gone),
+            false => self.removed.extend(gone.map(|(name, d)| (name, (d, now)))),
         }
         self.missing
             .retain(|name, _| !self.registered.contains_key(name));
         self.tick(now);
     }
 
+    /// Finds the registrations that were removed before a restore of the platform and
+    /// that its older copy lists. They count as outdated until they change.
+    fn mark_outdated(&mut self, now: Timestamp, listed: &BTreeMap<Name, DiscoveredUpstream>) {
+        self.removed
+            .retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
+        self.outdated
+            .retain(|name, outdated| listed.get(name) == Some(outdated));
+        if std::mem::take(&mut self.restored) {
+            let reappeared = listed.values().filter(|d| {
+                let removed = self.removed.get(&d.name);
+                removed.is_some_and(|(r, _)| r.started == d.started)
+            });
+            let reappeared = reappeared.map(|d| (d.name.clone(), d.clone()));
+            self.outdated.extend(reappeared);
+        }
+    }
+
+    /// Returns whether this process has known the same run of the upstream as
+    /// leaving.
+    fn is_known_to_leave(&self, listed: &DiscoveredUpstream) -> bool {
+        let name = &listed.name;
+        let known = self.registered.get(name).or(self.missing.get(name));
+        known.is_some_and(|k| k.leaving && k.started == listed.started)
+    }
+
     /// Drops the missing upstreams once their time has elapsed. Returns whether
     /// any were dropped.
     pub fn tick(&mut self, now: Timestamp) -> bool {
@@ -74,7 +132,11 @@
             return false;
         }
         self.keep_until = None;
-        !std::mem::take(&mut self.missing).is_empty()
+        let dropped = std::mem::take(&mut self.missing);
+        let any_dropped = !dropped.is_empty();
+        self.removed
+            .extend(dropped.into_iter().map(|(name, d)| (name, (d, now))));
+        any_dropped
     }
 
     /// Returns when `tick` is due next.
@@ -89,10 +151,36 @@
         let latest = latest_at_each_address(candidates);
         latest
             .values()
-            .map(|d| (&d.name, *d))
-            .filter_map(|(name, d)| Some((name.clone(), to_upstream(settings, d)?)))
+            .filter_map(|d| Some((d.name.clone(), self.to_upstream(settings, d)?)))
             .collect()
     }
+
+    /// Combines a discovered upstream with the settings of its service. Returns
+    /// `None` if the settings don't define the service.
+    fn to_upstream(
+        &self,
+        settings: &Settings,
+        discovered: &DiscoveredUpstream,
+    ) -> Option<Upstream> {
+        let service = settings.services.get(&discovered.service)?;
+        Some(Upstream {
+            kind: service.kind,
+            zone: discovered.zone.clone(),
+            address: discovered.address,
+            // Only model engines have agents.
+            agent: discovered
+                .agent
+                .filter(|_| service.kind == UpstreamKind::Model),
+            instance: discovered.instance.clone(),
+            leaving: discovered.leaving || self.outdated.contains_key(&discovered.name),
+            event_tokens: service.event_tokens,
+            serves: vec![discovered.service.clone()],
+            loads: Vec::new(),
+            slots: discovered.slots.unwrap_or(service.slots),
+            cache_tokens: 0,
+            fencing: Fencing::Ignored,
+        })
+    }
 }
 
 /// Returns the upstream with the latest start at each address. A crashed
@@ -111,26 +199,3 @@
     }
     latest
 }
-
-/// Combines a discovered upstream with the settings of its service. Returns
-/// `None` if the settings don't define the service.
-fn to_upstream(settings: &Settings, discovered: &DiscoveredUpstream) -> Option<Upstream> {
-    let service = settings.services.get(&discovered.service)?;
-    Some(Upstream {
-        kind: service.kind,
-        zone: discovered.zone.clone(),
-        address: discovered.address,
-        // Only model engines have agents.
-        agent: discovered
-            .agent
-            .filter(|_| service.kind == UpstreamKind::Model),
-        instance: discovered.instance.clone(),
-        leaving: discovered.leaving,
-        event_tokens: service.event_tokens,
-        serves: vec![discovered.service.clone()],
-        loads: Vec::new(),
-        slots: discovered.slots.unwrap_or(service.slots),
-        cache_tokens: 0,
-        fencing: Fencing::Ignored,
-    })
-}
--- a/src/registrations/tests.rs
+++ b/src/registrations/tests.rs
@@ -113,3 +113,71 @@
         assert_eq!(names(&registrations), ["one-a"]);
     }
 }
+
+fn run(name: &str, leaving: bool) -> DiscoveredUpstream {
+    DiscoveredUpstream {
+        started: Some(7),
+        leaving,
+        ..discovered(name, "pool")
+    }
+}
+
+fn accepting(registrations: &Registrations) -> Vec<String> {
+    let upstreams = registrations.upstreams(&settings());
+    let accepting = upstreams.iter().filter(|(_, u)| !u.leaving);
+    accepting.map(|(name, _)| name.to_string()).collect()
+}
+
+#[test]
+fn registrations_that_an_older_copy_lacks_are_kept_until_they_are_written_again() {
+    let mut registrations = Registrations::new();
+    registrations.update(at(0), vec![run("one", false), run("two", false)]);
+    registrations.mark_restored();
+    registrations.update(at(100), vec![run("one", false)]);
+    assert_eq!(accepting(&registrations), ["one", "two"]);
+    registrations.update(at(1_000), vec![run("one", false), run("two", false)]);
+    registrations.tick(at(5_000));
+    assert_eq!(accepting(&registrations), ["one", "two"]);
+}
+
+#[test]
+fn a_leaving_upstream_keeps_leaving_in_an_older_copy() {
+    let mut registrations = Registrations::new();
+    registrations.update(at(0), vec![run("one", true)]);
+    registrations.mark_restored();
+    registrations.update(at(100), vec![run("one", false)]);
+    assert!(accepting(&registrations).is_empty());
+    let restarted = DiscoveredUpstream {
+        started: Some(8),
+        ..run("one", false)
+    };
+    registrations.update(at(200), vec![restarted]);
+    assert_eq!(accepting(&registrations), ["one"]);
+}
+
+#[test]
+fn a_removed_upstream_in_an_older_copy_gets_work_only_once_it_registers_again() {
+    let mut registrations = Registrations::new();
+    registrations.update(at(0), vec![run("one", false), run("two", false)]);
+    registrations.update(at(100), vec![run("two", false)]);
+    registrations.mark_restored();
+    let copy = || vec![run("one", false), run("two", false)];
+    registrations.update(at(200), copy());
+    registrations.update(at(300), copy());
+    assert_eq!(accepting(&registrations), ["two"]);
+    let registered = DiscoveredUpstream {
+        slots: Some(3),
+        ..run("one", false)
+    };
+    registrations.update(at(400), vec![registered, run("two", false)]);
+    assert_eq!(accepting(&registrations), ["one", "two"]);
+}
+
+#[test]
+fn a_removed_upstream_that_registers_again_without_a_restore_gets_work() {
+    let mut registrations = Registrations::new();
+    registrations.update(at(0), vec![run("one", false)]);
+    registrations.update(at(100), Vec::new());
+    registrations.update(at(200), vec![run("one", false)]);
+    assert_eq!(accepting(&registrations), ["one"]);
+}
--- a/src/site_key.rs
+++ b/src/site_key.rs
@@ -5,13 +5,16 @@
 //! valid on another connection or in the other direction.
 
 use std::fmt;
+use std::rc::Rc;
 
 use hmac::Hmac;
 use hmac::KeyInit;
 use hmac::Mac;
 use rand::Rng;
 use sha2::Sha256;
+use subtle::ConstantTimeEq;
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::name::Name;
@@ -57,54 +60,120 @@
 const NEW_KEY_BYTES: usize = 32;
 
 /// Returns the site's key from a store, or generates and stores it if there is
-/// none. If several processes store a key at the same time, the first write wins.
-/// A process whose write came later or whose reply was lost reads the stored key.
+/// none, see [`agree`].
 pub async fn load_or_create(store: &dyn ObjectStore) -> Result<SiteKey, StoreError> {
-    let name = Name::new(KEY_OBJECT);
-    if let Some(key) = parse_stored_key(store.get(name.clone()).await?) {
-        return Ok(key);
-    }
     let mut key = [0; NEW_KEY_BYTES];
     rand::rng().fill_bytes(&mut key);
-    let text: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
-    match store.put(name.clone(), text.into(), Expected::Absent).await {
-        Ok(_) => Ok(SiteKey(key.to_vec())),
-        Err(StoreError::Conflict | StoreError::OutcomeUnknown) => {
-            let key = parse_stored_key(store.get(name).await?);
+    agree(store, SiteKey(key.to_vec())).await
+}
+
+/// Returns the site's key from a store, or stores `proposed` if there is none or
+/// the stored one can't be read. If several processes store a key at the same
+/// time, the first write wins. A process whose write came later or whose reply was
+/// lost reads the stored key.
+pub async fn agree(store: &dyn ObjectStore, proposed: SiteKey) -> Result<SiteKey, StoreError> {
+    let name = Name::new(KEY_OBJECT);
+    let expected = match store.get(name.clone()).await? {
+        None => Expected::Absent,
+        Some(object) => match parse_stored_key(&object) {
+            Some(key) => return Ok(key),
+            None => Expected::Version(object.version),
+        },
+    };
+    let text: String = proposed
+        .0
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    match store.put(name.clone(), text.into(), expected).await {
+        Ok(_) => Ok(proposed),
+        Err(StoreError::Conflict | StoreError::OutcomeUnknown | StoreError::Restored) => {
+            let object = store.get(name).await?;
+            let key = object.as_ref().and_then(parse_stored_key);
             key.ok_or(StoreError::OutcomeUnknown)
         }
         Err(e) => Err(e),
     }
 }
 
-fn parse_stored_key(object: Option<Object>) -> Option<SiteKey> {
-    let text = object?.value;
-    SiteKey::parse(std::str::from_utf8(&text).ok()?).ok()
+fn parse_stored_key(object: &Object) -> Option<SiteKey> {
+    SiteKey::parse(std::str::from_utf8(&object.value).ok()?).ok()
 }
 
-/// Holder of a site key that may be set after the process has started.
+/// Holder of a site key that may be set after the process has started, and
+/// replaced after the store that keeps it was restored from an older copy.
+///
+/// The replaced key is still accepted from peers: they replace theirs a little
+/// earlier or later.
 #[derive(Clone)]
-pub struct KeyHolder(watch::Sender<Option<SiteKey>>);
+pub struct KeyHolder {
+    keys: watch::Sender<HeldKeys>,
+    /// Notified when a peer has proved another key than the held ones.
+    mismatch: Rc<Notify>,
+}
+
+#[derive(Clone, Default)]
+struct HeldKeys {
+    current: Option<SiteKey>,
+    /// The key before `current`; `None` if `current` is the first one.
+    previous: Option<SiteKey>,
+}
 
 impl KeyHolder {
     /// Creates a holder without a key.
     pub fn pending() -> Self {
-        Self(watch::Sender::new(None))
+        Self {
+            keys: watch::Sender::default(),
+            mismatch: Rc::default(),
+        }
     }
 
-    /// Sets the key and wakes all waiting tasks.
-    pub fn set(&self, key: SiteKey) {
-        self.0.send_replace(Some(key));
+    /// Sets the key and wakes all waiting tasks. Returns whether another key was
+    /// replaced.
+    pub fn set(&self, key: SiteKey) -> bool {
+        let mut is_replaced = false;
+        self.keys.send_modify(|keys| {
+            if keys.current.as_ref() != Some(&key) {
+                is_replaced = keys.current.is_some();
+                keys.previous = keys.current.replace(key);
+            }
+        });
+        is_replaced
     }
 
     /// Returns the key, if it is set.
     pub fn get(&self) -> Option<SiteKey> {
-        self.0.borrow().clone()
+        self.keys.borrow().current.clone()
+    }
+
+    /// Returns the first of the current and the previous key for which `accepts`
+    /// returns true. If both are refused, the current key is due to be checked,
+    /// see [`KeyHolder::mismatch`].
+    pub fn find<F>(&self, accepts: F) -> Option<SiteKey>
+    where
+        F: Fn(&SiteKey) -> bool,
+    {
+        let HeldKeys { current, previous } = self.keys.borrow().clone();
+        let accepted = current.into_iter().chain(previous).find(accepts);
+        if accepted.is_none() {
+            self.report_mismatch();
+        }
+        accepted
+    }
+
+    /// Records that a peer holds another key.
+    pub fn report_mismatch(&self) {
+        self.mismatch.notify_one();
+    }
+
+    /// Waits until a peer has held another key since the last call.
+    pub async fn mismatch(&self) {
+        self.mismatch.notified().await;
     }
 
     /// Waits until the key is set and returns it.
     pub async fn wait(&self) -> SiteKey {
-        let mut key_changes = self.0.subscribe();
+        let mut key_changes = self.keys.subscribe();
         loop {
             if let Some(key) = self.get() {
                 return key;
@@ -118,7 +187,9 @@
 
 impl From<SiteKey> for KeyHolder {
     fn from(key: SiteKey) -> Self {
-        Self(watch::Sender::new(Some(key)))
+        let holder = Self::pending();
+        holder.set(key);
+        holder
     }
 }
 
@@ -195,6 +266,12 @@
     }
 }
 
+impl PartialEq for SiteKey {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
 impl fmt::Debug for SiteKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("SiteKey(..)")
