Bound what entries spend of a quota between two reports

Some 30 entries report every 0.29 s; one organisation that sends six times its usual spends what remains through several entries at once, before they hear of each other.

Change: between two of its reports an entry spends half of what remained at the first, times a part: one half divided equally, the other by recent spending. Unused credit is kept for one request.

Ruled out: more frequent reports (bytes and wake-ups grow with the square of the entries).

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -10,6 +10,11 @@
 //! them keeps in the platform's object store; without a recent record it
 //! assumes that the quota is spent.
 //!
+//! Between two of its reports, an entry spends only a part of what remained of a
+//! quota at the first one, in proportion to its part of the recent spending. So
+//! entries that spend at the same time, before they hear of each other, do not
+//! spend what remains several times.
+//!
 //! When a quota is lowered, earlier spending counts as the same fraction of
 //! the new quota as it was of the old one, so that an organisation within its
 //! quota is not locked out for a window.
@@ -58,6 +63,22 @@
 /// spending are unknown.
 const WINDOW_PARTS: u32 = 16;
 
+/// Fraction of what remains of a quota that all entries together spend between two
+/// reports. A report can arrive as late as the next one is sent, so two such
+/// fractions must not exceed the whole.
+const CREDIT_FRACTION: f64 = 0.5;
+
+/// Fraction of the credits that is divided equally among the entries; the rest is
+/// divided in proportion to their recent spending.
+const EQUAL_CREDIT_FRACTION: f64 = 0.5;
+
+/// Fraction of the recent spending that still counts as recent at the next report.
+const RECENT_KEPT: f64 = 0.9;
+
+/// Retry delay for a caller whose organisation has quota left, but whose entry has
+/// used its credit: the longest time between two reports.
+const CREDIT_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// Longest retry delay that is suggested to a caller whose organisation has
 /// exhausted its quota.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
@@ -145,6 +166,15 @@
     sum: f64,
     /// Units spent through this entry since it started.
     own_spent: f64,
+    /// Units that this entry can spend before its next report; `None` before the
+    /// first request.
+    credit: Option<f64>,
+    /// Units of the largest request so far.
+    largest_request: f64,
+    /// Units spent lately through this entry and through all, which decay with each
+    /// report.
+    own_recent: f64,
+    recent: f64,
     /// Fraction of `allowed` that all entries together are assumed to have spent
     /// in the window before this one started.
     assumed_fraction: f64,
@@ -239,15 +269,22 @@
         if remaining < units && (account.sum > 0.0 || unobserved_fraction > 0.0) {
             return Err(account.retry_after(now, units - remaining));
         }
+        account.largest_request = account.largest_request.max(units);
+        let entries = self.entries as f64;
+        let first_credit = (remaining * CREDIT_FRACTION / entries).max(units);
+        let credit = *account.credit.get_or_insert(first_credit);
+        if self.entries > 1 && credit < units {
+            return Err(CREDIT_RETRY_AFTER);
+        }
         account.add(now + bounds.window, units);
-        account.own_spent += units;
+        account.spend_own(units);
         Ok(())
     }
 
     /// Refunds the units of a request that was not run.
     pub fn refund(&mut self, organisation: &Name, units: f64) {
         if let Some(account) = self.organisations.get_mut(organisation) {
-            account.own_spent -= units;
+            account.spend_own(-units);
             account.remove_latest(units);
         }
     }
@@ -297,8 +334,13 @@
     /// Returns this entry's report to the other entries.
     pub fn report(&mut self, now: Timestamp, window: Duration, from: Incarnation) -> QuotaReport {
         let unobserved_fraction = self.unobserved_fraction(now, window);
+        let reachable_fraction = self.reachable_fraction(now);
+        let entries = self.entries as f64;
         let spend = |(organisation, account): (&Name, &mut Account)| {
             account.remove_expired(now);
+            let available = account.allowed * reachable_fraction;
+            let remaining = available - account.window_sum(unobserved_fraction);
+            account.add_credit(remaining.max(0.0), entries);
             SpendTotals {
                 organisation: organisation.clone(),
                 spent: account.own_spent,
@@ -373,6 +415,10 @@
             spendings: VecDeque::new(),
             sum: 0.0,
             own_spent: 0.0,
+            credit: None,
+            largest_request: 0.0,
+            own_recent: 0.0,
+            recent: 0.0,
             assumed_fraction: 0.0,
         }
     }
@@ -390,6 +436,29 @@
         }
     }
 
+    fn spend_own(&mut self, units: f64) {
+        self.own_spent += units;
+        self.own_recent = (self.own_recent + units).max(0.0);
+        if let Some(credit) = &mut self.credit {
+            *credit -= units;
+        }
+    }
+
+    /// Adds the credit of the time until the next report, given the units that
+    /// remain of the quota. Unused credit is kept for the next request only.
+    fn add_credit(&mut self, remaining: f64, entries: f64) {
+        let own_part = match self.recent > 0.0 {
+            true => (self.own_recent / self.recent).min(1.0),
+            false => 1.0 / entries,
+        };
+        self.own_recent *= RECENT_KEPT;
+        self.recent *= RECENT_KEPT;
+        let part = EQUAL_CREDIT_FRACTION / entries + (1.0 - EQUAL_CREDIT_FRACTION) * own_part;
+        let added = remaining * CREDIT_FRACTION * part;
+        let kept = self.credit.unwrap_or_default();
+        self.credit = Some((kept + added).min(added.max(self.largest_request)));
+    }
+
     /// Returns the units that count as spent by all entries in the last
     /// window.
     fn window_sum(&self, unobserved_fraction: f64) -> f64 {
@@ -411,6 +480,7 @@
             };
             self.spendings.insert(index, spending);
             self.sum += units;
+            self.recent += units;
         }
     }
 
