Judge expected waits that arrive after the collection timeout

Entries with 0.09 of a core read replies later than the 20 ms in which they are collected, and replies after that were never compared with the longest expected wait.

Change: the waits are judged whenever the last open ticket is answered.

Test: dispatch::request_is_refused_by_expected_waits_that_arrive_late, which fails without the change.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -263,7 +263,10 @@
                 {
                     *ticket = TicketState::Waiting(quote);
                 }
-                self.finish_collection_if_complete()
+                match self.state {
+                    State::WaitingForGrant => self.check_expected_wait(),
+                    _ => self.finish_collection_if_complete(),
+                }
             }
         }
     }
@@ -297,6 +300,12 @@
         if !actions.is_empty() {
             return actions;
         }
+        self.check_expected_wait()
+    }
+
+    /// Refuses the request if the schedulers have replied to every open ticket and
+    /// each of them expects too long a wait.
+    fn check_expected_wait(&mut self) -> Vec<Action> {
         match self.shortest_wait() {
             Some(wait) if wait > self.max_expected_wait => {
                 let mut actions = vec![Action::RecordWait(wait)];
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -103,6 +103,20 @@
     assert_eq!(actions[0], Action::Send(name(1), GrantId(9)));
 }
 
+/// Pattern: an entry short of processor time reads the replies only after the
+/// collection timeout.
+#[test]
+fn request_is_refused_by_expected_waits_that_arrive_late() {
+    let objective = Duration::from_millis(100);
+    let mut dispatch = Dispatch::new(choices(2), 2).with_time_limits(objective, objective * 3);
+    dispatch.start();
+    dispatch.handle_event(queued(0, 900));
+    assert_eq!(dispatch.handle_event(Event::CollectionTimedOut), []);
+    let actions = dispatch.handle_event(queued(1, 700));
+    let is_refusal = |a: &Action| matches!(a, Action::GiveUp { .. });
+    assert!(actions.last().is_some_and(is_refusal), "{actions:?}");
+}
+
 #[test]
 fn request_is_refused_when_every_expected_wait_is_too_long() {
     let objective = Duration::from_millis(100);
