Move admission out of the entry's state

Cause: what an entry decides before it asks a scheduler was spread over the shared state and could not be run without an entry.

Change: admission holds the wait cache and the throttle and does no I/O; the state keeps one and passes the time and a random number.

--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,79 @@
+//! Admission of requests at an entry, before any scheduler is asked.
+//!
+//! In a burst most requests are refused. A request whose wait is known to be too
+//! long, or that would most likely wait in vain, is refused at once, so that its
+//! refusal costs very little and its caller learns early when to come back. The
+//! decisions do no I/O and take the time and random numbers as arguments.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::name::Name;
+
+mod throttle;
+mod wait_cache;
+
+pub use throttle::Throttle;
+pub use wait_cache::WaitCache;
+
+/// Key of the requests that share an expected wait.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct RequestClass {
+    /// Model or service that is requested.
+    pub service: Name,
+    /// Scheduling rank of the requests; 0 is the highest.
+    pub rank: u8,
+    /// Organisation that sends the requests.
+    pub organisation: Name,
+}
+
+/// What an entry knows of the load, by request class.
+#[derive(Debug, Default)]
+pub struct AdmissionControl {
+    wait_cache: WaitCache,
+    throttle: Throttle,
+}
+
+impl AdmissionControl {
+    /// Creates a state without any observations.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides on a request that can wait for at most `max_wait`. Returns its
+    /// expected wait if it is to be refused. `draw` is a random number from 0 to 1.
+    pub fn refuse(
+        &mut self,
+        now: Timestamp,
+        request_class: &RequestClass,
+        max_wait: Duration,
+        draw: f64,
+    ) -> Option<Duration> {
+        let recent_wait = self.wait_cache.get(now, request_class);
+        if let Some(wait) = recent_wait.filter(|wait| *wait > max_wait) {
+            return Some(wait);
+        }
+        let probability = self.throttle.refusal_probability(now, request_class);
+        (draw < probability).then_some(max_wait)
+    }
+
+    /// Records the wait that schedulers expect for a request.
+    pub fn record_wait(&mut self, now: Timestamp, request_class: RequestClass, wait: Duration) {
+        self.wait_cache.insert(now, request_class, wait);
+    }
+
+    /// Counts a request that waits, is refused or is sent without a wait.
+    pub fn record_arrival(&mut self, now: Timestamp, request_class: RequestClass) {
+        self.throttle.record_arrival(now, request_class);
+    }
+
+    /// Counts a request that was sent.
+    pub fn record_sent(&mut self, now: Timestamp, request_class: RequestClass) {
+        self.throttle.record_sent(now, request_class);
+    }
+
+    /// Removes what was neither read nor changed recently.
+    pub fn remove_idle(&mut self, now: Timestamp) {
+        self.throttle.remove_idle(now);
+    }
+}
--- a/src/throttle.rs
+++ b/src/admission/throttle.rs
@@ -13,8 +13,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::admission::RequestClass;
 use crate::clock::Timestamp;
-use crate::wait_cache::RequestClass;
 
 #[cfg(test)]
 mod tests;
--- a/src/wait_cache.rs
+++ b/src/admission/wait_cache.rs
@@ -7,8 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::admission::RequestClass;
 use crate::clock::Timestamp;
-use crate::name::Name;
 
 #[cfg(test)]
 mod tests;
@@ -17,17 +17,6 @@
 /// which a busy upstream frees a slot.
 const MAX_AGE: Duration = Duration::from_millis(100);
 
-/// Key of the requests that share an expected wait.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct RequestClass {
-    /// Model or service that is requested.
-    pub service: Name,
-    /// Scheduling rank of the requests; 0 is the highest.
-    pub rank: u8,
-    /// Organisation that sends the requests.
-    pub organisation: Name,
-}
-
 /// The latest expected wait of each request class, with the time it was
 /// recorded.
 #[derive(Debug, Default)]
--- a/src/wait_cache/tests.rs
+++ b/src/admission/wait_cache/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::name::Name;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::new(Duration::from_millis(millis))
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,6 +8,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 
+use crate::admission::RequestClass;
 use crate::dialect::Dialect;
 use crate::entry::auth::KeyTable;
 use crate::entry::error::CallerError;
@@ -21,7 +22,6 @@
 use crate::settings::UpstreamKind;
 use crate::ticket::Work;
 use crate::upstream_request::UpstreamRequest;
-use crate::wait_cache::RequestClass;
 
 /// Header by which a caller requests a lower tier than its own.
 pub const TIER_HEADER: &str = "x-almondramp-tier";
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -166,15 +166,7 @@
     }
 
     async fn run_to_end(&mut self) -> Outcome {
-        let max_expected_wait = self.job.admission.max_expected_wait();
-        let cached_wait = self.state.recent_wait(&self.job);
-        let cached_wait = cached_wait.filter(|wait| *wait > max_expected_wait);
-        let throttled = || {
-            self.state
-                .is_throttled(&self.job)
-                .then_some(max_expected_wait)
-        };
-        let mut actions = match cached_wait.or_else(throttled) {
+        let mut actions = match self.state.refuse_early(&self.job) {
             Some(wait) => {
                 self.state.record_arrival(&self.job);
                 self.dispatch.refuse_overloaded(wait)
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -19,6 +19,7 @@
 
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
+use crate::admission::AdmissionControl;
 use crate::burn::BurnKey;
 use crate::burn::BurnLog;
 use crate::burn_report::EntryBurn;
@@ -56,10 +57,8 @@
 use crate::routing::Candidate;
 use crate::settings::Settings;
 use crate::settings::Upstream;
-use crate::throttle::Throttle;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
-use crate::wait_cache::WaitCache;
 
 /// The retry delay given to callers of evicted requests.
 const EVICTED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -114,8 +113,7 @@
     refusing_new: Cell<bool>,
     retry_budget: RefCell<RetryBudget>,
     outliers: RefCell<Outliers>,
-    wait_cache: RefCell<WaitCache>,
-    throttle: RefCell<Throttle>,
+    admission: RefCell<AdmissionControl>,
     released: Notify,
     burn: RefCell<BurnLog>,
     upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
@@ -164,8 +162,7 @@
             refusing_new: Cell::new(false),
             retry_budget: RefCell::default(),
             outliers: RefCell::default(),
-            wait_cache: RefCell::default(),
-            throttle: RefCell::default(),
+            admission: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
             upstream_outcomes: RefCell::default(),
@@ -269,41 +266,31 @@
         }
     }
 
-    /// Records the expected wait of requests in the class of `job`.
-    pub fn record_wait(&self, job: &Job, wait: Duration) {
-        let mut wait_cache = self.wait_cache.borrow_mut();
-        wait_cache.insert(self.now(), job.request_class(), wait);
-    }
-
-    /// Returns the expected wait of requests in the class of `job`, if it was
-    /// recorded recently.
-    pub fn recent_wait(&self, job: &Job) -> Option<Duration> {
-        self.wait_cache
-            .borrow_mut()
-            .get(self.now(), &job.request_class())
+    /// Decides whether to refuse `job` without asking any scheduler. Returns its
+    /// expected wait if so.
+    pub fn refuse_early(&self, job: &Job) -> Option<Duration> {
+        let draw = self.rng.borrow_mut().random_range(0.0..1.0);
+        let max_wait = job.admission.max_expected_wait();
+        let mut admission = self.admission.borrow_mut();
+        admission.refuse(self.now(), &job.request_class(), max_wait, draw)
     }
 
-    /// Decides at random whether to refuse `job`. The probability is above
-    /// zero when far more requests of its class arrived recently than were
-    /// dispatched.
-    pub fn is_throttled(&self, job: &Job) -> bool {
-        let mut throttle = self.throttle.borrow_mut();
-        let probability = throttle.refusal_probability(self.now(), &job.request_class());
-        probability > 0.0 && self.rng.borrow_mut().random_bool(probability)
+    /// Records the expected wait of requests in the class of `job`.
+    pub fn record_wait(&self, job: &Job, wait: Duration) {
+        let mut admission = self.admission.borrow_mut();
+        admission.record_wait(self.now(), job.request_class(), wait);
     }
 
-    /// Counts the arrival of `job` for the throttle.
+    /// Counts the arrival of `job`.
     pub fn record_arrival(&self, job: &Job) {
-        self.throttle
-            .borrow_mut()
-            .record_arrival(self.now(), job.request_class());
+        let mut admission = self.admission.borrow_mut();
+        admission.record_arrival(self.now(), job.request_class());
     }
 
-    /// Counts the dispatch of `job` for the throttle.
+    /// Counts the dispatch of `job`.
     pub fn record_sent(&self, job: &Job) {
-        self.throttle
-            .borrow_mut()
-            .record_sent(self.now(), job.request_class());
+        let mut admission = self.admission.borrow_mut();
+        admission.record_sent(self.now(), job.request_class());
     }
 
     /// Returns the scheduler that takes tickets for `upstream`: its agent's if
@@ -428,7 +415,7 @@
     }
 
     /// Removes the state kept for upstreams that are no longer listed, and the
-    /// idle request classes of the throttle.
+    /// idle request classes of the admission control.
     pub fn purge_removed_upstreams(&self) {
         let upstreams = self.directory.upstreams();
         let is_listed = |name: &Name| upstreams.contains_key(name);
@@ -439,7 +426,7 @@
             .retain(|name, _| is_listed(name));
         let mut outstanding = self.outstanding.borrow_mut();
         outstanding.retain(|name, count| *count > 0 || is_listed(name));
-        self.throttle.borrow_mut().remove_idle(self.now());
+        self.admission.borrow_mut().remove_idle(self.now());
     }
 
     /// Sets the hosts that are about to be removed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,8 @@
 //!    idempotency key.
 //! 3. [`routing`] orders the upstreams of the [`directory`]. [`dispatch`] decides
 //!    which schedulers are offered a [`ticket`] and which grant is accepted.
-//!    [`wait_cache`] stores recent waits, so that a request with a known refusal
-//!    is not offered at all. [`throttle`] refuses requests in lasting overload.
+//!    [`admission`] refuses requests without offering them where the recent waits
+//!    or lasting overload show that they would wait in vain.
 //! 4. A [`scheduler`] keeps waiting tickets in its [`queue`] and decides which are
 //!    granted. It uses the measured [`pace`] of the upstream, the [`tier_load`]
 //!    and the [`prefix`] chunks expected to be in the engine's cache. The
@@ -36,6 +36,7 @@
 //! [`burn_report`] and [`explain`].
 
 pub mod active_settings;
+pub mod admission;
 pub mod agent;
 pub mod agent_client;
 pub mod apply;
@@ -91,13 +92,11 @@
 pub mod stored_settings;
 mod strict_connector;
 pub mod subset;
-pub mod throttle;
 pub mod ticket;
 pub mod tier_load;
 pub mod units;
 pub mod upstream_request;
 pub mod usage;
-pub mod wait_cache;
 pub mod wire;
 
 #[allow(clippy::all, missing_docs, unused_qualifications)]
