Throttle ranks over all organisations, by max-min fairness

Cause: the throttle counted each organisation of a rank by itself. An entry of thirty sees less than one request a second of each of 48 classes, so it never throttled.

Change: a rank's requests are also counted over all organisations. What can wait is divided among them by max-min fairness; only those above their share are refused. The allowance of a rank is eight requests, so that the first requests after a start are not taken for an overload.

Result: two pattern tests; the first times out more than it refuses without the change.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,22 @@
     pub organisation: Name,
 }
 
+impl RequestClass {
+    fn service_rank(&self) -> ServiceRank {
+        ServiceRank {
+            service: self.service.clone(),
+            rank: self.rank,
+        }
+    }
+}
+
+/// Key of the requests of one rank that a service receives.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct ServiceRank {
+    service: Name,
+    rank: u8,
+}
+
 /// What an entry knows of the load, by request class.
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
--- a/src/admission/throttle.rs
+++ b/src/admission/throttle.rs
@@ -9,12 +9,19 @@
 //! sent recently and refuses the others immediately: most of those that
 //! wait are served, and callers of the refused ones can retry. This is the
 //! client-side adaptive throttling commonly used with overloaded services.
+//!
+//! Where many organisations send few requests each, no class alone shows the
+//! overload. The requests of a rank are therefore also counted over all
+//! organisations. What can be sent is divided among them by max-min fairness, and
+//! only those that ask for more than their share are refused.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::admission::RequestClass;
+use crate::admission::ServiceRank;
 use crate::clock::Timestamp;
+use crate::name::Name;
 
 #[cfg(test)]
 mod tests;
@@ -31,17 +38,29 @@
 
 /// Requests of a class that can wait in addition: a few that arrive together
 /// by chance are not an overload.
-const WAITING_ALLOWANCE: f64 = 2.0;
+const CLASS_ALLOWANCE: f64 = 2.0;
+
+/// Requests of a rank that can wait in addition, over all organisations.
+const RANK_ALLOWANCE: f64 = 8.0;
+
+/// Count below which an organisation is forgotten.
+const MIN_COUNT: f64 = 0.02;
 
-/// Counts arrived and sent requests of each request class.
+/// Counts arrived and sent requests of each rank and organisation.
 #[derive(Debug, Default)]
 pub struct Throttle {
-    request_classes: HashMap<RequestClass, Counts>,
+    ranks: HashMap<ServiceRank, RankCounts>,
 }
 
-#[derive(Debug)]
-struct Counts {
+#[derive(Debug, Default)]
+struct RankCounts {
+    /// The time as of which all counts hold.
     updated: Timestamp,
+    organisations: HashMap<Name, Counts>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
     arrivals: f64,
     sent: f64,
 }
@@ -55,11 +74,15 @@
     /// Returns the probability, from 0 to 1, with which a request of this
     /// class is to be refused now.
     pub fn refusal_probability(&mut self, now: Timestamp, request_class: &RequestClass) -> f64 {
-        let Some(counts) = self.request_classes.get_mut(request_class) else {
+        let Some(rank) = self.ranks.get_mut(&request_class.service_rank()) else {
+            return 0.0;
+        };
+        rank.decay(now);
+        let Some(counts) = rank.organisations.get(&request_class.organisation) else {
             return 0.0;
         };
-        counts.decay(now);
-        let allowed = counts.sent * WAITING_PER_SENT + WAITING_ALLOWANCE;
+        let allowed = counts.sent * WAITING_PER_SENT + CLASS_ALLOWANCE;
+        let allowed = allowed.min(rank.fair_share());
         let excess = (counts.arrivals - allowed) / (counts.arrivals + 1.0);
         excess.clamp(0.0, 1.0)
     }
@@ -74,30 +97,52 @@
         self.counts(now, request_class).sent += 1.0;
     }
 
-    /// Removes the request classes whose counts were not read or changed
-    /// recently.
+    /// Removes the ranks whose counts were not read or changed recently.
     pub fn remove_idle(&mut self, now: Timestamp) {
-        self.request_classes
-            .retain(|_, counts| now.since(counts.updated) < DECAY_TIME * 8);
+        self.ranks
+            .retain(|_, rank| now.since(rank.updated) < DECAY_TIME * 8);
     }
 
     fn counts(&mut self, now: Timestamp, request_class: RequestClass) -> &mut Counts {
-        let counts = self.request_classes.entry(request_class).or_insert(Counts {
-            updated: now,
-            arrivals: 0.0,
-            sent: 0.0,
-        });
-        counts.decay(now);
-        counts
+        let rank = self.ranks.entry(request_class.service_rank()).or_default();
+        rank.decay(now);
+        let organisation = request_class.organisation;
+        rank.organisations.entry(organisation).or_default()
     }
 }
 
-impl Counts {
+impl RankCounts {
     fn decay(&mut self, now: Timestamp) {
         let elapsed = now.since(self.updated).as_secs_f64();
         let factor = (-elapsed / DECAY_TIME.as_secs_f64()).exp();
-        self.arrivals *= factor;
-        self.sent *= factor;
+        for counts in self.organisations.values_mut() {
+            counts.arrivals *= factor;
+            counts.sent *= factor;
+        }
+        self.organisations.retain(|_, c| c.arrivals > MIN_COUNT);
         self.updated = now;
     }
+
+    /// Returns how many requests of one organisation can wait if those that can wait
+    /// in all are divided by max-min fairness: organisations that ask for less than
+    /// an equal share leave the rest to the others. Infinite without an overload.
+    fn fair_share(&self) -> f64 {
+        let sent: f64 = self.organisations.values().map(|c| c.sent).sum();
+        let mut arrivals: Vec<f64> = self.organisations.values().map(|c| c.arrivals).collect();
+        let mut left = sent * WAITING_PER_SENT + RANK_ALLOWANCE;
+        if arrivals.iter().sum::<f64>() <= left {
+            return f64::INFINITY;
+        }
+        arrivals.sort_by(f64::total_cmp);
+        let mut count = arrivals.len();
+        for asked in arrivals {
+            let share = left / count as f64;
+            if asked > share {
+                return share;
+            }
+            left -= asked;
+            count -= 1;
+        }
+        f64::INFINITY
+    }
 }
--- a/src/admission/throttle/tests.rs
+++ b/src/admission/throttle/tests.rs
@@ -101,9 +101,66 @@
     throttle.remove_idle(at(20_000));
     assert!(
         throttle
-            .request_classes
-            .contains_key(&request_class("large"))
+            .ranks
+            .contains_key(&request_class("large").service_rank())
     );
     throttle.remove_idle(at(40_000));
-    assert!(throttle.request_classes.is_empty());
+    assert!(throttle.ranks.is_empty());
+}
+
+/// Pattern: many organisations with few requests each ask for several times what
+/// can be served, through an entry that sees a small part of the traffic.
+#[test]
+fn overload_by_many_organisations_is_recognised() {
+    let mut throttle = Throttle::new();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut waiting: VecDeque<(u64, RequestClass)> = VecDeque::new();
+    let mut outcomes = Outcomes::default();
+    for now in 0..20_000 {
+        if now % 20 == 0 {
+            let class = request_class(&format!("organisation-{}", rng.random_range(0..16)));
+            let probability = throttle.refusal_probability(at(now), &class);
+            throttle.record_arrival(at(now), class.clone());
+            match rng.random_bool(probability) {
+                true => outcomes.refused += 1,
+                false => waiting.push_back((now, class)),
+            }
+        }
+        while waiting
+            .front()
+            .is_some_and(|(at, _)| at + MAX_WAIT_MS < now)
+        {
+            waiting.pop_front();
+            outcomes.timed_out += 1;
+        }
+        if now % 80 == 0
+            && let Some((_, class)) = waiting.pop_front()
+        {
+            outcomes.dispatched += 1;
+            throttle.record_sent(at(now), class);
+        }
+    }
+    assert!(outcomes.dispatched > 240, "{outcomes:?}");
+    assert!(outcomes.timed_out < outcomes.refused, "{outcomes:?}");
+}
+
+/// Pattern: one of many organisations sends far more than the others.
+#[test]
+fn only_organisations_above_their_fair_share_are_refused() {
+    let mut throttle = Throttle::new();
+    for now in 0..1_000 {
+        throttle.record_arrival(at(now), request_class("large"));
+        if now % 100 == 0 {
+            for i in 0..5 {
+                throttle.record_arrival(at(now), request_class(&format!("small-{i}")));
+                throttle.record_sent(at(now), request_class(&format!("small-{i}")));
+            }
+        }
+        if now % 10 == 0 {
+            throttle.record_sent(at(now), request_class("large"));
+        }
+    }
+    let mut probability = |name| throttle.refusal_probability(at(1_000), &request_class(name));
+    assert!(probability("large") > 0.8);
+    assert_eq!(probability("small-0"), 0.0);
 }
