Bound what an entry holds by its host's memory, and refuse before the body

Change: - Connections, held requests and bodies are bounded by the host's memory (setting memory; on the platform from its settings file). Above half of the connections callers are asked to close theirs. - A request whose service its route names is checked for early refusal as soon as its head is read; its body is read and dropped. - A log line is one write.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,23 @@
     pub organisation: Name,
 }
 
+/// The retry delay of a request refused as overloaded, as a multiple of its
+/// expected wait.
+const RETRY_FACTOR: u32 = 4;
+
+/// The shortest retry delay of a request refused as overloaded.
+const RETRY_MIN: Duration = Duration::from_secs(2);
+
+/// The longest retry delay of a request refused as overloaded. Bursts last a few
+/// seconds.
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+/// Returns the retry delay of a request that is refused because of its expected
+/// wait.
+pub fn retry_after(expected_wait: Duration) -> Duration {
+    (expected_wait * RETRY_FACTOR).clamp(RETRY_MIN, RETRY_MAX)
+}
+
 impl RequestClass {
     fn service_rank(&self) -> ServiceRank {
         ServiceRank {
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,12 +8,14 @@
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_with::serde_as;
 use thiserror::Error;
 
 use crate::name::Name;
 use crate::site_key::KeyHolder;
 use crate::site_key::SiteKey;
 use crate::site_key::SiteKeyError;
+use crate::units::BytesText;
 
 /// Reasons why the settings of a process could not be read.
 #[derive(Debug, Error)]
@@ -89,6 +91,8 @@
     pub peer_listen: Option<SocketAddr>,
     /// The addresses of the other entries.
     pub peers: Vec<SocketAddr>,
+    /// The memory that the process may use, in bytes; `None` if it is not limited.
+    pub memory: Option<u64>,
 }
 
 /// The settings of an agent process.
@@ -112,6 +116,7 @@
     pub host_list: Option<Name>,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EntryFile {
@@ -127,6 +132,9 @@
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
+    #[serde(default)]
+    #[serde_as(as = "Option<BytesText>")]
+    memory: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -159,6 +167,7 @@
             host_list: file.host_list,
             peer_listen: file.peer_listen,
             peers: file.peers,
+            memory: file.memory,
         })
     }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::admission::retry_after;
 use crate::ids::GrantId;
 use crate::ids::LinkId;
 use crate::name::Name;
@@ -29,17 +30,6 @@
 /// of the other agents are included even if a slow host reads them late.
 const COLLECTION_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// The retry delay of a request refused as overloaded, as a multiple of its
-/// expected wait.
-const OVERLOAD_RETRY_FACTOR: u32 = 4;
-
-/// The shortest retry delay of a request refused as overloaded.
-const OVERLOAD_RETRY_MIN: Duration = Duration::from_secs(2);
-
-/// The longest retry delay of a request refused as overloaded. Bursts last a few
-/// seconds.
-const OVERLOAD_RETRY_MAX: Duration = Duration::from_secs(5);
-
 /// The fraction added to the expected time of an upstream in another
 /// availability zone when grants are compared.
 const CROSS_ZONE_PENALTY: f64 = 0.4;
@@ -318,9 +308,8 @@
     }
 
     /// Gives up the request as overloaded, given its expected wait.
-    pub fn refuse_overloaded(&mut self, wait: Duration) -> Vec<Action> {
-        let retry_after =
-            (wait * OVERLOAD_RETRY_FACTOR).clamp(OVERLOAD_RETRY_MIN, OVERLOAD_RETRY_MAX);
+    fn refuse_overloaded(&mut self, wait: Duration) -> Vec<Action> {
+        let retry_after = retry_after(wait);
         self.refusal = Some(Refusal::new(RefusalCode::Overloaded, retry_after));
         self.retry_after = Some(retry_after);
         self.give_up()
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Receiver;
 
+use crate::admission::retry_after;
 use crate::burn::BurnKey;
 use crate::clock::Timestamp;
 use crate::dispatch::Event;
@@ -174,6 +175,15 @@
         admission: Some(admitted.clone()),
         error,
     };
+    let refuse_early = |service: &Name| {
+        let class = admitted.request_class(service);
+        let wait = state.refuse_early(class, admitted.max_expected_wait())?;
+        Some(refuse(CallerError::Overloaded(retry_after(wait))))
+    };
+    if let Some(refused) = admission.service.as_ref().and_then(refuse_early) {
+        discard_body(req, settings.limits.caller_timeout).await;
+        return Err(refused);
+    }
     let limited = || refuse(CallerError::Limited(LIMITED_RETRY_AFTER));
     let concurrency_permit = state
         .acquire_permit(&admission.organisation)
@@ -191,6 +201,12 @@
     let body = body.await.map_err(&refuse)?;
     let job = admission.into_job(req.head(), &*dialect, &settings, body);
     let job = job.map_err(&refuse)?;
+    // Otherwise the body names the model, and the check was not possible before.
+    if admitted.service.is_none()
+        && let Some(refused) = refuse_early(&job.target)
+    {
+        return Err(refused);
+    }
     let quota_charge = state.charge_quota(&job).map_err(&refuse)?;
     let claim = match claim_if_needed(state, req.head(), &job)
         .await
@@ -313,6 +329,15 @@
     length.map(Some).ok_or(invalid)
 }
 
+/// Reads a body to its end without keeping it. A connection that is closed with
+/// unread bytes is reset, and its caller may lose the answer.
+async fn discard_body(req: &mut Request, timeout: Duration) {
+    let mut payload = req.take_payload();
+    let read = async { while let Some(Ok(_)) = payload.next().await {} };
+    // A body that does not end in time is cut off with the connection.
+    let _ = actix_rt::time::timeout(timeout, read).await;
+}
+
 async fn read_body(req: &mut Request, limit: u64, timeout: Duration) -> Result<Bytes, CallerError> {
     let mut payload = req.take_payload();
     let read = async {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -65,6 +65,7 @@
 use crate::kernel::KernelError;
 use crate::kernel::Registry;
 use crate::kernel::Service;
+use crate::memory_budget::MemoryBudget;
 use crate::name::Name;
 use crate::object_store::HttpObjectStore;
 use crate::object_store::ObjectStore;
@@ -281,7 +282,8 @@
         async move {
             let state = registry.find::<EntryState>(STATE_SERVICE)?;
             let active_settings = Rc::clone(&state.active_settings);
-            let bounds = move || caller_bounds(&active_settings.settings().limits);
+            let memory = MemoryBudget::new(state.config.memory);
+            let bounds = move || caller_bounds(memory, &active_settings.settings().limits);
             let handler_state = Rc::clone(&state);
             let handler = move |req: Request| http::handle(Rc::clone(&handler_state), req);
             let server = HttpServer::bind(state.config.listen, bounds, handler).await;
@@ -341,9 +343,9 @@
     }
 }
 
-fn caller_bounds(limits: &Limits) -> HttpBounds {
+fn caller_bounds(memory: MemoryBudget, limits: &Limits) -> HttpBounds {
     HttpBounds {
-        connections: limits.connections as usize,
+        connections: memory.within(limits).connections,
         head_timeout: limits.caller_timeout,
         write_timeout: limits.caller_write_timeout,
         keep_alive: limits.caller_idle,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -159,6 +159,16 @@
         self.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION)
     }
 
+    /// Returns the class of requests for `service` with the same organisation and
+    /// rank.
+    pub fn request_class(&self, service: &Name) -> RequestClass {
+        RequestClass {
+            service: service.clone(),
+            rank: self.rank,
+            organisation: self.organisation.clone(),
+        }
+    }
+
     /// Completes the request with its body.
     pub fn into_job(
         self,
@@ -223,11 +233,7 @@
 
     /// Returns the class of requests with the same organisation, rank and target.
     pub fn request_class(&self) -> RequestClass {
-        RequestClass {
-            service: self.target.clone(),
-            rank: self.admission.rank,
-            organisation: self.admission.organisation.clone(),
-        }
+        self.admission.request_class(&self.target)
     }
 }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -166,13 +166,7 @@
     }
 
     async fn run_to_end(&mut self) -> Outcome {
-        let mut actions = match self.state.refuse_early(&self.job) {
-            Some(wait) => {
-                self.state.record_arrival(&self.job);
-                self.dispatch.refuse_overloaded(wait)
-            }
-            None => self.dispatch.start(),
-        };
+        let mut actions = self.dispatch.start();
         loop {
             let (upstream, grant) = match self.wait_for_grant(actions).await {
                 WaitResult::Granted(upstream, grant) => (upstream, grant),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -20,6 +20,7 @@
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
 use crate::admission::AdmissionControl;
+use crate::admission::RequestClass;
 use crate::burn::BurnKey;
 use crate::burn::BurnLog;
 use crate::burn_report::EntryBurn;
@@ -44,6 +45,7 @@
 use crate::held_requests::HoldResult;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::memory_budget::MemoryBudget;
 use crate::name::Name;
 use crate::object_store::HttpObjectStore;
 use crate::outcome::Outcome;
@@ -95,6 +97,7 @@
     pub log: Logger,
     /// Hosts that are about to be removed.
     leaving_hosts: RefCell<BTreeSet<Name>>,
+    memory: MemoryBudget,
     clock: Clock,
     keys: RefCell<(Revision, Rc<KeyTable>)>,
     /// The sequence number of the last request.
@@ -136,6 +139,7 @@
         });
         let clock = Clock::new();
         Self {
+            memory: MemoryBudget::new(config.memory),
             config,
             claims,
             is_watcher,
@@ -266,13 +270,19 @@
         }
     }
 
-    /// Decides whether to refuse `job` without asking any scheduler. Returns its
-    /// expected wait if so.
-    pub fn refuse_early(&self, job: &Job) -> Option<Duration> {
+    /// Decides whether to refuse a request without asking any scheduler, and counts
+    /// its arrival if so. Returns its expected wait if it is refused.
+    pub fn refuse_early(
+        &self,
+        request_class: RequestClass,
+        max_wait: Duration,
+    ) -> Option<Duration> {
+        let now = self.now();
         let draw = self.rng.borrow_mut().random_range(0.0..1.0);
-        let max_wait = job.admission.max_expected_wait();
-        let mut admission = self.admission.borrow_mut();
-        admission.refuse(self.now(), &job.request_class(), max_wait, draw)
+        let mut control = self.admission.borrow_mut();
+        let wait = control.refuse(now, &request_class, max_wait, draw)?;
+        control.record_arrival(now, request_class);
+        Some(wait)
     }
 
     /// Records the expected wait of requests in the class of `job`.
@@ -325,10 +335,10 @@
         bytes: u64,
         events: UnboundedSender<Event>,
     ) -> Option<RequestId> {
-        let limits = &self.active_settings.settings().limits;
+        let budget = self.memory.within(&self.active_settings.settings().limits);
         let bounds = HeldRequestBounds {
-            requests: limits.entry_requests as usize,
-            bytes: limits.entry_bodies,
+            requests: budget.requests,
+            bytes: budget.body_bytes,
         };
         let sequence = self.last_sequence.get() + 1;
         self.last_sequence.set(sequence);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::HttpService;
 use actix_http::Request;
 use actix_http::Response;
@@ -23,6 +24,10 @@
 /// The pause after a failed `accept`, for example if no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// The part of the allowed connections above which callers are asked to close theirs
+/// after the next answer: idle ones would keep others out.
+const CROWDED_FRACTION: f64 = 0.5;
+
 /// Limits on the connections of one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HttpBounds {
@@ -52,6 +57,12 @@
     changed: Notify,
 }
 
+impl State {
+    fn is_crowded(&self, bounds: &HttpBounds) -> bool {
+        self.connections.get() as f64 > bounds.connections as f64 * CROWDED_FRACTION
+    }
+}
+
 impl HttpServer {
     /// Binds to `address` and serves each request with `handler`. `bounds` is
     /// called for each connection.
@@ -110,7 +121,7 @@
             return;
         };
         let guard = ConnectionGuard::new(&state);
-        let connection = serve_connection(stream, bounds(), handler.clone());
+        let connection = serve_connection(stream, bounds(), handler.clone(), Rc::clone(&state));
         actix_rt::spawn(async move {
             let _guard = guard;
             connection.await;
@@ -118,14 +129,27 @@
     }
 }
 
-async fn serve_connection<F, Fut>(stream: TcpStream, bounds: HttpBounds, handler: F)
-where
+async fn serve_connection<F, Fut>(
+    stream: TcpStream,
+    bounds: HttpBounds,
+    handler: F,
+    state: Rc<State>,
+) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
     let service = fn_service(move |req: Request| {
         let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        let state = Rc::clone(&state);
+        async move {
+            let mut response = response.await;
+            if state.is_crowded(&bounds) {
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let factory = HttpService::<Io, _, _>::build()
         .keep_alive(bounds.keep_alive)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod lease;
 pub mod log;
 pub mod membership;
+pub mod memory_budget;
 pub mod metrics;
 pub mod name;
 pub mod object_store;
--- a/src/log.rs
+++ b/src/log.rs
@@ -150,11 +150,12 @@
     /// of a line that the output accepts only in part is written before the next
     /// line.
     fn write_line(&mut self, line: &[u8]) -> bool {
-        let unwritten = std::mem::take(&mut self.unwritten);
-        let written = self.output.write(&unwritten).unwrap_or_default();
-        if written < unwritten.len() {
-            self.unwritten = unwritten[written..].to_vec();
-            return false;
+        if !self.unwritten.is_empty() {
+            let written = self.output.write(&self.unwritten).unwrap_or_default();
+            self.unwritten.drain(..written);
+            if !self.unwritten.is_empty() {
+                return false;
+            }
         }
         match self.output.write(line) {
             Ok(written) => {
--- /dev/null
+++ b/src/memory_budget.rs
@@ -0,0 +1,71 @@
+//! Limits on what an entry holds, derived from the memory of its host.
+//!
+//! An entry that exceeds the memory of its host is killed with all its requests. It
+//! accepts fewer connections and requests instead, so that callers reach other
+//! entries or are refused in time.
+
+use crate::settings::Limits;
+
+#[cfg(test)]
+mod tests;
+
+/// Memory of an entry without connections: the program, the settings and the state
+/// of upstreams and organisations, in bytes.
+const BASE_BYTES: u64 = 24 << 20;
+
+/// Memory of a connection: buffers for reading and writing, the task, and unread
+/// bytes in the kernel, in bytes.
+const CONNECTION_BYTES: u64 = 32 << 10;
+
+/// Memory of a held request without its body: its task, tickets at several
+/// schedulers, the connection to an upstream and parts of the answer, in bytes.
+const REQUEST_BYTES: u64 = 48 << 10;
+
+/// The parts of the memory above the base that connections, requests and bodies may
+/// each use, in percent. The rest is left for fragmentation and for settings that
+/// are being replaced.
+const CONNECTIONS_PERCENT: u64 = 25;
+const REQUESTS_PERCENT: u64 = 30;
+const BODIES_PERCENT: u64 = 15;
+
+/// The largest numbers of connections and requests, and the largest total size of
+/// bodies, that fit in the memory of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemoryBudget {
+    /// Connections of callers.
+    pub connections: usize,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Total size of the bodies of these requests, in bytes.
+    pub body_bytes: u64,
+}
+
+impl MemoryBudget {
+    /// Returns the budget of a host with `memory` bytes; unlimited for `None`.
+    pub fn new(memory: Option<u64>) -> Self {
+        let Some(memory) = memory else {
+            return Self {
+                connections: usize::MAX,
+                requests: usize::MAX,
+                body_bytes: u64::MAX,
+            };
+        };
+        let available = memory.saturating_sub(BASE_BYTES);
+        let part = |percent: u64| available / 100 * percent;
+        let count = |bytes: u64, each: u64| usize::try_from(bytes / each).unwrap_or(usize::MAX);
+        Self {
+            connections: count(part(CONNECTIONS_PERCENT), CONNECTION_BYTES).max(1),
+            requests: count(part(REQUESTS_PERCENT), REQUEST_BYTES).max(1),
+            body_bytes: part(BODIES_PERCENT),
+        }
+    }
+
+    /// Returns the smaller of this budget and the operators' limits.
+    pub fn within(self, limits: &Limits) -> Self {
+        Self {
+            connections: self.connections.min(limits.connections as usize),
+            requests: self.requests.min(limits.entry_requests as usize),
+            body_bytes: self.body_bytes.min(limits.entry_bodies),
+        }
+    }
+}
