Serve callers that come back after the fresh ones of their tier

Hypothesis: after a burst, requests that were refused come back past their objective.

Change: an entry compares the time that a caller has left with the longest one that callers of the route have lately had. What lacks is how long it has tried. A ticket whose objective has passed before it is offered goes behind the others of its tier rank, not behind lower ones. Rank is a type with its parts.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -16,6 +16,7 @@
 use almondramp::settings::Document;
 use almondramp::settings::File;
 use almondramp::settings::Settings;
+use almondramp::ticket::Rank;
 use almondramp::ticket::Ticket;
 use almondramp::ticket::WithdrawReason;
 use almondramp::ticket::Work;
@@ -35,7 +36,7 @@
             sequence,
         },
         organisation: Name::new(&format!("organisation-{}", sequence % 50)),
-        rank: (sequence % 3) as u8,
+        rank: Rank::from((sequence % 3) as u8),
         deadline: LATER,
         objective: LATER,
         wait_deadline: LATER,
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -28,6 +28,7 @@
 use almondramp::settings::Document;
 use almondramp::settings::File;
 use almondramp::settings::Settings;
+use almondramp::ticket::Rank;
 use almondramp::ticket::Ticket;
 use almondramp::ticket::Work;
 use almondramp_standins::Launcher;
@@ -144,7 +145,7 @@
             sequence,
         },
         organisation: Name::new(&format!("organisation-{}", sequence % ORGANISATIONS)),
-        rank: (sequence % 3) as u8,
+        rank: Rank::from((sequence % 3) as u8),
         deadline: Timestamp::new(Duration::from_secs(60 + sequence % 60)),
         objective: Timestamp::new(Duration::from_secs(30 + sequence % 60)),
         wait_deadline: Timestamp::new(Duration::from_secs(60 + sequence % 60)),
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,9 +10,11 @@
 use crate::clock::Timestamp;
 use crate::name::Name;
 
+mod patience;
 mod throttle;
 mod wait_cache;
 
+pub use patience::Patience;
 pub use throttle::Throttle;
 pub use wait_cache::WaitCache;
 
@@ -65,6 +67,7 @@
 pub struct AdmissionControl {
     wait_cache: WaitCache,
     throttle: Throttle,
+    patience: Patience,
 }
 
 impl AdmissionControl {
@@ -90,6 +93,12 @@
         (draw < probability).then_some(max_wait)
     }
 
+    /// Records a caller of `route` that has `left` until its deadline. Returns how long
+    /// it has been trying.
+    pub fn record_caller(&mut self, now: Timestamp, route: &Name, left: Duration) -> Duration {
+        self.patience.record(now, route, left)
+    }
+
     /// Records the wait that schedulers expect for a request.
     pub fn record_wait(&mut self, now: Timestamp, request_class: RequestClass, wait: Duration) {
         self.wait_cache.insert(now, request_class, wait);
@@ -108,5 +117,6 @@
     /// Removes what was neither read nor changed recently.
     pub fn remove_idle(&mut self, now: Timestamp) {
         self.throttle.remove_idle(now);
+        self.patience.remove_idle(now);
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -163,13 +163,16 @@
     let settings = state.active_settings.settings();
     let dialect = Rc::clone(&state.dialect);
     let random_below = |total| state.random_below(total);
-    let admission = Admission::new(
+    let mut admission = Admission::new(
         req.head(),
         &*dialect,
         &settings,
         &state.keys(),
         random_below,
     )?;
+    if dialect.deadline(req.head()).is_ok_and(|d| d.is_some()) {
+        admission.tried_for = state.record_caller(&admission.route_name, admission.deadline);
+    }
     let admitted = admission.clone();
     let refuse = |error| RefusedRequest {
         admission: Some(admitted.clone()),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -61,6 +61,10 @@
     pub organisation: Name,
     /// The route that matches the host and path.
     pub route: Route,
+    /// The name of the route.
+    pub route_name: Name,
+    /// How long the caller has been trying: zero at its first attempt.
+    pub tried_for: Duration,
     /// The tier of the request.
     pub tier: Name,
     /// The scheduling rank; 0 is the highest.
@@ -141,6 +145,8 @@
             rank: scheduling_rank(settings, &organisation, route, tier_settings.order),
             organisation,
             route: route.clone(),
+            route_name: route_name.clone(),
+            tried_for: Duration::ZERO,
             tier,
             deadline,
             objective,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -35,6 +35,7 @@
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::settings::Policy;
+use crate::ticket::Rank;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
@@ -350,9 +351,9 @@
         Ticket {
             request: self.request,
             organisation: admission.organisation.clone(),
-            rank: admission.rank,
+            rank: Rank::from(admission.rank),
             deadline: self.deadline,
-            objective: self.arrived + admission.objective,
+            objective: self.arrived + admission.objective.saturating_sub(admission.tried_for),
             wait_deadline: (self.arrived + admission.max_wait()).min(self.deadline),
             work: self.job.work,
             prefix: self.job.prefix.clone(),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -285,6 +285,13 @@
         Some(wait)
     }
 
+    /// Records a caller of `route` that has `left` until its deadline. Returns how long
+    /// it has been trying.
+    pub fn record_caller(&self, route: &Name, left: Duration) -> Duration {
+        let mut control = self.admission.borrow_mut();
+        control.record_caller(self.now(), route, left)
+    }
+
     /// Records the expected wait of requests in the class of `job`.
     pub fn record_wait(&self, job: &Job, wait: Duration) {
         let mut admission = self.admission.borrow_mut();
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,7 +1,9 @@
 //! Priority queue of waiting tickets.
 //!
-//! Tickets whose objective has not passed are served before the others, and
-//! higher tiers before lower ones. Organisations within a tier are served by
+//! Tickets whose objective passes while they wait are served after the others, and
+//! higher tiers before lower ones. Within a tier, callers that come back after a
+//! refusal, past their objective, are served after those whose objective can still
+//! be met. Organisations within a tier are served by
 //! start-time fair queueing over the cost of their work, and tickets within an
 //! organisation by earliest deadline. The operations on one ticket take time
 //! logarithmic in the number of waiting tickets.
@@ -13,6 +15,7 @@
 use crate::clock::Timestamp;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::ticket::Rank;
 use crate::ticket::Ticket;
 
 #[cfg(test)]
@@ -21,9 +24,6 @@
 /// Units of virtual time for one unit of cost at weight 1.
 const VIRTUAL_SCALE: u64 = 1 << 10;
 
-/// The offset added to the rank of a ticket whose objective has passed.
-const DELAYED_RANK_OFFSET: u8 = 128;
-
 /// The result of pushing a ticket.
 #[derive(Debug)]
 pub enum PushResult {
@@ -45,7 +45,7 @@
 pub struct Queue {
     capacity: usize,
     tickets: HashMap<RequestId, QueuedTicket>,
-    tiers: BTreeMap<u8, TierQueue>,
+    tiers: BTreeMap<Rank, TierQueue>,
     /// All tickets by their wait deadline, to expire them.
     by_wait_deadline: BTreeSet<(Timestamp, RequestId)>,
     /// The tickets that are not delayed, by objective, to demote them.
@@ -119,7 +119,7 @@
     }
 
     /// Returns the number of waiting tickets of the tier of this rank.
-    pub fn tier_len(&self, rank: u8) -> usize {
+    pub fn tier_len(&self, rank: Rank) -> usize {
         self.tiers.get(&rank).map_or(0, |t| t.count)
     }
 
@@ -132,7 +132,7 @@
     /// tier, organisation and weight: all work of the higher tiers, and in its own
     /// tier the work of its organisation plus the work of the others that fair
     /// queueing serves meanwhile.
-    pub fn cost_ahead(&self, rank: u8, organisation: &Name, weight: u32) -> u64 {
+    pub fn cost_ahead(&self, rank: Rank, organisation: &Name, weight: u32) -> u64 {
         let higher: u64 = self.tiers.range(..rank).map(|(_, t)| t.cost).sum();
         let tier = self.tiers.get(&rank);
         higher + tier.map_or(0, |t| t.cost_ahead(organisation, weight))
@@ -140,7 +140,7 @@
 
     /// Replaces the expected cost that an organisation was charged with the actual
     /// cost.
-    pub fn adjust_charge(&mut self, rank: u8, organisation: &Name, expected: u64, actual: u64) {
+    pub fn adjust_charge(&mut self, rank: Rank, organisation: &Name, expected: u64, actual: u64) {
         if let Some(tier) = self.tiers.get_mut(&rank) {
             tier.adjust_charge(organisation, expected, actual);
         }
@@ -247,8 +247,7 @@
                 tier.remove(&queued);
             }
             let mut queued = queued;
-            let rank = queued.ticket.rank;
-            queued.ticket.rank = rank.saturating_add(DELAYED_RANK_OFFSET);
+            queued.ticket.rank.delayed = true;
             self.insert(queued);
         }
     }
@@ -265,7 +264,7 @@
     /// Returns by how much the start tag of an organisation exceeds the virtual
     /// time of the tier.
     #[cfg(test)]
-    pub fn charged(&self, rank: u8, organisation: &Name) -> u64 {
+    pub fn charged(&self, rank: Rank, organisation: &Name) -> u64 {
         let Some(tier) = self.tiers.get(&rank) else {
             return 0;
         };
@@ -275,7 +274,7 @@
 
     /// Returns when the oldest ticket ahead of a new one was queued, among the
     /// tickets of higher tiers and those of its own organisation in its tier.
-    pub fn oldest_ahead(&self, rank: u8, organisation: &Name) -> Option<Timestamp> {
+    pub fn oldest_ahead(&self, rank: Rank, organisation: &Name) -> Option<Timestamp> {
         let higher = self.tiers.range(..rank);
         let higher = higher.filter_map(|(_, t)| t.by_arrival.first());
         let tier = self.tiers.get(&rank);
@@ -284,11 +283,6 @@
         higher.chain(own).map(|(queued_at, _)| *queued_at).min()
     }
 
-    /// Returns whether a ticket was demoted because its objective has passed.
-    pub fn is_delayed(ticket: &Ticket) -> bool {
-        ticket.rank >= DELAYED_RANK_OFFSET
-    }
-
     /// Returns the earliest wait deadline of a waiting ticket.
     pub fn next_expiry(&self) -> Option<Timestamp> {
         self.by_wait_deadline
@@ -296,7 +290,7 @@
             .map(|(wait_deadline, _)| *wait_deadline)
     }
 
-    fn eviction_candidate(&self) -> Option<(u8, RequestId)> {
+    fn eviction_candidate(&self) -> Option<(Rank, RequestId)> {
         let (rank, tier) = self.tiers.iter().rev().find(|(_, t)| t.count > 0)?;
         let (_, request) = tier.by_deadline.last()?;
         Some((*rank, *request))
@@ -306,7 +300,8 @@
         let request = queued.ticket.request;
         self.by_wait_deadline
             .insert((queued.ticket.wait_deadline, request));
-        if queued.ticket.rank < DELAYED_RANK_OFFSET {
+        let rank = queued.ticket.rank;
+        if !rank.delayed && !rank.overdue {
             self.by_objective.insert((queued.ticket.objective, request));
         }
         let tier = self.tiers.entry(queued.ticket.rank).or_default();
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -13,7 +13,7 @@
             sequence,
         },
         organisation: Name::new(organisation),
-        rank,
+        rank: Rank::from(rank),
         deadline: Timestamp::new(Duration::from_millis(deadline)),
         objective: Timestamp::new(Duration::from_millis(deadline)),
         wait_deadline: Timestamp::new(Duration::from_millis(deadline)),
@@ -110,7 +110,7 @@
                 3 => {
                     let highest = waiting.values().min().copied();
                     let popped = queue.pop().map(|(t, _)| t);
-                    prop_assert_eq!(popped.as_ref().map(|t| t.rank), highest);
+                    prop_assert_eq!(popped.as_ref().map(|t| t.rank.tier), highest);
                     if let Some(t) = popped {
                         prop_assert!(waiting.remove(&t.request.sequence).is_some());
                     }
@@ -144,6 +144,20 @@
     assert_eq!(served(&mut queue), [2, 1]);
 }
 
+/// Pattern: callers that were refused in a burst come back past their objective while
+/// fresh ones arrive.
+#[test]
+fn overdue_tickets_are_served_after_the_others_of_their_tier_only() {
+    let mut queue = Queue::new(10);
+    for (sequence, rank, overdue) in [(1, 1, false), (2, 0, true), (3, 0, false), (4, 1, true)] {
+        let mut ticket = ticket(sequence, "a", rank, 9_000, 1);
+        ticket.rank.overdue = overdue;
+        push(&mut queue, ticket, 1);
+    }
+    queue.demote_delayed(Timestamp::new(Duration::from_millis(8_999)));
+    assert_eq!(served(&mut queue), [3, 2, 1, 4]);
+}
+
 #[test]
 fn delayed_tickets_keep_their_order_by_tier() {
     let mut queue = Queue::new(10);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -142,6 +142,7 @@
     /// requests that result from it.
     pub fn offer(&mut self, now: Timestamp, mut ticket: Ticket) -> (OfferResult, Vec<Notice>) {
         ticket.work.cached = self.cached_tokens(&ticket);
+        ticket.rank.overdue = ticket.objective <= now;
         if let Some(refusal) = self.refusal_for(now, &ticket) {
             return (OfferResult::Refused(refusal), Vec::new());
         }
@@ -437,7 +438,7 @@
     /// backlog is short. An engine processes prompts in order of arrival, so the
     /// bound on the backlog keeps several long prompts off the same engine.
     fn has_room_for(&self, ticket: &Ticket) -> bool {
-        let slots = match Queue::is_delayed(ticket) {
+        let slots = match ticket.rank.delayed {
             true => self.config.slots - self.config.slots / DELAYED_RESERVE_DIVISOR,
             false => self.config.slots,
         };
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::ids::Incarnation;
+use crate::ticket::Rank;
 
 const GRANT_VALID: Duration = Duration::from_millis(100);
 
@@ -19,7 +20,7 @@
     Ticket {
         request: request(sequence),
         organisation: Name::new("small"),
-        rank,
+        rank: Rank::from(rank),
         deadline,
         objective: deadline,
         wait_deadline: deadline,
@@ -254,7 +255,9 @@
     offer_granted(&mut scheduler, 1, at(0));
     scheduler.offer(at(0), ticket_of("small", 2));
     scheduler.offer(at(0), ticket_of("other", 3));
-    let charged = |scheduler: &Scheduler, name: &str| scheduler.queue.charged(0, &Name::new(name));
+    let charged = |scheduler: &Scheduler, name: &str| {
+        scheduler.queue.charged(Rank::from(0), &Name::new(name))
+    };
     scheduler.withdraw(at(0), request(1), WithdrawReason::GivenUp);
     assert_eq!(charged(&scheduler, "small"), 0);
     assert!(charged(&scheduler, "other") > 0);
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -10,6 +10,30 @@
 /// The cost of a generated token in uncached prompt tokens, for fair queueing.
 const OUTPUT_TOKEN_COST: u64 = 4;
 
+/// The position of a ticket in the order of service. The lowest is served first.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// Whether the objective has passed while the ticket waited. Such tickets are
+    /// served after all others.
+    pub delayed: bool,
+    /// The scheduling rank of the request, by its tier. 0 is the highest; a larger
+    /// rank is a lower tier.
+    pub tier: u8,
+    /// Whether the objective had passed before the ticket was offered, because the
+    /// caller comes back after a refusal. Such tickets are served after the others of
+    /// their tier.
+    pub overdue: bool,
+}
+
+impl From<u8> for Rank {
+    fn from(tier: u8) -> Self {
+        Self {
+            tier,
+            ..Self::default()
+        }
+    }
+}
+
 /// The data of a request that a scheduler needs. The body stays at the entry
 /// until a grant is accepted.
 ///
@@ -23,10 +47,8 @@
     pub request: RequestId,
     /// The organisation that sent the request.
     pub organisation: Name,
-    /// The scheduling rank of the request, by its tier. 0 is the highest; a
-    /// larger rank is a lower tier. The queue adds 128 once the objective has
-    /// passed.
-    pub rank: u8,
+    /// The position in the order of service.
+    pub rank: Rank,
     /// When the answer stops being useful. All times of a ticket are by the clock
     /// of the process that holds it.
     pub deadline: Timestamp,
--- a/src/tier_load.rs
+++ b/src/tier_load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+use crate::ticket::Rank;
 
 #[cfg(test)]
 mod tests;
@@ -15,7 +16,7 @@
 /// The slot time of the recently sent work of each tier.
 #[derive(Debug, Default)]
 pub struct TierLoad {
-    tiers: BTreeMap<u8, DecayingSum>,
+    tiers: BTreeMap<Rank, DecayingSum>,
 }
 
 /// A sum of seconds with exponential decay.
@@ -34,7 +35,7 @@
     /// Records sent work of the tier of this rank. `cost` is its expected slot
     /// time in microseconds; a cost in tokens, while the pace of the upstream
     /// is unknown, counts as microseconds too.
-    pub fn record(&mut self, now: Timestamp, rank: u8, cost: u64) {
+    pub fn record(&mut self, now: Timestamp, rank: Rank, cost: u64) {
         let tier = self.tiers.entry(rank).or_default();
         tier.seconds = tier.seconds(now) + cost as f64 / 1e6;
         tier.updated = now;
@@ -42,7 +43,7 @@
 
     /// Returns the mean number of slots recently used by the tiers above this
     /// rank.
-    pub fn slots_above(&self, now: Timestamp, rank: u8) -> f64 {
+    pub fn slots_above(&self, now: Timestamp, rank: Rank) -> f64 {
         let tiers = self.tiers.range(..rank);
         let seconds: f64 = tiers.map(|(_, tier)| tier.seconds(now)).sum();
         seconds / DECAY_TIME.as_secs_f64()
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -16,6 +16,7 @@
 use crate::ticket::Grant;
 use crate::ticket::OfferResult;
 use crate::ticket::Quote;
+use crate::ticket::Rank;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
@@ -44,7 +45,7 @@
     Ok(Ticket {
         request: read_request(reader.get_request()?),
         organisation: Name::new(reader.get_organisation()?.to_str()?),
-        rank: reader.get_order(),
+        rank: Rank::from(reader.get_order()),
         deadline: now + Duration::from_millis(reader.get_remaining_millis()),
         objective: now + Duration::from_millis(reader.get_objective_millis()),
         wait_deadline: now + Duration::from_millis(reader.get_patience_millis()),
@@ -63,7 +64,7 @@
 pub fn write_ticket(ticket: &Ticket, now: Timestamp, mut builder: schema::ticket::Builder<'_>) {
     write_request(ticket.request, builder.reborrow().init_request());
     builder.set_organisation(ticket.organisation.as_str());
-    builder.set_order(ticket.rank);
+    builder.set_order(ticket.rank.tier);
     builder.set_remaining_millis(millis(now.until(ticket.deadline)));
     builder.set_objective_millis(millis(now.until(ticket.objective)));
     builder.set_patience_millis(millis(now.until(ticket.wait_deadline)));
