Let callers that come back wait for room instead of refusing them again

Hypothesis: a caller past its objective can't be served in time any more, but late. Refused again it gains nothing; waiting behind fresh requests of its tier it takes only room that they leave.

Change: an overdue request may be expected to wait for a quarter of the time that its caller has left, and waits for at most half of it. The throttle counts fresh requests only. An entry that is full evicts overdue requests before fresh ones of their rank.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -89,6 +89,7 @@
         let request_class = |i: u64| RequestClass {
             service: Name::new("pool"),
             rank: 1,
+            overdue: false,
             organisation: Name::new(&format!("organisation-{i}")),
         };
         let mut throttle = Throttle::new();
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -25,6 +25,8 @@
     pub service: Name,
     /// Scheduling rank of the requests; 0 is the highest.
     pub rank: u8,
+    /// Whether their callers come back after a refusal, past their objective.
+    pub overdue: bool,
     /// Organisation that sends the requests.
     pub organisation: Name,
 }
@@ -89,6 +91,10 @@
         if let Some(wait) = recent_wait.filter(|wait| *wait > max_wait) {
             return Some(wait);
         }
+        // Overdue requests can wait for long, so a wait is no sign of an overload.
+        if request_class.overdue {
+            return None;
+        }
         let probability = self.throttle.refusal_probability(now, request_class);
         (draw < probability).then_some(max_wait)
     }
@@ -106,12 +112,16 @@
 
     /// Counts a request that waits, is refused or is sent without a wait.
     pub fn record_arrival(&mut self, now: Timestamp, request_class: RequestClass) {
-        self.throttle.record_arrival(now, request_class);
+        if !request_class.overdue {
+            self.throttle.record_arrival(now, request_class);
+        }
     }
 
     /// Counts a request that was sent.
     pub fn record_sent(&mut self, now: Timestamp, request_class: RequestClass) {
-        self.throttle.record_sent(now, request_class);
+        if !request_class.overdue {
+            self.throttle.record_sent(now, request_class);
+        }
     }
 
     /// Removes what was neither read nor changed recently.
--- a/src/admission/throttle/tests.rs
+++ b/src/admission/throttle/tests.rs
@@ -15,6 +15,7 @@
     RequestClass {
         service: Name::new("pool"),
         rank: 1,
+        overdue: false,
         organisation: Name::new(organisation),
     }
 }
--- a/src/admission/wait_cache/tests.rs
+++ b/src/admission/wait_cache/tests.rs
@@ -9,6 +9,7 @@
     RequestClass {
         service: Name::new("pool"),
         rank,
+        overdue: false,
         organisation: Name::new(organisation),
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -194,7 +194,7 @@
     let bytes = body_reservation(req, settings.limits.body).map_err(&refuse)?;
     let (event_tx, event_rx) = mpsc::unbounded_channel();
     let deadline = arrived + admission.deadline;
-    let held = state.hold(admission.rank, deadline, bytes, event_tx.clone());
+    let held = state.hold(admission.eviction_rank(), deadline, bytes, event_tx.clone());
     let full = || refuse(CallerError::Overloaded(ENTRY_FULL_RETRY_AFTER));
     let mut held = HeldGuard {
         request: Some(held.ok_or_else(full)?),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -53,6 +53,15 @@
 /// rest of the objective is left for processing the prompt.
 const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.4;
 
+/// Maximum time that an overdue request waits for a grant, as a fraction of the time
+/// that its caller has left. It is not in time any more, but it is better served late
+/// than refused again; the rest of the time is left for the answer.
+const OVERDUE_MAX_WAIT_FRACTION: f64 = 0.5;
+
+/// Longest expected wait of an overdue request, as a fraction of the time that its
+/// caller has left.
+const OVERDUE_EXPECTED_WAIT_FRACTION: f64 = 0.25;
+
 /// Organisation, route and urgency of a request, as read from its head.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -154,15 +163,33 @@
         })
     }
 
+    /// Returns whether the objective had passed before the request arrived, because
+    /// its caller comes back after a refusal.
+    pub fn is_overdue(&self) -> bool {
+        self.tried_for >= self.objective
+    }
+
+    /// Returns the rank by which an entry that is full chooses what to evict. Overdue
+    /// requests go before the others of their rank.
+    pub fn eviction_rank(&self) -> u8 {
+        self.rank * 2 + u8::from(self.is_overdue())
+    }
+
     /// Returns the maximum time that the request waits for a grant.
     pub fn max_wait(&self) -> Duration {
-        self.objective.mul_f64(MAX_WAIT_FACTOR).min(self.deadline)
+        match self.is_overdue() {
+            true => self.deadline.mul_f64(OVERDUE_MAX_WAIT_FRACTION),
+            false => self.objective.mul_f64(MAX_WAIT_FACTOR).min(self.deadline),
+        }
     }
 
     /// Returns the longest expected wait for a grant. If the request is expected to
     /// wait longer, it is refused instead of queued.
     pub fn max_expected_wait(&self) -> Duration {
-        self.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION)
+        match self.is_overdue() {
+            true => self.deadline.mul_f64(OVERDUE_EXPECTED_WAIT_FRACTION),
+            false => self.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION),
+        }
     }
 
     /// Returns the class of requests for `service` with the same organisation and
@@ -171,6 +198,7 @@
         RequestClass {
             service: service.clone(),
             rank: self.rank,
+            overdue: self.is_overdue(),
             organisation: self.organisation.clone(),
         }
     }
