--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -29,6 +29,7 @@
 use crate::object_store::ObjectStore;
 use crate::object_store::RestoreWatch;
 use crate::object_store::StoreError;
+use crate::pacer::Pacer;
 use crate::registrations::Registrations;
 use crate::settings::Document;
 use crate::site_key;
@@ -263,7 +264,9 @@
 
     async fn follow_configuration(self: Rc<Self>) {
         let mut backoff = Backoff::new("configuration", self.log.clone());
+        let mut pacer = Pacer::new();
         loop {
+            actix_rt::time::sleep(pacer.delay(self.clock.now())).await;
             match self.platform.configuration().await {
                 Ok(configuration) => {
                     backoff.record_success();
@@ -326,7 +329,9 @@
     async fn poll_upstreams(self: Rc<Self>, tx: UnboundedSender<UpstreamNews>) {
         let mut backoff = Backoff::new("upstreams", self.log.clone());
         let mut restores = self.platform.restores();
+        let mut pacer = Pacer::new();
         loop {
+            actix_rt::time::sleep(pacer.delay(self.clock.now())).await;
             match self.platform.upstreams().await {
                 Ok(None) => backoff.record_success(),
                 Ok(Some(listed)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod pace;
+pub mod pacer;
 pub mod prefix;
 pub mod programs;
 pub mod progress;
--- a/src/strict_connector.rs
+++ b/src/strict_connector.rs
@@ -10,6 +10,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use actix_http::Uri;
 use actix_rt::net::ActixStream;
@@ -22,10 +23,18 @@
 use actix_tls::connect::ConnectorService;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+/// Time without traffic before a probe, and between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of unanswered probes after which a connection fails.
+const KEEPALIVE_RETRIES: u32 = 3;
+
 /// A connector for [`StrictStream`] connections.
 #[derive(Clone, Default)]
 pub struct StrictConnector {
@@ -46,12 +55,26 @@
         async move {
             let (stream, uri) = connecting.await?.into_parts();
             let _ = stream.set_nodelay(true);
+            set_keepalive(&stream);
             Ok(Connection::new(uri, StrictStream(stream)))
         }
         .boxed_local()
     }
 }
 
+/// Sets probes by which a connection fails whose peer has silently gone. Calls that
+/// wait long for their reply depend on it.
+fn set_keepalive(stream: &TcpStream) {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    let socket = SockRef::from(stream);
+    // Without them, only the timeout of a call ends it.
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES));
+}
+
 /// A TCP connection that reports its end as an error when read.
 #[derive(Debug)]
 pub struct StrictStream(TcpStream);
