--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -58,9 +58,9 @@
 /// than refused again; the rest of the time is left for the answer.
 const OVERDUE_MAX_WAIT_FRACTION: f64 = 0.5;
 
-/// Longest expected wait of an overdue request, as a fraction of the time that its
-/// caller has left.
-const OVERDUE_EXPECTED_WAIT_FRACTION: f64 = 0.25;
+/// Maximum time that an overdue request waits for a grant, in objectives. Callers give
+/// up a stream that does not start for much longer.
+const OVERDUE_MAX_WAIT_OBJECTIVES: u32 = 4;
 
 /// Organisation, route and urgency of a request, as read from its head.
 #[derive(Clone, Debug)]
@@ -178,7 +178,10 @@
     /// Returns the maximum time that the request waits for a grant.
     pub fn max_wait(&self) -> Duration {
         match self.is_overdue() {
-            true => self.deadline.mul_f64(OVERDUE_MAX_WAIT_FRACTION),
+            true => {
+                let of_left = self.deadline.mul_f64(OVERDUE_MAX_WAIT_FRACTION);
+                of_left.min(self.objective * OVERDUE_MAX_WAIT_OBJECTIVES)
+            }
             false => self.objective.mul_f64(MAX_WAIT_FACTOR).min(self.deadline),
         }
     }
@@ -187,7 +190,7 @@
     /// wait longer, it is refused instead of queued.
     pub fn max_expected_wait(&self) -> Duration {
         match self.is_overdue() {
-            true => self.deadline.mul_f64(OVERDUE_EXPECTED_WAIT_FRACTION),
+            true => self.max_wait() / 2,
             false => self.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION),
         }
     }
