--- a/src/admission.rs
+++ b/src/admission.rs
@@ -12,10 +12,12 @@
 
 mod patience;
 mod throttle;
+mod urgency;
 mod wait_cache;
 
 pub use patience::Patience;
 pub use throttle::Throttle;
+pub use urgency::Urgency;
 pub use wait_cache::WaitCache;
 
 /// Key of the requests that share an expected wait.
@@ -79,7 +81,8 @@
     }
 
     /// Decides on a request that can wait for at most `max_wait`. Returns its
-    /// expected wait if it is to be refused. `draw` is a random number from 0 to 1.
+    /// expected wait if it is to be refused, and counts it. `draw` is a random number
+    /// from 0 to 1.
     pub fn refuse(
         &mut self,
         now: Timestamp,
@@ -89,6 +92,7 @@
     ) -> Option<Duration> {
         let recent_wait = self.wait_cache.get(now, request_class);
         if let Some(wait) = recent_wait.filter(|wait| *wait > max_wait) {
+            self.record_refused(now, request_class.clone());
             return Some(wait);
         }
         // Overdue requests can wait for long, so a wait is no sign of an overload.
@@ -96,7 +100,11 @@
             return None;
         }
         let probability = self.throttle.refusal_probability(now, request_class);
-        (draw < probability).then_some(max_wait)
+        if draw >= probability {
+            return None;
+        }
+        self.record_refused(now, request_class.clone());
+        Some(max_wait)
     }
 
     /// Records a caller of `route` that has `left` until its deadline. Returns how long
@@ -110,7 +118,14 @@
         self.wait_cache.insert(now, request_class, wait);
     }
 
-    /// Counts a request that waits, is refused or is sent without a wait.
+    /// Counts a request that was refused without waiting.
+    pub fn record_refused(&mut self, now: Timestamp, request_class: RequestClass) {
+        if !request_class.overdue {
+            self.throttle.record_refused(now, request_class);
+        }
+    }
+
+    /// Counts a request that waits or is sent without a wait.
     pub fn record_arrival(&mut self, now: Timestamp, request_class: RequestClass) {
         if !request_class.overdue {
             self.throttle.record_arrival(now, request_class);
--- a/src/admission/throttle.rs
+++ b/src/admission/throttle.rs
@@ -31,10 +31,14 @@
 /// 1/e, about a third.
 const DECAY_TIME: Duration = Duration::from_secs(2);
 
-/// Requests that can wait per sent one. The excess over 1 keeps some requests
-/// queued, at the risk that they time out, so that freed capacity is used and
-/// the throttle lets more requests wait.
-const WAITING_PER_SENT: f64 = 1.2;
+/// Requests that can wait per sent one in a lasting overload. The excess over 1 keeps
+/// some requests queued, at the risk that they time out, so that freed capacity is
+/// used and the throttle lets more requests wait.
+const WAITING_PER_SENT_MIN: f64 = 1.2;
+
+/// Requests that can wait per sent one while all that wait are sent, so that the
+/// throttle ends soon after an overload has.
+const WAITING_PER_SENT_MAX: f64 = 3.0;
 
 /// Requests of a class that can wait in addition: a few that arrive together
 /// by chance are not an overload.
@@ -62,6 +66,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     arrivals: f64,
+    /// Arrivals that were refused without waiting.
+    refused: f64,
     sent: f64,
 }
 
@@ -81,17 +87,24 @@
         let Some(counts) = rank.organisations.get(&request_class.organisation) else {
             return 0.0;
         };
-        let allowed = counts.sent * WAITING_PER_SENT + CLASS_ALLOWANCE;
+        let allowed = counts.sent * counts.waiting_per_sent() + CLASS_ALLOWANCE;
         let allowed = allowed.min(rank.fair_share());
         let excess = (counts.arrivals - allowed) / (counts.arrivals + 1.0);
         excess.clamp(0.0, 1.0)
     }
 
-    /// Counts an arrived request, whether it is refused, waits or is sent.
+    /// Counts an arrived request that waits or is sent.
     pub fn record_arrival(&mut self, now: Timestamp, request_class: RequestClass) {
         self.counts(now, request_class).arrivals += 1.0;
     }
 
+    /// Counts an arrived request that was refused without waiting.
+    pub fn record_refused(&mut self, now: Timestamp, request_class: RequestClass) {
+        let counts = self.counts(now, request_class);
+        counts.arrivals += 1.0;
+        counts.refused += 1.0;
+    }
+
     /// Counts a sent request.
     pub fn record_sent(&mut self, now: Timestamp, request_class: RequestClass) {
         self.counts(now, request_class).sent += 1.0;
@@ -117,6 +130,7 @@
         let factor = (-elapsed / DECAY_TIME.as_secs_f64()).exp();
         for counts in self.organisations.values_mut() {
             counts.arrivals *= factor;
+            counts.refused *= factor;
             counts.sent *= factor;
         }
         self.organisations.retain(|_, c| c.arrivals > MIN_COUNT);
@@ -127,10 +141,14 @@
     /// in all are divided by max-min fairness: organisations that ask for less than
     /// an equal share leave the rest to the others. Infinite without an overload.
     fn fair_share(&self) -> f64 {
-        let sent: f64 = self.organisations.values().map(|c| c.sent).sum();
+        let total = Counts {
+            arrivals: self.organisations.values().map(|c| c.arrivals).sum(),
+            refused: self.organisations.values().map(|c| c.refused).sum(),
+            sent: self.organisations.values().map(|c| c.sent).sum(),
+        };
         let mut arrivals: Vec<f64> = self.organisations.values().map(|c| c.arrivals).collect();
-        let mut left = sent * WAITING_PER_SENT + RANK_ALLOWANCE;
-        if arrivals.iter().sum::<f64>() <= left {
+        let mut left = total.sent * total.waiting_per_sent() + RANK_ALLOWANCE;
+        if total.arrivals <= left {
             return f64::INFINITY;
         }
         arrivals.sort_by(f64::total_cmp);
@@ -146,3 +164,19 @@
         f64::INFINITY
     }
 }
+
+impl Counts {
+    /// Returns how many requests can wait for each sent one: the fewer wait in vain,
+    /// the more.
+    fn waiting_per_sent(self) -> f64 {
+        let admitted = self.arrivals - self.refused;
+        if admitted <= 0.0 {
+            return WAITING_PER_SENT_MAX;
+        }
+        let in_vain = (1.0 - self.sent / admitted).clamp(0.0, 1.0);
+        // In a lasting overload this part waits in vain at the lowest value.
+        let expected_in_vain = 1.0 - 1.0 / WAITING_PER_SENT_MIN;
+        let relaxed = (1.0 - in_vain / expected_in_vain).max(0.0);
+        WAITING_PER_SENT_MIN + relaxed * (WAITING_PER_SENT_MAX - WAITING_PER_SENT_MIN)
+    }
+}
--- /dev/null
+++ b/src/admission/urgency/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const fn urgency(tried_for: u64, left: u64) -> Urgency {
+    Urgency {
+        objective: ms(400),
+        deadline: ms(left),
+        tried_for: ms(tried_for),
+    }
+}
+
+#[test]
+fn fresh_requests_wait_about_as_long_as_their_objective() {
+    let fresh = urgency(0, 3_000);
+    assert!(!fresh.is_overdue());
+    assert_eq!(fresh.max_wait(), ms(520));
+    assert_eq!(fresh.max_expected_wait(), ms(160));
+    assert_eq!(urgency(0, 300).max_wait(), ms(300));
+}
+
+/// Pattern: a caller refused in a burst comes back with part of its time left.
+#[test]
+fn overdue_requests_wait_longer_but_leave_time_for_the_answer() {
+    let overdue = urgency(1_000, 2_000);
+    assert!(overdue.is_overdue());
+    assert_eq!(overdue.objective_left(), Duration::ZERO);
+    assert_eq!(overdue.max_wait(), ms(1_000));
+    assert_eq!(overdue.max_expected_wait(), ms(500));
+    assert_eq!(urgency(5_000, 10_000).max_wait(), ms(1_600));
+}
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 
 use crate::admission::RequestClass;
+use crate::admission::Urgency;
 use crate::dialect::Dialect;
 use crate::entry::auth::KeyTable;
 use crate::entry::error::CallerError;
@@ -37,10 +38,6 @@
 /// The objective of a route that sets none is the deadline divided by this.
 const DEFAULT_OBJECTIVE_DIVISOR: u32 = 2;
 
-/// Maximum time that a request waits for a grant, as a multiple of its
-/// objective. It exceeds 1 because an answer that starts late is still useful.
-const MAX_WAIT_FACTOR: f64 = 1.3;
-
 /// Number of scheduling ranks within one tier, to order the requests of an
 /// organisation by their routes.
 const RANKS_PER_TIER: u8 = 8;
@@ -48,20 +45,6 @@
 /// Lowest scheduling rank of a request; 0 is the highest.
 const LOWEST_RANK: u8 = 120;
 
-/// Longest expected wait for a grant, as a fraction of the request's objective.
-/// A request that is expected to wait longer is refused instead of queued. The
-/// rest of the objective is left for processing the prompt.
-const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.4;
-
-/// Maximum time that an overdue request waits for a grant, as a fraction of the time
-/// that its caller has left. It is not in time any more, but it is better served late
-/// than refused again; the rest of the time is left for the answer.
-const OVERDUE_MAX_WAIT_FRACTION: f64 = 0.5;
-
-/// Maximum time that an overdue request waits for a grant, in objectives. Callers give
-/// up a stream that does not start for much longer.
-const OVERDUE_MAX_WAIT_OBJECTIVES: u32 = 4;
-
 /// Organisation, route and urgency of a request, as read from its head.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -163,36 +146,19 @@
         })
     }
 
-    /// Returns whether the objective had passed before the request arrived, because
-    /// its caller comes back after a refusal.
-    pub fn is_overdue(&self) -> bool {
-        self.tried_for >= self.objective
+    /// Returns the times by which the request is admitted.
+    pub fn urgency(&self) -> Urgency {
+        Urgency {
+            objective: self.objective,
+            deadline: self.deadline,
+            tried_for: self.tried_for,
+        }
     }
 
     /// Returns the rank by which an entry that is full chooses what to evict. Overdue
     /// requests go before the others of their rank.
     pub fn eviction_rank(&self) -> u8 {
-        self.rank * 2 + u8::from(self.is_overdue())
-    }
-
-    /// Returns the maximum time that the request waits for a grant.
-    pub fn max_wait(&self) -> Duration {
-        match self.is_overdue() {
-            true => {
-                let of_left = self.deadline.mul_f64(OVERDUE_MAX_WAIT_FRACTION);
-                of_left.min(self.objective * OVERDUE_MAX_WAIT_OBJECTIVES)
-            }
-            false => self.objective.mul_f64(MAX_WAIT_FACTOR).min(self.deadline),
-        }
-    }
-
-    /// Returns the longest expected wait for a grant. If the request is expected to
-    /// wait longer, it is refused instead of queued.
-    pub fn max_expected_wait(&self) -> Duration {
-        match self.is_overdue() {
-            true => self.max_wait() / 2,
-            false => self.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION),
-        }
+        self.rank * 2 + u8::from(self.urgency().is_overdue())
     }
 
     /// Returns the class of requests for `service` with the same organisation and
@@ -201,7 +167,7 @@
         RequestClass {
             service: service.clone(),
             rank: self.rank,
-            overdue: self.is_overdue(),
+            overdue: self.urgency().is_overdue(),
             organisation: self.organisation.clone(),
         }
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -137,7 +137,7 @@
         };
         let admission = &job.admission;
         let dispatch = Dispatch::new(state.candidates(&job), max_tickets)
-            .with_time_limits(admission.objective, admission.max_expected_wait());
+            .with_time_limits(admission.objective, admission.urgency().max_expected_wait());
         state.count_for_retry_budget(&job.target);
         Self {
             request,
@@ -231,13 +231,16 @@
     async fn wait_for_grant(&mut self, actions: Vec<Action>) -> WaitResult {
         let mut timers = WaitTimers::new();
         let mut pending_actions = actions;
-        let wait_deadline = (self.arrived + self.job.admission.max_wait()).min(self.deadline);
+        let wait_deadline =
+            (self.arrived + self.job.admission.urgency().max_wait()).min(self.deadline);
         loop {
             for action in std::mem::take(&mut pending_actions) {
                 match action {
                     Action::Offer(upstream) => self.offer(upstream),
                     Action::RecordWait(wait) => {
-                        self.record_arrival();
+                        if !std::mem::replace(&mut self.is_arrival_recorded, true) {
+                            self.state.record_refused(&self.job);
+                        }
                         self.state.record_wait(&self.job, wait);
                     }
                     Action::RecordQueued => self.record_arrival(),
@@ -353,8 +356,8 @@
             organisation: admission.organisation.clone(),
             rank: Rank::from(admission.rank),
             deadline: self.deadline,
-            objective: self.arrived + admission.objective.saturating_sub(admission.tried_for),
-            wait_deadline: (self.arrived + admission.max_wait()).min(self.deadline),
+            objective: self.arrived + admission.urgency().objective_left(),
+            wait_deadline: (self.arrived + admission.urgency().max_wait()).min(self.deadline),
             work: self.job.work,
             prefix: self.job.prefix.clone(),
             idempotent: self.job.idempotent,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -274,15 +274,13 @@
     /// its arrival if so. Returns its expected wait if it is refused.
     pub fn refuse_early(
         &self,
-        request_class: RequestClass,
+        request_class: &RequestClass,
         max_wait: Duration,
     ) -> Option<Duration> {
         let now = self.now();
         let draw = self.rng.borrow_mut().random_range(0.0..1.0);
         let mut control = self.admission.borrow_mut();
-        let wait = control.refuse(now, &request_class, max_wait, draw)?;
-        control.record_arrival(now, request_class);
-        Some(wait)
+        control.refuse(now, request_class, max_wait, draw)
     }
 
     /// Records a caller of `route` that has `left` until its deadline. Returns how long
@@ -298,6 +296,12 @@
         admission.record_wait(self.now(), job.request_class(), wait);
     }
 
+    /// Counts that `job` was refused without waiting.
+    pub fn record_refused(&self, job: &Job) {
+        let mut admission = self.admission.borrow_mut();
+        admission.record_refused(self.now(), job.request_class());
+    }
+
     /// Counts the arrival of `job`.
     pub fn record_arrival(&self, job: &Job) {
         let mut admission = self.admission.borrow_mut();
