Let callers with more time come back later

Hypothesis: a refused caller of the lowest tier comes back after 2 s, while the burst lasts, and is refused again, though it has 15 s.

Change: the retry delay of an overload is at least a third of the time that the caller has left, which is the most that callers honour, within 2 to 5 s as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -44,10 +44,16 @@
 /// seconds.
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
-/// Returns the retry delay of a request that is refused because of its expected
-/// wait.
-pub fn retry_after(expected_wait: Duration) -> Duration {
-    (expected_wait * RETRY_FACTOR).clamp(RETRY_MIN, RETRY_MAX)
+/// The part of the time that a caller has left after which it comes back: callers
+/// with more time come back later, when a burst is more likely to be over.
+const RETRY_DEADLINE_DIVISOR: u32 = 3;
+
+/// Returns the retry delay of a request that is refused because of its expected wait,
+/// given the time that its caller has left.
+pub fn retry_after(expected_wait: Duration, left: Duration) -> Duration {
+    let by_wait = expected_wait * RETRY_FACTOR;
+    let by_deadline = left / RETRY_DEADLINE_DIVISOR;
+    by_wait.max(by_deadline).clamp(RETRY_MIN, RETRY_MAX)
 }
 
 impl RequestClass {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -145,6 +145,8 @@
     objective: Duration,
     /// The longest expected wait; a request with a longer one is refused.
     max_expected_wait: Duration,
+    /// The time that the caller has left.
+    deadline: Duration,
     /// The refusal to report if the request is given up.
     refusal: Option<Refusal>,
     /// The retry delay to report if the request is given up.
@@ -168,6 +170,7 @@
             max_tickets,
             objective: Duration::MAX,
             max_expected_wait: Duration::MAX,
+            deadline: Duration::ZERO,
             refusal: None,
             retry_after: None,
         }
@@ -182,6 +185,12 @@
         self
     }
 
+    /// Sets the time that the caller has left, on which the retry delay depends.
+    pub fn with_deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
     /// Offers the first tickets.
     pub fn start(&mut self) -> Vec<Action> {
         let mut actions = self.offer_tickets();
@@ -309,7 +318,7 @@
 
     /// Gives up the request as overloaded, given its expected wait.
     fn refuse_overloaded(&mut self, wait: Duration) -> Vec<Action> {
-        let retry_after = retry_after(wait);
+        let retry_after = retry_after(wait, self.deadline);
         self.refusal = Some(Refusal::new(RefusalCode::Overloaded, retry_after));
         self.retry_after = Some(retry_after);
         self.give_up()
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -181,7 +181,10 @@
     let refuse_early = |service: &Name| {
         let class = admitted.request_class(service);
         let wait = state.refuse_early(&class, admitted.urgency().max_expected_wait())?;
-        Some(refuse(CallerError::Overloaded(retry_after(wait))))
+        Some(refuse(CallerError::Overloaded(retry_after(
+            wait,
+            admitted.deadline,
+        ))))
     };
     if let Some(refused) = admission.service.as_ref().and_then(refuse_early) {
         discard_body(req, settings.limits.caller_timeout).await;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -137,7 +137,8 @@
         };
         let admission = &job.admission;
         let dispatch = Dispatch::new(state.candidates(&job), max_tickets)
-            .with_time_limits(admission.objective, admission.urgency().max_expected_wait());
+            .with_time_limits(admission.objective, admission.urgency().max_expected_wait())
+            .with_deadline(admission.deadline);
         state.count_for_retry_budget(&job.target);
         Self {
             request,
--- a/tests/patterns/burst.rs
+++ b/tests/patterns/burst.rs
@@ -25,6 +25,8 @@
         assert!(first.goodput() >= 0.8, "seed {seed}");
         assert!(first.goodput() >= second.goodput(), "seed {seed}");
         assert!(second.goodput() >= third.goodput(), "seed {seed}");
+        // Callers of the lowest tier have time to come back once the burst is over.
+        assert!(third.refused * 10 <= third.asked, "seed {seed}");
         let all = report.all();
         assert!(
             all.waited_in_vain * 5 <= all.in_time + all.late,
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -123,7 +123,7 @@
     Send(RequestId, usize, almondramp::ids::GrantId),
     Withdraw(RequestId, usize, WithdrawReason),
     Tick,
-    EngineStep(usize),
+    Generate(usize),
     GiveUp(RequestId),
 }
 
@@ -253,7 +253,7 @@
                 }
                 self.schedule(TICK, Step::Tick);
             }
-            Step::EngineStep(upstream) => self.step_engine(upstream),
+            Step::Generate(upstream) => self.step_engine(upstream),
             Step::GiveUp(request) => self.give_up(request),
         }
     }
@@ -283,7 +283,7 @@
         let draw = self.rng.random_range(0.0..1.0);
         let max_wait = urgency.max_expected_wait();
         if let Some(wait) = control.refuse(self.now, &class, max_wait, draw) {
-            return self.refuse(caller, retry_after(wait));
+            return self.refuse(caller, retry_after(wait, deadline));
         }
         let mut upstreams: Vec<usize> = (0..self.engines.len()).collect();
         upstreams.shuffle(&mut self.rng);
@@ -292,7 +292,8 @@
             same_zone: true,
         });
         let dispatch = Dispatch::new(choices.collect(), TICKETS)
-            .with_time_limits(kind.objective, urgency.max_expected_wait());
+            .with_time_limits(kind.objective, urgency.max_expected_wait())
+            .with_deadline(deadline);
         self.sequence += 1;
         let request = RequestId {
             incarnation: Incarnation(entry as u64),
@@ -436,7 +437,7 @@
         self.schedulers[upstream].mark_sent(self.now, request, grant);
         if self.engines[upstream].push(request, kind.prefill, kind.output) {
             let time = self.engines[upstream].step_time();
-            self.schedule(time, Step::EngineStep(upstream));
+            self.schedule(time, Step::Generate(upstream));
         }
     }
 
@@ -455,7 +456,7 @@
         }
         if self.engines[upstream].load() > 0 {
             let time = self.engines[upstream].step_time();
-            self.schedule(time, Step::EngineStep(upstream));
+            self.schedule(time, Step::Generate(upstream));
         }
     }
 
