Split five files that each did two jobs

Change: moves only. The account of an organisation, the messages of a dispatch, the quotes of a scheduler, the entry's use of its admission control and the end of a request are files of their own.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 
 use crate::admission::retry_after;
-use crate::ids::GrantId;
-use crate::ids::LinkId;
 use crate::name::Name;
 use crate::ticket::Grant;
 use crate::ticket::OfferResult;
@@ -18,9 +16,14 @@
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
+mod messages;
 #[cfg(test)]
 mod tests;
 
+pub use messages::Action;
+pub use messages::Choice;
+pub use messages::Event;
+
 /// The retry delay for callers if no scheduler has given one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -34,66 +37,6 @@
 /// availability zone when grants are compared.
 const CROSS_ZONE_PENALTY: f64 = 0.4;
 
-/// An upstream that can be offered a ticket for a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Choice {
-    /// The upstream.
-    pub upstream: Name,
-    /// Whether it is in the entry's availability zone.
-    pub same_zone: bool,
-}
-
-/// An input of the state machine.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A scheduler replied to the offer of a ticket.
-    OfferReplied(Name, OfferResult),
-    /// A scheduler granted the queued ticket.
-    Granted(Name, Grant),
-    /// A scheduler returned the ticket without running the request.
-    Returned(Name, Refusal),
-    /// The connection to an agent was lost.
-    ConnectionLost(Name, LinkId),
-    /// The time of [`Action::CollectFor`] is over.
-    CollectionTimedOut,
-    /// The upstream is known not to have run the request that was sent to it.
-    NotRun(Name, Refusal),
-    /// The upstreams that can run the request now, the best first.
-    Upstreams(Vec<Choice>),
-    /// The request has waited for its maximum time.
-    WaitTimedOut,
-    /// The entry evicted the request for one of a higher tier.
-    Evicted(Refusal),
-}
-
-/// An output of the state machine, to be carried out by the entry.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Offer a ticket to the scheduler of an upstream.
-    Offer(Name),
-    /// Deliver [`Event::CollectionTimedOut`] after this time.
-    CollectFor(Duration),
-    /// Accept the grant and send the request.
-    Send(Name, GrantId),
-    /// Withdraw the ticket from the scheduler of an upstream.
-    Withdraw(Name),
-    /// Record that the request is queued, since no scheduler has granted its ticket
-    /// yet.
-    RecordQueued,
-    /// Deliver [`Event::Upstreams`] after a short time, since no upstream is
-    /// available.
-    AwaitUpstreams,
-    /// Record the expected wait for the `RequestClass` of the request.
-    RecordWait(Duration),
-    /// End the request, which was not run.
-    GiveUp {
-        /// The refusal to report; absent if no scheduler has refused the request.
-        refusal: Option<Refusal>,
-        /// The time after which the caller should retry.
-        retry_after: Duration,
-    },
-}
-
 /// The state of the ticket offered to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum TicketState {
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -1,6 +1,8 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::ids::GrantId;
+use crate::ids::LinkId;
 
 fn name(i: usize) -> Name {
     Name::new(&format!("upstream-{i}"))
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 //! the scheduler of one upstream for all entries; an entry schedules an upstream
 //! without a reachable agent itself.
 
+mod admission;
 mod attempt;
 mod auth;
 mod calls;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,7 +9,6 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::burn::BurnKey;
 use crate::clock::Timestamp;
 use crate::dispatch::Action;
 use crate::dispatch::Dispatch;
@@ -41,6 +40,8 @@
 use crate::ticket::Ticket;
 use crate::ticket::WithdrawReason;
 
+mod endings;
+
 /// Retry delay after an upstream has failed and no other is left.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -436,72 +437,6 @@
         }
         result
     }
-
-    async fn give_up(&mut self, refusal: Option<Refusal>, retry_after: Duration) -> Outcome {
-        if self.may_have_run {
-            return self.fail(CallerError::UpstreamFailed).await;
-        }
-        self.fail(CallerError::from_refusal(refusal, retry_after))
-            .await
-    }
-
-    async fn fail(&mut self, error: CallerError) -> Outcome {
-        let outcome = error.outcome();
-        info!(self.state.log, "request given up";
-            "request" => %self.job.logged_id(self.request),
-            "code" => error.code(),
-            "run" => ?error.run_status(),
-            "attempts" => self.attempts,
-            "after_ms" => millis(self.state.now().since(self.arrived)));
-        self.relay.fail(error).await;
-        outcome
-    }
-
-    /// Records the result of claimed work in the claim store.
-    fn record_claim_result(&mut self, outcome: Outcome) {
-        let Some(claim) = self.claim.take() else {
-            return;
-        };
-        match outcome {
-            Outcome::good | Outcome::late | Outcome::failed => claim.record_done(),
-            Outcome::invalid if self.may_have_run => claim.record_done(),
-            _ if self.may_have_run => claim.record_unknown(),
-            _ => claim.release(),
-        }
-    }
-
-    fn finish(&mut self, outcome: Outcome) {
-        self.record_claim_result(outcome);
-        let schedulers: Vec<Name> = self.schedulers.keys().cloned().collect();
-        for upstream in schedulers {
-            self.withdraw(&upstream, WithdrawReason::GivenUp);
-        }
-        let state = &self.state;
-        state.local_schedulers.remove_listener(self.request);
-        let admission = &self.job.admission;
-        let elapsed = state.now().since(self.arrived);
-        let key = BurnKey {
-            tier: admission.tier.clone(),
-            organisation: admission.organisation.clone(),
-        };
-        state.record_outcome(key, outcome, self.sent_to.as_ref());
-        if self.sent_to.is_some() {
-            state
-                .metrics
-                .record_duration(&admission.tier, elapsed.as_secs_f64());
-        }
-        info!(state.log, "request ended";
-            "request" => %self.job.logged_id(self.request),
-            "organisation" => %admission.organisation,
-            "tier" => %admission.tier,
-            "upstream" => self.sent_to.as_deref(),
-            "attempts" => self.attempts,
-            "revision" => state.active_settings.revision().0,
-            "outcome" => outcome.name(),
-            "first_ms" => self.relay.first_byte().map(|at| millis(at.since(self.arrived))),
-            "milliseconds" => millis(elapsed));
-        state.release(self.request);
-    }
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -20,7 +20,6 @@
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
 use crate::admission::AdmissionControl;
-use crate::admission::RequestClass;
 use crate::burn::BurnKey;
 use crate::burn::BurnLog;
 use crate::burn_report::EntryBurn;
@@ -111,12 +110,12 @@
     outstanding: RefCell<HashMap<Name, usize>>,
     /// Concurrent requests, by organisation; every count is above zero.
     pub(super) concurrency: RefCell<HashMap<Name, u32>>,
-    rng: RefCell<SmallRng>,
+    pub(super) rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
     refusing_new: Cell<bool>,
     retry_budget: RefCell<RetryBudget>,
     outliers: RefCell<Outliers>,
-    admission: RefCell<AdmissionControl>,
+    pub(super) admission: RefCell<AdmissionControl>,
     released: Notify,
     burn: RefCell<BurnLog>,
     upstream_outcomes: RefCell<BTreeMap<Name, BTreeMap<Outcome, u64>>>,
@@ -270,50 +269,6 @@
         }
     }
 
-    /// Decides whether to refuse a request without asking any scheduler, and counts
-    /// its arrival if so. Returns its expected wait if it is refused.
-    pub fn refuse_early(
-        &self,
-        request_class: &RequestClass,
-        max_wait: Duration,
-    ) -> Option<Duration> {
-        let now = self.now();
-        let draw = self.rng.borrow_mut().random_range(0.0..1.0);
-        let mut control = self.admission.borrow_mut();
-        control.refuse(now, request_class, max_wait, draw)
-    }
-
-    /// Records a caller of `route` that has `left` until its deadline. Returns how long
-    /// it has been trying.
-    pub fn record_caller(&self, route: &Name, left: Duration) -> Duration {
-        let mut control = self.admission.borrow_mut();
-        control.record_caller(self.now(), route, left)
-    }
-
-    /// Records the expected wait of requests in the class of `job`.
-    pub fn record_wait(&self, job: &Job, wait: Duration) {
-        let mut admission = self.admission.borrow_mut();
-        admission.record_wait(self.now(), job.request_class(), wait);
-    }
-
-    /// Counts that `job` was refused without waiting.
-    pub fn record_refused(&self, job: &Job) {
-        let mut admission = self.admission.borrow_mut();
-        admission.record_refused(self.now(), job.request_class());
-    }
-
-    /// Counts the arrival of `job`.
-    pub fn record_arrival(&self, job: &Job) {
-        let mut admission = self.admission.borrow_mut();
-        admission.record_arrival(self.now(), job.request_class());
-    }
-
-    /// Counts the dispatch of `job`.
-    pub fn record_sent(&self, job: &Job) {
-        let mut admission = self.admission.borrow_mut();
-        admission.record_sent(self.now(), job.request_class());
-    }
-
     /// Returns the scheduler that takes tickets for `upstream`: its agent's if
     /// connected, otherwise the local one.
     pub fn scheduler_for(&self, upstream: &Name) -> SchedulerHandle {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -24,7 +24,6 @@
 //! two reports and after the last record.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -33,9 +32,11 @@
 use crate::settings::QuotaRate;
 use crate::settings::QuotaUnit;
 
+use self::account::Account;
 use self::record::RECORD_LAG;
 use self::record::RestoredRecord;
 
+mod account;
 mod record;
 #[cfg(test)]
 mod tests;
@@ -63,18 +64,6 @@
 /// spending are unknown.
 const WINDOW_PARTS: u32 = 16;
 
-/// Fraction of what remains of a quota that all entries together spend between two
-/// reports. A report can arrive as late as the next one is sent, so two such
-/// fractions must not exceed the whole.
-const CREDIT_FRACTION: f64 = 0.5;
-
-/// Fraction of the credits that is divided equally among the entries; the rest is
-/// divided in proportion to their recent spending.
-const EQUAL_CREDIT_FRACTION: f64 = 0.5;
-
-/// Fraction of the recent spending that still counts as recent at the next report.
-const RECENT_KEPT: f64 = 0.9;
-
 /// Retry delay for a caller whose organisation has quota left, but whose entry has
 /// used its credit: the longest time between two reports.
 const CREDIT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -152,59 +141,6 @@
     entries: usize,
 }
 
-/// Spending of one organisation.
-///
-/// Invariants: `spendings` is ordered by expiry; `sum` is the total of its
-/// counted units.
-#[derive(Debug)]
-struct Account {
-    /// Units that callers can spend in a window at the current rate.
-    allowed: f64,
-    /// Spending in the last window, the earliest first.
-    spendings: VecDeque<Spending>,
-    /// Sum of `spendings`, each counted relative to `allowed`.
-    sum: f64,
-    /// Units spent through this entry since it started.
-    own_spent: f64,
-    /// Units that this entry can spend before its next report; `None` before the
-    /// first request.
-    credit: Option<f64>,
-    /// Units of the largest request so far.
-    largest_request: f64,
-    /// Units spent lately through this entry and through all, which decay with each
-    /// report.
-    own_recent: f64,
-    recent: f64,
-    /// Fraction of `allowed` that all entries together are assumed to have spent
-    /// in the window before this one started.
-    assumed_fraction: f64,
-}
-
-/// Units that one organisation spent at one time.
-#[derive(Clone, Copy, Debug)]
-struct Spending {
-    /// Time at which it leaves the window.
-    expires_at: Timestamp,
-    units: f64,
-    /// Units that callers could spend in a window at the time of spending.
-    allowed: f64,
-}
-
-impl Spending {
-    /// Returns the units it counts for when callers can spend `allowed` units
-    /// in a window.
-    fn counted_units(&self, allowed: f64) -> f64 {
-        self.units * self.weight(allowed)
-    }
-
-    fn weight(&self, allowed: f64) -> f64 {
-        match allowed < self.allowed {
-            true => allowed / self.allowed,
-            false => 1.0,
-        }
-    }
-}
-
 /// The latest reports of another entry.
 #[derive(Debug)]
 struct Peer {
@@ -271,7 +207,7 @@
         }
         account.largest_request = account.largest_request.max(units);
         let entries = self.entries as f64;
-        let first_credit = (remaining * CREDIT_FRACTION / entries).max(units);
+        let first_credit = (remaining * account::CREDIT_FRACTION / entries).max(units);
         let credit = *account.credit.get_or_insert(first_credit);
         if self.entries > 1 && credit < units {
             return Err(CREDIT_RETRY_AFTER);
@@ -407,133 +343,3 @@
         now.since(self.last_report) >= REPORT_TIMEOUT
     }
 }
-
-impl Account {
-    fn new(allowed: f64) -> Self {
-        Self {
-            allowed,
-            spendings: VecDeque::new(),
-            sum: 0.0,
-            own_spent: 0.0,
-            credit: None,
-            largest_request: 0.0,
-            own_recent: 0.0,
-            recent: 0.0,
-            assumed_fraction: 0.0,
-        }
-    }
-
-    /// Sets the units that callers can spend in a window, and recounts the
-    /// sum.
-    fn set_allowed(&mut self, allowed: f64) {
-        if allowed != self.allowed {
-            self.allowed = allowed;
-            self.sum = self
-                .spendings
-                .iter()
-                .map(|s| s.counted_units(allowed))
-                .sum();
-        }
-    }
-
-    fn spend_own(&mut self, units: f64) {
-        self.own_spent += units;
-        self.own_recent = (self.own_recent + units).max(0.0);
-        if let Some(credit) = &mut self.credit {
-            *credit -= units;
-        }
-    }
-
-    /// Adds the credit of the time until the next report, given the units that
-    /// remain of the quota. Unused credit is kept for the next request only.
-    fn add_credit(&mut self, remaining: f64, entries: f64) {
-        let own_part = match self.recent > 0.0 {
-            true => (self.own_recent / self.recent).min(1.0),
-            false => 1.0 / entries,
-        };
-        self.own_recent *= RECENT_KEPT;
-        self.recent *= RECENT_KEPT;
-        let part = EQUAL_CREDIT_FRACTION / entries + (1.0 - EQUAL_CREDIT_FRACTION) * own_part;
-        let added = remaining * CREDIT_FRACTION * part;
-        let kept = self.credit.unwrap_or_default();
-        self.credit = Some((kept + added).min(added.max(self.largest_request)));
-    }
-
-    /// Returns the units that count as spent by all entries in the last
-    /// window.
-    fn window_sum(&self, unobserved_fraction: f64) -> f64 {
-        self.sum + self.allowed * self.assumed_fraction * unobserved_fraction
-    }
-
-    fn add(&mut self, expires_at: Timestamp, units: f64) {
-        if units > 0.0 {
-            let expiring_later = self
-                .spendings
-                .iter()
-                .rev()
-                .take_while(|s| s.expires_at > expires_at);
-            let index = self.spendings.len() - expiring_later.count();
-            let spending = Spending {
-                expires_at,
-                units,
-                allowed: self.allowed,
-            };
-            self.spendings.insert(index, spending);
-            self.sum += units;
-            self.recent += units;
-        }
-    }
-
-    fn remove_expired(&mut self, now: Timestamp) {
-        while let Some(first) = self.spendings.front() {
-            if first.expires_at > now {
-                break;
-            }
-            self.sum -= first.counted_units(self.allowed);
-            self.spendings.pop_front();
-        }
-        if self.spendings.is_empty() {
-            self.sum = 0.0;
-        }
-    }
-
-    /// Removes `units` of the latest spending.
-    fn remove_latest(&mut self, units: f64) {
-        let mut left = units;
-        while left > 0.0 {
-            let Some(last) = self.spendings.back_mut() else {
-                return;
-            };
-            let removed = left.min(last.units);
-            last.units -= removed;
-            left -= removed;
-            self.sum -= removed * last.weight(self.allowed);
-            if last.units <= 0.0 {
-                self.spendings.pop_back();
-            }
-        }
-    }
-
-    /// Adds `units` as if they were spent evenly over the last window.
-    fn add_evenly(&mut self, now: Timestamp, units: f64, window: Duration) {
-        for part in 1..=WINDOW_PARTS {
-            let expires_at = now + window * part / WINDOW_PARTS;
-            self.add(expires_at, units / f64::from(WINDOW_PARTS));
-        }
-    }
-
-    /// Returns the time until spending that counts for `units` has left the
-    /// window, within the bounds for suggested retry delays.
-    fn retry_after(&self, now: Timestamp, units: f64) -> Duration {
-        let mut left = units;
-        for spending in &self.spendings {
-            left -= spending.counted_units(self.allowed);
-            if left <= 0.0 {
-                return now
-                    .until(spending.expires_at)
-                    .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            }
-        }
-        MAX_RETRY_AFTER
-    }
-}
--- /dev/null
+++ b/src/quota/account.rs
@@ -0,0 +1,204 @@
+//! The account of one organisation at one entry.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::MAX_RETRY_AFTER;
+use super::MIN_RETRY_AFTER;
+use super::WINDOW_PARTS;
+use crate::clock::Timestamp;
+
+/// Fraction of what remains of a quota that all entries together spend between two
+/// reports. A report can arrive as late as the next one is sent, so two such
+/// fractions must not exceed the whole.
+pub(super) const CREDIT_FRACTION: f64 = 0.5;
+
+/// Fraction of the credits that is divided equally among the entries; the rest is
+/// divided in proportion to their recent spending.
+const EQUAL_CREDIT_FRACTION: f64 = 0.5;
+
+/// Fraction of the recent spending that still counts as recent at the next report.
+const RECENT_KEPT: f64 = 0.9;
+
+/// Spending of one organisation.
+///
+/// Invariants: `spendings` is ordered by expiry; `sum` is the total of its
+/// counted units.
+#[derive(Debug)]
+pub(super) struct Account {
+    /// Units that callers can spend in a window at the current rate.
+    pub(super) allowed: f64,
+    /// Spending in the last window, the earliest first.
+    pub(super) spendings: VecDeque<Spending>,
+    /// Sum of `spendings`, each counted relative to `allowed`.
+    pub(super) sum: f64,
+    /// Units spent through this entry since it started.
+    pub(super) own_spent: f64,
+    /// Units that this entry can spend before its next report; `None` before the
+    /// first request.
+    pub(super) credit: Option<f64>,
+    /// Units of the largest request so far.
+    pub(super) largest_request: f64,
+    /// Units spent lately through this entry and through all, which decay with each
+    /// report.
+    pub(super) own_recent: f64,
+    pub(super) recent: f64,
+    /// Fraction of `allowed` that all entries together are assumed to have spent
+    /// in the window before this one started.
+    pub(super) assumed_fraction: f64,
+}
+
+/// Units that one organisation spent at one time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Spending {
+    /// Time at which it leaves the window.
+    pub(super) expires_at: Timestamp,
+    pub(super) units: f64,
+    /// Units that callers could spend in a window at the time of spending.
+    pub(super) allowed: f64,
+}
+
+impl Spending {
+    /// Returns the units it counts for when callers can spend `allowed` units
+    /// in a window.
+    pub(super) fn counted_units(&self, allowed: f64) -> f64 {
+        self.units * self.weight(allowed)
+    }
+
+    pub(super) fn weight(&self, allowed: f64) -> f64 {
+        match allowed < self.allowed {
+            true => allowed / self.allowed,
+            false => 1.0,
+        }
+    }
+}
+
+impl Account {
+    pub(super) fn new(allowed: f64) -> Self {
+        Self {
+            allowed,
+            spendings: VecDeque::new(),
+            sum: 0.0,
+            own_spent: 0.0,
+            credit: None,
+            largest_request: 0.0,
+            own_recent: 0.0,
+            recent: 0.0,
+            assumed_fraction: 0.0,
+        }
+    }
+
+    /// Sets the units that callers can spend in a window, and recounts the
+    /// sum.
+    pub(super) fn set_allowed(&mut self, allowed: f64) {
+        if allowed != self.allowed {
+            self.allowed = allowed;
+            self.sum = self
+                .spendings
+                .iter()
+                .map(|s| s.counted_units(allowed))
+                .sum();
+        }
+    }
+
+    pub(super) fn spend_own(&mut self, units: f64) {
+        self.own_spent += units;
+        self.own_recent = (self.own_recent + units).max(0.0);
+        if let Some(credit) = &mut self.credit {
+            *credit -= units;
+        }
+    }
+
+    /// Adds the credit of the time until the next report, given the units that
+    /// remain of the quota. Unused credit is kept for the next request only.
+    pub(super) fn add_credit(&mut self, remaining: f64, entries: f64) {
+        let own_part = match self.recent > 0.0 {
+            true => (self.own_recent / self.recent).min(1.0),
+            false => 1.0 / entries,
+        };
+        self.own_recent *= RECENT_KEPT;
+        self.recent *= RECENT_KEPT;
+        let part = EQUAL_CREDIT_FRACTION / entries + (1.0 - EQUAL_CREDIT_FRACTION) * own_part;
+        let added = remaining * CREDIT_FRACTION * part;
+        let kept = self.credit.unwrap_or_default();
+        self.credit = Some((kept + added).min(added.max(self.largest_request)));
+    }
+
+    /// Returns the units that count as spent by all entries in the last
+    /// window.
+    pub(super) fn window_sum(&self, unobserved_fraction: f64) -> f64 {
+        self.sum + self.allowed * self.assumed_fraction * unobserved_fraction
+    }
+
+    pub(super) fn add(&mut self, expires_at: Timestamp, units: f64) {
+        if units > 0.0 {
+            let expiring_later = self
+                .spendings
+                .iter()
+                .rev()
+                .take_while(|s| s.expires_at > expires_at);
+            let index = self.spendings.len() - expiring_later.count();
+            let spending = Spending {
+                expires_at,
+                units,
+                allowed: self.allowed,
+            };
+            self.spendings.insert(index, spending);
+            self.sum += units;
+            self.recent += units;
+        }
+    }
+
+    pub(super) fn remove_expired(&mut self, now: Timestamp) {
+        while let Some(first) = self.spendings.front() {
+            if first.expires_at > now {
+                break;
+            }
+            self.sum -= first.counted_units(self.allowed);
+            self.spendings.pop_front();
+        }
+        if self.spendings.is_empty() {
+            self.sum = 0.0;
+        }
+    }
+
+    /// Removes `units` of the latest spending.
+    pub(super) fn remove_latest(&mut self, units: f64) {
+        let mut left = units;
+        while left > 0.0 {
+            let Some(last) = self.spendings.back_mut() else {
+                return;
+            };
+            let removed = left.min(last.units);
+            last.units -= removed;
+            left -= removed;
+            self.sum -= removed * last.weight(self.allowed);
+            if last.units <= 0.0 {
+                self.spendings.pop_back();
+            }
+        }
+    }
+
+    /// Adds `units` as if they were spent evenly over the last window.
+    pub(super) fn add_evenly(&mut self, now: Timestamp, units: f64, window: Duration) {
+        for part in 1..=WINDOW_PARTS {
+            let expires_at = now + window * part / WINDOW_PARTS;
+            self.add(expires_at, units / f64::from(WINDOW_PARTS));
+        }
+    }
+
+    /// Returns the time until spending that counts for `units` has left the
+    /// window, within the bounds for suggested retry delays.
+    pub(super) fn retry_after(&self, now: Timestamp, units: f64) -> Duration {
+        let mut left = units;
+        for spending in &self.spendings {
+            left -= spending.counted_units(self.allowed);
+            if left <= 0.0 {
+                return now
+                    .until(spending.expires_at)
+                    .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            }
+        }
+        MAX_RETRY_AFTER
+    }
+}
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+
 use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -22,7 +22,6 @@
 use crate::queue::Queue;
 use crate::ticket::Grant;
 use crate::ticket::OfferResult;
-use crate::ticket::Quote;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
@@ -31,6 +30,7 @@
 use crate::tier_load::TierLoad;
 
 mod config;
+mod quotes;
 #[cfg(test)]
 mod tests;
 
@@ -51,9 +51,6 @@
 /// One in this many slots is never granted to tickets past their objective.
 const DELAYED_RESERVE_DIVISOR: usize = 3;
 
-/// The smallest share of an upstream assumed to be available to a tier.
-const MIN_AVAILABLE_SHARE: f64 = 0.05;
-
 /// A message to deliver to the entry of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
@@ -362,53 +359,6 @@
         ticket.work.prefill.min(chunks * CHUNK_TOKENS)
     }
 
-    fn quote(&self, now: Timestamp, ticket: &Ticket) -> Quote {
-        let prefill_delay = self.pace.prefill_time(self.unanswered_prefill());
-        Quote {
-            wait: match self.has_room_for(ticket) {
-                true => Duration::ZERO,
-                false => self.wait_for(now, ticket),
-            },
-            cached: ticket.work.cached,
-            saving: self.pace.prefill_time(ticket.work.cached),
-            answer_start: prefill_delay + self.pace.answer_start_time(ticket.work.uncached()),
-            answer_end: prefill_delay + self.pace.service_time(ticket.work),
-        }
-    }
-
-    /// Returns the expected time until a ticket is granted. It is estimated from
-    /// the work ahead and the share of the slots that higher tiers leave, since
-    /// their work keeps arriving. It is at least the time that the oldest ticket
-    /// ahead has waited: the estimate includes only as much later work of higher
-    /// tiers as was sent recently.
-    fn wait_for(&self, now: Timestamp, ticket: &Ticket) -> Duration {
-        let weight = self.weight(&ticket.organisation);
-        let cost_ahead = self
-            .queue
-            .cost_ahead(ticket.rank, &ticket.organisation, weight);
-        let time_to_next_slot = self.pace.mean_service_time() / self.slots_divisor();
-        let oldest = self.queue.oldest_ahead(ticket.rank, &ticket.organisation);
-        let waited = oldest.map_or(Duration::ZERO, |queued_at| now.since(queued_at));
-        let slots = self.config.slots as f64;
-        let available = 1.0 - self.tier_load.slots_above(now, ticket.rank) / slots;
-        let expected = (time_to_next_slot + self.backlog_time(cost_ahead))
-            .div_f64(available.max(MIN_AVAILABLE_SHARE));
-        waited.max(expected)
-    }
-
-    /// Returns the expected time until waiting work of this cost has left the
-    /// queue. The cost is taken as microseconds of slot time, so the result is a
-    /// rough value for a cost in tokens, see [`Scheduler::ticket_cost`].
-    fn backlog_time(&self, cost: u64) -> Duration {
-        let served_here = Duration::from_micros(cost).mul_f64(self.served_share);
-        served_here / self.slots_divisor()
-    }
-
-    /// Returns the number of slots, but at least 1, as a divisor of durations.
-    fn slots_divisor(&self) -> u32 {
-        u32::try_from(self.config.slots).unwrap_or(u32::MAX).max(1)
-    }
-
     /// Returns the cost of a ticket: its expected time in a slot in
     /// microseconds, or its cost in uncached prompt tokens while the pace of the
     /// upstream is unknown. Costs in the queue, of grants and of sent requests
