Take back the longer waits of overdue requests

Overdue requests of a high tier that wait for seconds are served before fresh ones of lower tiers, which are then late themselves.

Change: an overdue request waits as long as a fresh one.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -101,7 +101,8 @@
             self.record_refused(now, request_class.clone());
             return Some(wait);
         }
-        // Overdue requests can wait for long, so a wait is no sign of an overload.
+        // Overdue requests get only what fresh ones leave, so their waits don't show an
+        // overload of the fresh ones.
         if request_class.overdue {
             return None;
         }
--- a/src/admission/urgency.rs
+++ b/src/admission/urgency.rs
@@ -13,18 +13,6 @@
 /// for processing the prompt.
 const MAX_EXPECTED_WAIT_OBJECTIVES: f64 = 0.4;
 
-/// Maximum time that an overdue request waits for a grant, in objectives. Callers give
-/// up a stream that does not start for much longer.
-const OVERDUE_MAX_WAIT_OBJECTIVES: u32 = 4;
-
-/// Maximum time that an overdue request waits for a grant, as a fraction of the time
-/// that its caller has left. It is not in time any more, but it is better served late
-/// than refused again; the rest of the time is left for the answer.
-const OVERDUE_MAX_WAIT_FRACTION: f64 = 0.5;
-
-/// Longest expected wait of an overdue request, as a fraction of its maximum wait.
-const OVERDUE_EXPECTED_WAIT_FRACTION: f64 = 0.5;
-
 /// The times of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Urgency {
@@ -51,24 +39,13 @@
 
     /// Returns the maximum time that the request waits for a grant.
     pub fn max_wait(&self) -> Duration {
-        match self.is_overdue() {
-            true => {
-                let of_left = self.deadline.mul_f64(OVERDUE_MAX_WAIT_FRACTION);
-                of_left.min(self.objective * OVERDUE_MAX_WAIT_OBJECTIVES)
-            }
-            false => {
-                let of_objective = self.objective.mul_f64(MAX_WAIT_OBJECTIVES);
-                of_objective.min(self.deadline)
-            }
-        }
+        let of_objective = self.objective.mul_f64(MAX_WAIT_OBJECTIVES);
+        of_objective.min(self.deadline)
     }
 
     /// Returns the longest expected wait for a grant. If the request is expected to
     /// wait longer, it is refused instead of queued.
     pub fn max_expected_wait(&self) -> Duration {
-        match self.is_overdue() {
-            true => self.max_wait().mul_f64(OVERDUE_EXPECTED_WAIT_FRACTION),
-            false => self.objective.mul_f64(MAX_EXPECTED_WAIT_OBJECTIVES),
-        }
+        self.objective.mul_f64(MAX_EXPECTED_WAIT_OBJECTIVES)
     }
 }
