Bound the body that is dropped, and log the retry delay of a refusal

Cause: reading the change as a newcomer. A request refused before its body was read to its end however long, a refusal's log line did not say when the caller is asked to come back, and two files had their own conversion to milliseconds.

Change: a body is dropped up to the limit on bodies; the line has retry_after_ms; units::millis is the one conversion.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -41,6 +41,7 @@
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
+use crate::units::millis;
 
 /// Maximum number of reply parts that are buffered for a slow caller.
 const REPLY_BUFFER: usize = 4;
@@ -98,6 +99,7 @@
                 "path" => req.path(),
                 "organisation" => e.admission.as_ref().map(|a| a.organisation.to_string()),
                 "code" => e.error.code(),
+                "retry_after_ms" => e.error.retry_after().map(millis),
                 "revision" => state.active_settings.revision().0,
                 "outcome" => e.error.outcome().name());
             record_refusal(&state, &e);
@@ -187,7 +189,7 @@
         ))))
     };
     if let Some(refused) = admission.service.as_ref().and_then(refuse_early) {
-        discard_body(req, settings.limits.caller_timeout).await;
+        discard_body(req, settings.limits.body, settings.limits.caller_timeout).await;
         return Err(refused);
     }
     let limited = || refuse(CallerError::Limited(LIMITED_RETRY_AFTER));
@@ -335,11 +337,19 @@
     length.map(Some).ok_or(invalid)
 }
 
-/// Reads a body to its end without keeping it. A connection that is closed with
-/// unread bytes is reset, and its caller may lose the answer.
-async fn discard_body(req: &mut Request, timeout: Duration) {
+/// Reads a body without keeping it, up to `limit` bytes. A connection that is closed
+/// with unread bytes is reset, and its caller may lose the answer.
+async fn discard_body(req: &mut Request, limit: u64, timeout: Duration) {
     let mut payload = req.take_payload();
-    let read = async { while let Some(Ok(_)) = payload.next().await {} };
+    let read = async {
+        let mut bytes = 0;
+        while let Some(Ok(part)) = payload.next().await {
+            bytes += part.len() as u64;
+            if bytes > limit {
+                return;
+            }
+        }
+    };
     // A body that does not end in time is cut off with the connection.
     let _ = actix_rt::time::timeout(timeout, read).await;
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -39,6 +39,7 @@
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
 use crate::ticket::WithdrawReason;
+use crate::units::millis;
 
 mod endings;
 
@@ -438,7 +439,3 @@
         result
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -5,13 +5,13 @@
 use slog::info;
 
 use super::RequestTask;
-use super::millis;
 use crate::burn::BurnKey;
 use crate::entry::error::CallerError;
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::ticket::Refusal;
 use crate::ticket::WithdrawReason;
+use crate::units::millis;
 
 impl RequestTask {
     pub(super) async fn give_up(
--- a/src/lease/acquire.rs
+++ b/src/lease/acquire.rs
@@ -54,7 +54,8 @@
     let expected = version.map_or(Expected::Absent, Expected::Version);
     let value = Bytes::from(serde_json::to_vec(&next)?);
     store.put(name, value, expected).await?;
-    if *timelines.borrow() != Some(timeline) && timelines.borrow().is_some() {
+    // The write may be lost if the store was restored during it.
+    if timelines.borrow().unwrap_or_default() != timeline {
         return Err(StoreError::Restored.into());
     }
     lease.record_write(started, &next);
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,4 +1,4 @@
-//! `serde_with` adapters for units and key digests.
+//! Units: conversions, and `serde_with` adapters for sizes and key digests.
 
 use std::fmt;
 use std::time::Duration;
@@ -15,6 +15,11 @@
 const MIB: u64 = 1024 * KIB;
 const GIB: u64 = 1024 * MIB;
 
+/// Returns a duration in whole milliseconds, at most `u64::MAX`.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Error in the text of a size or of a key digest.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum UnitError {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,6 +21,7 @@
 use crate::ticket::RefusalCode;
 use crate::ticket::Ticket;
 use crate::ticket::Work;
+use crate::units::millis;
 
 /// The version of the peer protocol that this build implements.
 pub const PROTOCOL_VERSION: u32 = 2;
@@ -218,7 +219,3 @@
 pub fn list_len<T>(list: &[T]) -> u32 {
     u32::try_from(list.len()).unwrap_or(u32::MAX)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
