Infer earlier attempts only where deadlines count down

Cause: found by reading. A caller of the product's own interface that always sends a short deadline looked like one that comes back, and was served after the others.

Change: a dialect says whether its deadlines count from the first attempt.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -68,6 +68,11 @@
     /// Fails if the header is invalid.
     fn deadline(&self, head: &RequestHead) -> Result<Option<Duration>, CallerError>;
 
+    /// Returns whether the deadline that callers send counts from their first attempt.
+    /// A caller that comes back then sends a shorter one; otherwise a shorter deadline
+    /// says nothing of earlier attempts.
+    fn deadline_counts_down(&self) -> bool;
+
     /// Returns the tier that the caller requests, if any. A caller can only
     /// lower its own tier.
     ///
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -172,7 +172,8 @@
         &state.keys(),
         random_below,
     )?;
-    if dialect.deadline(req.head()).is_ok_and(|d| d.is_some()) {
+    let sends_deadline = dialect.deadline(req.head())?.is_some();
+    if sends_deadline && dialect.deadline_counts_down() {
         admission.tried_for = state.record_caller(&admission.route_name, admission.deadline);
     }
     let admitted = admission.clone();
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -91,6 +91,10 @@
         error.response(Some(id))
     }
 
+    fn deadline_counts_down(&self) -> bool {
+        false
+    }
+
     fn request_id_header(&self) -> Option<&'static str> {
         Some(REQUEST_ID_HEADER)
     }
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -20,6 +20,7 @@
 use almondramp::dispatch::Choice;
 use almondramp::dispatch::Dispatch;
 use almondramp::dispatch::Event;
+use almondramp::ids::GrantId;
 use almondramp::ids::Incarnation;
 use almondramp::ids::RequestId;
 use almondramp::name::Name;
@@ -120,7 +121,7 @@
     Arrive(usize),
     Offer(RequestId, usize),
     ToEntry(RequestId, Event),
-    Send(RequestId, usize, almondramp::ids::GrantId),
+    Send(RequestId, usize, GrantId),
     Withdraw(RequestId, usize, WithdrawReason),
     Tick,
     Generate(usize),
@@ -428,7 +429,7 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, upstream: usize, grant: almondramp::ids::GrantId) {
+    fn send(&mut self, request: RequestId, upstream: usize, grant: GrantId) {
         let Some(attempt) = self.attempts.get_mut(&request) else {
             return;
         };
