Throttle overdue requests too

Cause: since overdue requests are told apart, the throttle let all of them wait.

Change: the throttle counts overdue requests of a rank apart from the fresh ones.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -61,15 +61,18 @@
         ServiceRank {
             service: self.service.clone(),
             rank: self.rank,
+            overdue: self.overdue,
         }
     }
 }
 
-/// Key of the requests of one rank that a service receives.
+/// Key of the requests of one rank that a service receives. Overdue ones are counted
+/// apart, since they get only what the others leave.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct ServiceRank {
     service: Name,
     rank: u8,
+    overdue: bool,
 }
 
 /// What an entry knows of the load, by request class.
@@ -101,11 +104,6 @@
             self.record_refused(now, request_class.clone());
             return Some(wait);
         }
-        // Overdue requests get only what fresh ones leave, so their waits don't show an
-        // overload of the fresh ones.
-        if request_class.overdue {
-            return None;
-        }
         let probability = self.throttle.refusal_probability(now, request_class);
         if draw >= probability {
             return None;
@@ -127,23 +125,17 @@
 
     /// Counts a request that was refused without waiting.
     pub fn record_refused(&mut self, now: Timestamp, request_class: RequestClass) {
-        if !request_class.overdue {
-            self.throttle.record_refused(now, request_class);
-        }
+        self.throttle.record_refused(now, request_class);
     }
 
     /// Counts a request that waits or is sent without a wait.
     pub fn record_arrival(&mut self, now: Timestamp, request_class: RequestClass) {
-        if !request_class.overdue {
-            self.throttle.record_arrival(now, request_class);
-        }
+        self.throttle.record_arrival(now, request_class);
     }
 
     /// Counts a request that was sent.
     pub fn record_sent(&mut self, now: Timestamp, request_class: RequestClass) {
-        if !request_class.overdue {
-            self.throttle.record_sent(now, request_class);
-        }
+        self.throttle.record_sent(now, request_class);
     }
 
     /// Removes what was neither read nor changed recently.
