--- a/tests/patterns/burst.rs
+++ b/tests/patterns/burst.rs
@@ -6,7 +6,7 @@
 use crate::REVIEW;
 use crate::SEEDS;
 use crate::model::Model;
-use crate::model::Report;
+use crate::report::Report;
 use crate::setup;
 
 /// Runs fifteen seconds of usual load with a burst of four times that in between.
--- a/tests/patterns/choked_entries.rs
+++ b/tests/patterns/choked_entries.rs
@@ -6,7 +6,7 @@
 use crate::REVIEW;
 use crate::SEEDS;
 use crate::model::Model;
-use crate::model::Setup;
+use crate::parameters::Setup;
 use crate::setup;
 
 #[test]
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -6,13 +6,15 @@
 mod engine;
 mod hot_organisation;
 mod model;
+mod parameters;
+mod report;
 mod returning_callers;
 mod usual_load;
 
 use std::time::Duration;
 
-use crate::model::Kind;
-use crate::model::Setup;
+use crate::parameters::Kind;
+use crate::parameters::Setup;
 
 /// Seeds that each pattern is run with.
 const SEEDS: std::ops::Range<u64> = 0..4;
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -38,6 +38,10 @@
 use rand::seq::SliceRandom;
 
 use crate::engine::Engine;
+use crate::parameters::Kind;
+use crate::parameters::Setup;
+use crate::report::Report;
+use crate::report::Tally;
 
 /// Tickets for one request.
 const TICKETS: usize = 6;
@@ -48,54 +52,6 @@
 /// Time without a first event after which a caller gives up.
 const START_PATIENCE: Duration = Duration::from_millis(2_400);
 
-/// A kind of request.
-#[derive(Clone, Copy, Debug)]
-pub struct Kind {
-    /// Its tier; 0 is the highest.
-    pub rank: u8,
-    /// The time within which an answer should start.
-    pub objective: Duration,
-    /// The time that its callers have.
-    pub deadline: Duration,
-    /// Prompt tokens.
-    pub prefill: u64,
-    /// Generated tokens.
-    pub output: u64,
-}
-
-/// The set-up of a model.
-pub struct Setup {
-    /// The number of entries.
-    pub entries: usize,
-    /// The time of a message between an entry and an agent.
-    pub message: Duration,
-    /// The slowness of each engine; 1 is usual.
-    pub engines: Vec<f64>,
-    /// The slots of each engine.
-    pub slots: usize,
-    /// The seed of all randomness.
-    pub seed: u64,
-}
-
-/// How the requests of one kind and organisation ended.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Tally {
-    /// Callers.
-    pub asked: u32,
-    /// Callers whose answer started within the objective of their first attempt.
-    pub in_time: u32,
-    /// Callers whose answer started later.
-    pub late: u32,
-    /// Callers that were refused to the end.
-    pub refused: u32,
-    /// Callers that gave up.
-    pub given_up: u32,
-    /// Refusals of callers that had come back after a refusal.
-    pub refused_again: u32,
-    /// Attempts that waited in vain for their maximum time.
-    pub waited_in_vain: u32,
-}
-
 /// A caller and its current attempt.
 struct Caller {
     kind: Kind,
@@ -503,54 +459,6 @@
     }
 }
 
-/// How the callers fared, by rank and organisation.
-pub struct Report(BTreeMap<(u8, Name), Tally>);
-
-impl Report {
-    /// Returns the sum over all organisations of a rank.
-    pub fn rank(&self, rank: u8) -> Tally {
-        self.sum(|(r, _)| *r == rank)
-    }
-
-    /// Returns the sum over all ranks of an organisation.
-    pub fn organisation(&self, name: &str) -> Tally {
-        self.sum(|(_, n)| n.as_str() == name)
-    }
-
-    /// Returns the sum of all.
-    pub fn all(&self) -> Tally {
-        self.sum(|_| true)
-    }
-
-    fn sum<F>(&self, include: F) -> Tally
-    where
-        F: Fn(&(u8, Name)) -> bool,
-    {
-        let included = self.0.iter().filter(|(key, _)| include(key));
-        included.fold(Tally::default(), |a, (_, b)| Tally {
-            asked: a.asked + b.asked,
-            in_time: a.in_time + b.in_time,
-            late: a.late + b.late,
-            refused: a.refused + b.refused,
-            given_up: a.given_up + b.given_up,
-            refused_again: a.refused_again + b.refused_again,
-            waited_in_vain: a.waited_in_vain + b.waited_in_vain,
-        })
-    }
-}
-
-impl Tally {
-    /// Returns the share of callers that were served in time.
-    pub fn goodput(&self) -> f64 {
-        f64::from(self.in_time) / f64::from(self.asked.max(1))
-    }
-
-    /// Returns the share of callers that were served, in time or late.
-    pub fn served(&self) -> f64 {
-        f64::from(self.in_time + self.late) / f64::from(self.asked.max(1))
-    }
-}
-
 fn request_class(kind: Kind, organisation: &Name, urgency: &Urgency) -> RequestClass {
     RequestClass {
         service: Name::new("model"),
