--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,9 +1,12 @@
 //! The currently known upstreams, from the settings or from a platform's
 //! discovery.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::watch;
 
@@ -20,6 +23,11 @@
     upstreams: RefCell<Rc<Upstreams>>,
     /// The number of changes so far.
     changes: watch::Sender<u64>,
+    /// When a platform last confirmed the upstreams; `None` if they come from the
+    /// settings.
+    confirmed_at: Cell<Option<Instant>>,
+    /// The number of upstreams that are kept without a registration.
+    kept: Cell<usize>,
 }
 
 impl Directory {
@@ -44,6 +52,27 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that the platform has just confirmed the current upstreams.
+    pub fn confirm(&self) {
+        self.confirmed_at.set(Some(Instant::now()));
+    }
+
+    /// Returns the time since the platform last confirmed the upstreams; `None` if
+    /// they come from the settings.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.get().map(|at| at.elapsed())
+    }
+
+    /// Sets the number of upstreams that are kept without a registration.
+    pub fn set_kept(&self, count: usize) {
+        self.kept.set(count);
+    }
+
+    /// Returns the number of upstreams that are kept without a registration.
+    pub fn kept(&self) -> usize {
+        self.kept.get()
+    }
+
     /// Returns a receiver that is notified of every change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -36,18 +36,15 @@
 use crate::site_key::KeyHolder;
 use crate::site_key::SiteKey;
 
+mod backoff;
+
+use backoff::Backoff;
+
 /// The pause after a change of the upstreams, which lets one call cover a burst
 /// of changes. It is a small part of the time that a platform gives entries
 /// to stop sending requests to a leaving upstream.
 const CHANGE_BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// The pause after the first failed query, before jitter.
-const RETRY_MIN: Duration = Duration::from_millis(50);
-
-/// The longest pause between retries, before jitter. The pause doubles with
-/// each failure.
-const RETRY_MAX: Duration = Duration::from_millis(800);
-
 /// The longest random delay before a process writes again what a platform that was
 /// restored from an older copy may lack. It spreads the writes of all processes.
 const RESTORE_SPREAD: Duration = Duration::from_secs(1);
@@ -252,6 +249,7 @@
     {
         let mut backoff = Backoff::new("site key", self.log.clone());
         loop {
+            backoff.begin_call();
             match query().await {
                 Ok(key) => {
                     backoff.record_success();
@@ -267,6 +265,7 @@
         let mut pacer = Pacer::new();
         loop {
             actix_rt::time::sleep(pacer.delay(self.clock.now())).await;
+            backoff.begin_call();
             match self.platform.configuration().await {
                 Ok(configuration) => {
                     backoff.record_success();
@@ -332,10 +331,15 @@
         let mut pacer = Pacer::new();
         loop {
             actix_rt::time::sleep(pacer.delay(self.clock.now())).await;
+            backoff.begin_call();
             match self.platform.upstreams().await {
-                Ok(None) => backoff.record_success(),
+                Ok(None) => {
+                    backoff.record_success();
+                    self.state.directory.confirm();
+                }
                 Ok(Some(listed)) => {
                     backoff.record_success();
+                    self.state.directory.confirm();
                     if restores.is_restored() && tx.send(UpstreamNews::Restored).is_err() {
                         return;
                     }
@@ -370,6 +374,12 @@
         for name in before.keys().filter(|name| !upstreams.contains_key(*name)) {
             info!(self.log, "upstream removed"; "upstream" => %name);
         }
+        let kept = registrations.kept();
+        if kept.len() != self.state.directory.kept() {
+            let names: Vec<&str> = kept.iter().map(|name| name.as_str()).collect();
+            info!(self.log, "upstreams without a registration kept"; "upstreams" => names.join(" "));
+        }
+        self.state.directory.set_kept(kept.len());
         self.state.directory.set(upstreams);
     }
 
@@ -396,6 +406,7 @@
                 restores.start();
                 self.platform.peers().await
             };
+            backoff.begin_call();
             match discovered.await {
                 Ok(peers) => {
                     backoff.record_success();
@@ -421,41 +432,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Exponential backoff with jitter. Logs when the platform stops answering and
-/// when it answers again.
-struct Backoff {
-    subject: &'static str,
-    pause: Duration,
-    failures: u32,
-    log: Logger,
-}
-
-impl Backoff {
-    fn new(subject: &'static str, log: Logger) -> Self {
-        Self {
-            subject,
-            pause: RETRY_MIN,
-            failures: 0,
-            log,
-        }
-    }
-
-    fn record_success(&mut self) {
-        if self.failures > 0 {
-            info!(self.log, "platform answers again"; "about" => self.subject, "failures" => self.failures);
-        }
-        self.failures = 0;
-        self.pause = RETRY_MIN;
-    }
-
-    async fn wait_after_failure(&mut self, e: &StoreError) {
-        if self.failures == 0 {
-            warn!(self.log, "platform does not answer"; "about" => self.subject, "error" => %e);
-        }
-        self.failures = self.failures.saturating_add(1);
-        let jitter = rand::rng().random_range(0.5..1.0);
-        actix_rt::time::sleep(self.pause.mul_f64(jitter)).await;
-        self.pause = RETRY_MAX.min(self.pause * 2);
-    }
-}
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,5 +1,8 @@
 //! The metrics of an entry.
 
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -54,6 +57,8 @@
     held_requests: Gauge,
     links: Gauge,
     revision: Gauge,
+    directory_age: Gauge<f64, AtomicU64>,
+    kept_upstreams: Gauge,
 }
 
 impl EntryMetrics {
@@ -70,6 +75,8 @@
             held_requests: Gauge::default(),
             links: Gauge::default(),
             revision: Gauge::default(),
+            directory_age: Gauge::default(),
+            kept_upstreams: Gauge::default(),
             // Replaced at the end, when all metrics are registered.
             registry: Registry::default(),
         };
@@ -111,6 +118,16 @@
             "Revision in force",
             this.revision.clone(),
         );
+        r.register(
+            "directory_age_seconds",
+            "Time since the platform last confirmed the upstreams; 0 without a platform",
+            this.directory_age.clone(),
+        );
+        r.register(
+            "kept_upstreams",
+            "Upstreams that are kept without a registration",
+            this.kept_upstreams.clone(),
+        );
         Self { registry, ..this }
     }
 
@@ -166,6 +183,14 @@
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the directory: the time since the platform last confirmed
+    /// it, and the number of upstreams kept without a registration.
+    pub fn record_directory(&self, age: Option<Duration>, kept: usize) {
+        let age = age.unwrap_or_default();
+        self.directory_age.set(age.as_secs_f64());
+        self.kept_upstreams.set(kept as i64);
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         metrics::render(&self.registry)
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -406,6 +406,7 @@
             "by_agent" => matches!(scheduler, SchedulerHandle::Agent(_)),
             "waited_ms" => millis(now.since(self.arrived)),
             "left_ms" => millis(now.until(self.deadline)),
+            "view_ms" => self.state.directory.age().map(millis),
             "last_event" => self.relay.last_event());
         let timeout = self.job.admission.route.timeout;
         let timeout = timeout.unwrap_or(self.state.active_settings.settings().limits.run);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -470,6 +470,8 @@
         let revision = self.active_settings.revision().0;
         self.metrics
             .record_state(held, self.links.count(), revision);
+        self.metrics
+            .record_directory(self.directory.age(), self.directory.kept());
         self.metrics.render()
     }
 }
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -144,6 +144,11 @@
         self.keep_until
     }
 
+    /// Returns the names of the upstreams that are kept without a registration.
+    pub fn kept(&self) -> Vec<&Name> {
+        self.missing.keys().collect()
+    }
+
     /// Returns the registered and kept upstreams, with the properties that the
     /// settings give their services.
     pub fn upstreams(&self, settings: &Settings) -> Upstreams {
