--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay to one process that can close, refuse or freeze connections.
+//! A TCP relay to one process that can close, refuse, freeze, silence or delay
+//! connections.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -26,6 +28,10 @@
     generation: u64,
     /// Bytes are read but not forwarded, as on a half-open connection.
     frozen: bool,
+    /// Connections opened in an earlier epoch lose all bytes.
+    silent_epoch: u64,
+    /// The time by which each chunk is delayed.
+    delay: Duration,
     /// New connections are closed immediately.
     refusing: bool,
 }
@@ -93,6 +99,17 @@
         });
     }
 
+    /// Drops all further bytes of the open connections, which stay open. New
+    /// connections are forwarded.
+    pub fn silence_connections(&self) {
+        self.state.send_modify(|s| s.silent_epoch += 1);
+    }
+
+    /// Sets the time by which each chunk of bytes is delayed.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.send_modify(|s| s.delay = delay);
+    }
+
     /// Sets whether forwarding is suspended.
     pub fn set_frozen(&self, frozen: bool) {
         self.state.send_modify(|s| s.frozen = frozen);
@@ -157,6 +174,7 @@
     forwarded: &AtomicU64,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
+    let epoch = state.borrow().silent_epoch;
     loop {
         let Ok(count @ 1..) = from.read(&mut buf).await else {
             return;
@@ -164,6 +182,13 @@
         if state.wait_for(|s| !s.frozen).await.is_err() {
             return;
         }
+        if state.borrow().silent_epoch != epoch {
+            continue;
+        }
+        let delay = state.borrow().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         forwarded.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&buf[..count]).await.is_err() {
             return;
