Keep upstreams without a registration only where it can have expired

Callers' requests reached upstreams that had left by removing their registration. Cause: any failed call to the platform (a cut watch, a refusal, a lost reply) counted as an outage, after which missing upstreams were used for 2.5 s; each further failure started that time anew. A registration can only expire while its upstream can't renew it for some heartbeats. An outage is counted from the second failed call on, since the first may concern only the connection of the watch, and gives upstreams time to register again only if it lasted that long. Short ones no longer extend that time. While an outage lasts none is dropped: before, a second outage within the time dropped all that were missing. A platform's answers now tell 'unchanged' from 'unknown' (history gone), so that only an answer counts as contact.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -87,15 +87,30 @@
     pub document: Document,
 }
 
+/// A platform's answer to a query for a state of type `T`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Answer<T> {
+    /// The whole state, at the first query or after a change.
+    State(T),
+    /// The state has not changed since the last answer.
+    Unchanged,
+    /// The changes since the last answer are not known. The next query returns the
+    /// whole state.
+    Unknown,
+}
+
 /// Queries to a platform. The first call of `configuration` or `upstreams`
-/// returns the current state. Later calls wait for a change, and return `None`
-/// if there is none for some time.
+/// returns the current state. Later calls wait some time for a change.
 pub trait Platform {
     /// Returns the configuration.
-    fn configuration(&self) -> LocalBoxFuture<'_, Result<Option<Configuration>, StoreError>>;
+    fn configuration(&self) -> LocalBoxFuture<'_, Result<Answer<Configuration>, StoreError>>;
 
     /// Returns all registered upstreams.
-    fn upstreams(&self) -> LocalBoxFuture<'_, Result<Option<Vec<DiscoveredUpstream>>, StoreError>>;
+    fn upstreams(&self) -> LocalBoxFuture<'_, Result<Answer<Vec<DiscoveredUpstream>>, StoreError>>;
+
+    /// Returns the shortest time without the platform after which a registration of
+    /// a running upstream can have expired.
+    fn shortest_lapse(&self) -> Duration;
 
     /// Registers this entry under `name` with its peer address.
     fn announce(&self, name: Name, peer: SocketAddr) -> LocalBoxFuture<'_, Result<(), StoreError>>;
@@ -116,6 +131,8 @@
 enum UpstreamNews {
     /// The platform lists these.
     Listed(Vec<DiscoveredUpstream>),
+    /// The platform lists the same as before.
+    Unchanged,
     /// The platform can't be reached.
     Unreachable,
     /// The platform was restored from an older copy.
@@ -269,7 +286,7 @@
             match self.platform.configuration().await {
                 Ok(configuration) => {
                     backoff.record_success();
-                    if let Some(configuration) = configuration {
+                    if let Answer::State(configuration) = configuration {
                         self.adopt_configuration(configuration);
                     }
                 }
@@ -296,13 +313,18 @@
     async fn follow_upstreams(self: Rc<Self>) {
         let (tx, mut rx) = mpsc::unbounded_channel();
         actix_rt::spawn(Rc::clone(&self).poll_upstreams(tx));
-        let mut registrations = Registrations::new();
+        let mut registrations =
+            Registrations::new().with_shortest_lapse(self.platform.shortest_lapse());
         let mut revisions = self.state.active_settings.subscribe();
         loop {
             let next_tick = registrations.next_tick().map(|at| self.clock.instant(at));
             tokio::select! {
                 Some(news) = rx.recv() => match news {
                     UpstreamNews::Listed(listed) => registrations.update(self.clock.now(), listed),
+                    UpstreamNews::Unchanged => {
+                        registrations.confirm(self.clock.now());
+                        continue;
+                    }
                     UpstreamNews::Unreachable => {
                         registrations.mark_unreachable();
                         continue;
@@ -333,11 +355,15 @@
             actix_rt::time::sleep(pacer.delay(self.clock.now())).await;
             backoff.begin_call();
             match self.platform.upstreams().await {
-                Ok(None) => {
+                Ok(Answer::Unknown) => backoff.record_success(),
+                Ok(Answer::Unchanged) => {
                     backoff.record_success();
                     self.state.directory.confirm();
+                    if tx.send(UpstreamNews::Unchanged).is_err() {
+                        return;
+                    }
                 }
-                Ok(Some(listed)) => {
+                Ok(Answer::State(listed)) => {
                     backoff.record_success();
                     self.state.directory.confirm();
                     if restores.is_restored() && tx.send(UpstreamNews::Restored).is_err() {
@@ -349,7 +375,9 @@
                     actix_rt::time::sleep(CHANGE_BATCH_PAUSE).await;
                 }
                 Err(e) => {
-                    if tx.send(UpstreamNews::Unreachable).is_err() {
+                    // The first failure may concern only the connection of the watch.
+                    let is_outage = backoff.is_failing();
+                    if is_outage && tx.send(UpstreamNews::Unreachable).is_err() {
                         return;
                     }
                     backoff.wait_after_failure(&e).await;
--- a/src/discovery/backoff.rs
+++ b/src/discovery/backoff.rs
@@ -51,6 +51,11 @@
         self.call_started = Instant::now();
     }
 
+    /// Returns whether the last call has failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records that the call has succeeded.
     pub fn record_success(&mut self) {
         if self.failures > 0 {
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -1,9 +1,10 @@
 //! Tracks the discovered upstreams, also across outages of the platform.
 //!
 //! Registrations can expire while the platform is unreachable, although their
-//! upstreams are still running. After an outage, upstreams without a
-//! registration are kept for a short time in which a running upstream
-//! registers again.
+//! upstreams are still running. After an outage that was long enough for that,
+//! upstreams without a registration are kept for a short time in which a running
+//! upstream registers again. After a shorter one, a missing registration means that
+//! its upstream has left.
 //!
 //! A platform that was restored from an older copy can also list upstreams that
 //! have left since, or list them as not leaving yet. A process does not go back
@@ -51,6 +52,11 @@
     missing: BTreeMap<Name, DiscoveredUpstream>,
     /// Whether the platform has been unreachable since the last update.
     unreachable: bool,
+    /// When the platform last answered.
+    last_contact: Timestamp,
+    /// The shortest time without the platform after which registrations can have
+    /// expired.
+    shortest_lapse: Duration,
     /// Until when the missing upstreams are kept; `None` outside of that time.
     keep_until: Option<Timestamp>,
 }
@@ -61,6 +67,18 @@
         Self::default()
     }
 
+    /// Sets the shortest time without the platform after which registrations of
+    /// running upstreams can have expired. Without it, any time is enough.
+    pub fn with_shortest_lapse(mut self, shortest_lapse: Duration) -> Self {
+        self.shortest_lapse = shortest_lapse;
+        self
+    }
+
+    /// Records that the platform answered that nothing has changed.
+    pub fn confirm(&mut self, now: Timestamp) {
+        self.last_contact = now;
+    }
+
     /// Records that the platform can't be reached.
     pub fn mark_unreachable(&mut self) {
         self.unreachable = true;
@@ -69,17 +87,18 @@
     /// Records that the platform was restored from an older copy. Registrations
     /// that the copy lacks are written again, as after an outage.
     pub fn mark_restored(&mut self) {
-        self.unreachable = true;
         self.restored = true;
     }
 
     /// Replaces the registered upstreams with `listed`. For
-    /// [`REREGISTRATION_TIME`] after an outage, upstreams that are not in
-    /// `listed` are kept.
+    /// [`REREGISTRATION_TIME`] after an outage in which registrations can have
+    /// expired, upstreams that are not in `listed` are kept.
     pub fn update(&mut self, now: Timestamp, listed: Vec<DiscoveredUpstream>) {
-        if std::mem::take(&mut self.unreachable) {
+        if self.may_have_lapsed(now) {
             self.keep_until = Some(now + REREGISTRATION_TIME);
         }
+        self.unreachable = false;
+        self.last_contact = now;
         let mut listed: BTreeMap<Name, DiscoveredUpstream> =
             listed.into_iter().map(|d| (d.name.clone(), d)).collect();
         self.mark_outdated(now, &listed);
@@ -100,6 +119,13 @@
         self.tick(now);
     }
 
+    /// Returns whether registrations of running upstreams can be missing in a
+    /// listing received now.
+    fn may_have_lapsed(&self, now: Timestamp) -> bool {
+        let away = now.since(self.last_contact);
+        self.restored || (self.unreachable && away >= self.shortest_lapse)
+    }
+
     /// Finds the registrations that were removed before a restore of the platform and
     /// that its older copy lists. They count as outdated until they change.
     fn mark_outdated(&mut self, now: Timestamp, listed: &BTreeMap<Name, DiscoveredUpstream>) {
@@ -126,9 +152,10 @@
     }
 
     /// Drops the missing upstreams once their time has elapsed. Returns whether
-    /// any were dropped.
+    /// any were dropped. While the platform is unreachable none are, because they
+    /// can't register again.
     pub fn tick(&mut self, now: Timestamp) -> bool {
-        if self.keep_until.is_none_or(|until| now < until) {
+        if self.next_tick().is_none_or(|until| now < until) {
             return false;
         }
         self.keep_until = None;
@@ -141,7 +168,7 @@
 
     /// Returns when `tick` is due next.
     pub fn next_tick(&self) -> Option<Timestamp> {
-        self.keep_until
+        self.keep_until.filter(|_| !self.unreachable)
     }
 
     /// Returns the names of the upstreams that are kept without a registration.
--- a/src/registrations/tests.rs
+++ b/src/registrations/tests.rs
@@ -69,6 +69,53 @@
     assert_eq!(names(&registrations), ["two"]);
 }
 
+// Issue 25, DRAIN: upstreams that had left were used for 2.5 s after any failed call.
+#[test]
+fn an_upstream_missing_after_a_short_outage_has_left() {
+    let mut registrations = Registrations::new().with_shortest_lapse(Duration::from_secs(2));
+    update(&mut registrations, 0, &["one", "two"]);
+    registrations.confirm(at(4_000));
+    registrations.mark_unreachable();
+    update(&mut registrations, 5_999, &["two"]);
+    assert_eq!(names(&registrations), ["two"]);
+    registrations.mark_unreachable();
+    update(&mut registrations, 7_999, &[]);
+    assert_eq!(names(&registrations), ["two"]);
+}
+
+// Issue 25, DRAIN: each further failure kept the missing upstreams for 2.5 s more.
+#[test]
+fn short_outages_do_not_extend_the_reregistration_time() {
+    let mut registrations = Registrations::new().with_shortest_lapse(Duration::from_secs(2));
+    update(&mut registrations, 0, &["one"]);
+    registrations.mark_unreachable();
+    update(&mut registrations, 4_000, &[]);
+    let end = Duration::from_secs(4) + REREGISTRATION_TIME;
+    registrations.mark_unreachable();
+    let before_end = Timestamp::new(end - Duration::from_millis(600));
+    registrations.update(before_end, Vec::new());
+    assert_eq!(registrations.next_tick(), Some(Timestamp::new(end)));
+    registrations.mark_unreachable();
+    registrations.update(Timestamp::new(end), Vec::new());
+    assert!(names(&registrations).is_empty());
+}
+
+#[test]
+fn missing_upstreams_are_kept_while_a_second_outage_lasts() {
+    let mut registrations = Registrations::new().with_shortest_lapse(Duration::from_secs(2));
+    update(&mut registrations, 0, &["one"]);
+    registrations.mark_unreachable();
+    update(&mut registrations, 4_000, &[]);
+    registrations.mark_unreachable();
+    assert_eq!(registrations.next_tick(), None);
+    assert!(!registrations.tick(at(20_000)));
+    assert_eq!(names(&registrations), ["one"]);
+    update(&mut registrations, 20_000, &[]);
+    let end = REREGISTRATION_TIME + Duration::from_secs(20);
+    assert!(registrations.tick(Timestamp::new(end)));
+    assert!(names(&registrations).is_empty());
+}
+
 #[test]
 fn an_upstream_listed_as_leaving_after_an_outage_is_leaving() {
     let mut registrations = Registrations::new();
