Notice the end of an outage sooner, and stop keeping missing upstreams sooner

Requests reached an upstream that had removed its registration while an entry was cut off from the store, up to 3.2 s later. Cause: a call that was not answered took its timeout (1 s) and then a pause (up to 0.8 s), so an entry listed the upstreams up to 1.8 s after the cut had ended, and only then began to count the 2.5 s in which it keeps missing ones. The new test of the backoff fails on the old pause. Calls that fail at once come at up to 2.2 a second instead of 1.7 in an outage; the pacer still bounds them to three.

--- a/src/discovery/backoff.rs
+++ b/src/discovery/backoff.rs
@@ -11,19 +11,24 @@
 use crate::object_store::StoreError;
 use crate::units::millis;
 
-/// The pause after the first failed query, before jitter.
+#[cfg(test)]
+mod tests;
+
+/// The time from the start of the first failed call to the next one, and the
+/// shortest pause between two calls, before jitter.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 
-/// The longest pause between retries, before jitter. The pause doubles with
-/// each failure.
-const RETRY_MAX: Duration = Duration::from_millis(800);
+/// The longest time from the start of a failed call to the next one, before jitter.
+/// The time doubles with each failure. It bounds how late the end of an outage is
+/// noticed.
+const RETRY_MAX: Duration = Duration::from_millis(600);
 
 /// The backoff of one task. Logs when the platform stops answering and when it
 /// answers again.
 pub struct Backoff {
     /// What the task queries, for the log.
     subject: &'static str,
-    pause: Duration,
+    interval: Duration,
     /// The number of failed calls since the last success.
     failures: u32,
     call_started: Instant,
@@ -38,7 +43,7 @@
         let now = Instant::now();
         Self {
             subject,
-            pause: RETRY_MIN,
+            interval: RETRY_MIN,
             failures: 0,
             call_started: now,
             failing_since: now,
@@ -65,7 +70,7 @@
                 "after_ms" => millis(self.failing_since.elapsed()));
         }
         self.failures = 0;
-        self.pause = RETRY_MIN;
+        self.interval = RETRY_MIN;
     }
 
     /// Records that the call has failed, and waits before the next one.
@@ -81,7 +86,9 @@
         }
         self.failures = self.failures.saturating_add(1);
         let jitter = rand::rng().random_range(0.5..1.0);
-        actix_rt::time::sleep(self.pause.mul_f64(jitter)).await;
-        self.pause = RETRY_MAX.min(self.pause * 2);
+        let rest = self.interval.saturating_sub(self.call_started.elapsed());
+        let pause = rest.max(RETRY_MIN).mul_f64(jitter);
+        actix_rt::time::sleep(pause).await;
+        self.interval = RETRY_MAX.min(self.interval * 2);
     }
 }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -9,16 +9,21 @@
 
 use crate::strict_connector::StrictConnector;
 
-/// The maximum time to open a connection.
+/// The usual maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Creates a client that sends each request exactly as given: it follows no
 /// redirects, adds no headers and sets no timeout for the answer. An answer needs
 /// a content length or chunked encoding; a truncated answer is an error.
 pub fn new_client() -> Client {
+    new_client_with_timeout(CONNECT_TIMEOUT)
+}
+
+/// Creates the same client with a maximum time to open a connection.
+pub fn new_client_with_timeout(connect_timeout: Duration) -> Client {
     let connector = Connector::new()
         .connector(StrictConnector::default())
-        .timeout(CONNECT_TIMEOUT)
+        .timeout(connect_timeout)
         .limit(0);
     Client::builder()
         .connector(connector)
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -29,9 +29,9 @@
 mod tests;
 
 /// The time in which running upstreams register again after an outage of the
-/// platform: the two seconds that the platform specifies, plus half a second
-/// for the registration to be reported.
-pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
+/// platform: the two seconds that the platform specifies, plus a margin for the
+/// registration to be reported.
+pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
 
 /// The time for which a removed registration is remembered. It is several times
 /// the age of the copies from which a platform is restored.
