--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -72,14 +72,22 @@
 impl Process {
     fn spawn(mut command: Command, config: &Path) -> Self {
         let log = config.with_extension("log");
-        let out = File::options().create(true).append(true).open(&log);
-        let child = command
+        command
             .arg("--config")
             .arg(config)
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(out.expect("the log can be written"))
-            .spawn();
+            .stderr(open_log(&log));
+        Self::start(command, log)
+    }
+
+    /// Starts `command`, which logs on its standard output to the file `log`.
+    pub fn start_logging_to_stdout(mut command: Command, log: &Path) -> Self {
+        command.stdout(open_log(log));
+        Self::start(command, log.to_owned())
+    }
+
+    fn start(mut command: Command, log: PathBuf) -> Self {
+        let child = command.stdin(Stdio::null()).spawn();
         Self {
             child: child.expect("the daemon starts"),
             log,
@@ -117,6 +125,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells the process with SIGHUP that its settings file has changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Waits until the process exits.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the exit status can be read")
@@ -133,6 +146,11 @@
     }
 }
 
+fn open_log(path: &Path) -> File {
+    let file = File::options().create(true).append(true).open(path);
+    file.expect("the log can be written")
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -30,6 +30,8 @@
     frozen: bool,
     /// Connections opened in an earlier epoch lose all bytes.
     silent_epoch: u64,
+    /// All connections lose all bytes.
+    cut: bool,
     /// The time by which each chunk is delayed.
     delay: Duration,
     /// New connections are closed immediately.
@@ -105,6 +107,15 @@
         self.state.send_modify(|s| s.silent_epoch += 1);
     }
 
+    /// Sets whether all bytes are dropped. Connections that were open in the meantime
+    /// stay silent.
+    pub fn set_cut(&self, cut: bool) {
+        self.state.send_modify(|s| {
+            s.silent_epoch += 1;
+            s.cut = cut;
+        });
+    }
+
     /// Sets the time by which each chunk of bytes is delayed.
     pub fn set_delay(&self, delay: Duration) {
         self.state.send_modify(|s| s.delay = delay);
@@ -182,7 +193,8 @@
         if state.wait_for(|s| !s.frozen).await.is_err() {
             return;
         }
-        if state.borrow().silent_epoch != epoch {
+        let is_silent = state.borrow().cut || state.borrow().silent_epoch != epoch;
+        if is_silent {
             continue;
         }
         let delay = state.borrow().delay;
