Notice a lost watch of the stored settings within seconds

New settings are to be in force everywhere within seconds. Change: a watch waits for 4 s. Watchers are two an availability zone; the calls of one grow from 2 to 15 a minute.

--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -29,6 +29,9 @@
 use crate::stored_settings::SETTINGS_OBJECT;
 use crate::stored_settings::StoredSettings;
 
+#[cfg(test)]
+mod tests;
+
 /// Name under which the registry publishes `ActiveSettings`.
 pub const SETTINGS: &str = "settings";
 
@@ -39,8 +42,9 @@
 /// Revision of settings from a folder, which is read only once.
 const FOLDER_REVISION: Revision = Revision(1);
 
-/// Timeout of one watch request to the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time that a watch of the store waits for a change. Until its reply is due,
+/// a watch that the store has lost is not noticed.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Maximum time between two polls of the store by a process that does not watch
 /// it. Such a process normally gets changes from its peers much earlier.
