Log how an answer was framed and whether it ended inside an event

The logs could not tell a stream that ended with its connection from one with a length or chunks, nor a cut inside an event from one between events. `request ended` now has `framing` and `partial_bytes`. The scanner only watches; nothing depends on it yet.

Test: scanner against every cut of a stream with LF, CR and CRLF lines.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -204,7 +204,9 @@
             true => dialect.answer_format(&self.job.upstream_request, upstream),
             false => AnswerFormat::Opaque,
         };
-        relay.begin_answer(status, headers, format).await;
+        relay
+            .begin_answer(status, headers, answer.framing, format)
+            .await;
         self.relay_body(answer, status, relay, claim).await
     }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,11 +8,16 @@
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
 use crate::events::EventReader;
+use crate::events::EventScanner;
+use crate::exchange::Framing;
 use crate::headers::Header;
 use crate::ticket::Work;
 use crate::usage::AnswerFormat;
 use crate::usage::UsageReader;
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Relays the answer of one request to its caller.
 ///
 /// Only the head of the first upstream that answers is sent to the caller. A
@@ -23,6 +28,10 @@
     status: Option<u16>,
     /// Splits a stream that another upstream can continue into events.
     events: Option<EventReader>,
+    /// Finds the event in which the stream ends; `None` if the answer is no stream.
+    scanner: Option<EventScanner>,
+    /// What marks the end of the last answer's body; `None` before its head.
+    framing: Option<Framing>,
     usage: UsageReader,
     first_byte: Option<Timestamp>,
 }
@@ -35,6 +44,8 @@
             reply_tx,
             status: None,
             events: resumable.then(|| EventReader::new(job.last_event)),
+            scanner: None,
+            framing: None,
             usage: UsageReader::new(AnswerFormat::Opaque),
             first_byte: None,
         }
@@ -61,6 +72,17 @@
         self.first_byte
     }
 
+    /// Returns what marks the end of the last answer's body; `None` before its head.
+    pub fn framing(&self) -> Option<Framing> {
+        self.framing
+    }
+
+    /// Returns the number of bytes that the upstream has sent of an incomplete event;
+    /// `None` if its answer is no event stream.
+    pub fn partial_bytes(&self) -> Option<u64> {
+        self.scanner.as_ref().map(EventScanner::partial_bytes)
+    }
+
     /// Returns whether the caller has disconnected.
     pub fn is_closed(&self) -> bool {
         self.reply_tx.is_closed()
@@ -72,8 +94,16 @@
     }
 
     /// Begins the answer of an upstream. Sends the head if it is the first.
-    pub async fn begin_answer(&mut self, status: u16, headers: Vec<Header>, format: AnswerFormat) {
+    pub async fn begin_answer(
+        &mut self,
+        status: u16,
+        headers: Vec<Header>,
+        framing: Framing,
+        format: AnswerFormat,
+    ) {
         self.usage = UsageReader::new(format);
+        self.framing = Some(framing);
+        self.scanner = is_event_stream(&headers, format).then(EventScanner::new);
         if !(200..300).contains(&status) {
             // An error response is not a stream that another upstream can continue.
             self.events = None;
@@ -90,6 +120,9 @@
     /// Relays bytes of the body.
     pub async fn push(&mut self, now: Timestamp, bytes: Bytes) {
         self.usage.push(&bytes);
+        if let Some(scanner) = &mut self.scanner {
+            scanner.push(&bytes);
+        }
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
             None => bytes,
@@ -132,3 +165,19 @@
         let _ = self.reply_tx.send(reply).await;
     }
 }
+
+/// Returns whether an answer is an event stream, by its content type or, without one,
+/// by its format.
+fn is_event_stream(headers: &[Header], format: AnswerFormat) -> bool {
+    let content_type = headers.iter().find(|h| &*h.name == "content-type");
+    match content_type {
+        Some(header) => media_type(&header.value).eq_ignore_ascii_case(EVENT_STREAM),
+        None => matches!(format, AnswerFormat::Events | AnswerFormat::PlainEvents(_)),
+    }
+}
+
+/// Returns the media type of a `content-type` value, without its parameters.
+fn media_type(value: &[u8]) -> &[u8] {
+    let end = value.iter().position(|b| *b == b';');
+    value[..end.unwrap_or(value.len())].trim_ascii()
+}
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -7,6 +7,7 @@
 use super::RequestTask;
 use crate::burn::BurnKey;
 use crate::entry::error::CallerError;
+use crate::exchange::Framing;
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::ticket::Refusal;
@@ -79,6 +80,8 @@
             "attempts" => self.attempts,
             "revision" => state.active_settings.revision().0,
             "outcome" => outcome.name(),
+            "framing" => self.relay.framing().map(Framing::name),
+            "partial_bytes" => self.relay.partial_bytes(),
             "first_ms" => self.relay.first_byte().map(|at| millis(at.since(self.arrived))),
             "milliseconds" => millis(elapsed));
         state.release(self.request);
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,5 @@
-//! Splitting of server-sent events that are forwarded to a caller.
+//! Splitting of server-sent events that are forwarded to a caller, and detection of
+//! streams that end inside an event.
 //!
 //! An answer that can be resumed at another upstream is forwarded in complete
 //! events, so that the id of the last forwarded event is the point to resume
@@ -60,6 +61,74 @@
     }
 }
 
+/// Position in a line of an event stream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum LinePosition {
+    /// Before the first byte of a line.
+    #[default]
+    Start,
+    /// In a comment, which begins with a colon and is not a part of an event.
+    Comment,
+    /// In a field of an event.
+    Field,
+}
+
+/// Follows an event stream to tell whether it ends inside an event. Lines end with
+/// LF, CR or both.
+#[derive(Debug, Default)]
+pub struct EventScanner {
+    position: LinePosition,
+    /// Whether the last byte was a CR, which an LF can complete.
+    after_cr: bool,
+    /// The number of bytes since the last complete event; 0 outside of events.
+    partial_bytes: u64,
+    events: u64,
+}
+
+impl EventScanner {
+    /// Creates a scanner for the beginning of a stream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of bytes of the event that is incomplete; 0 if the stream
+    /// can end here.
+    pub fn partial_bytes(&self) -> u64 {
+        self.partial_bytes
+    }
+
+    /// Returns the number of complete events.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Reads the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|b| self.push_byte(*b));
+    }
+
+    fn push_byte(&mut self, byte: u8) {
+        let completes_crlf = std::mem::take(&mut self.after_cr) && byte == b'\n';
+        if completes_crlf {
+            return;
+        }
+        self.after_cr = byte == b'\r';
+        match (self.position, byte) {
+            (LinePosition::Start, b'\n' | b'\r') => {
+                self.events += u64::from(self.partial_bytes > 0);
+                self.partial_bytes = 0;
+                return;
+            }
+            (_, b'\n' | b'\r') => self.position = LinePosition::Start,
+            (LinePosition::Start, b':') => self.position = LinePosition::Comment,
+            (LinePosition::Start, _) => self.position = LinePosition::Field,
+            _ => {}
+        }
+        let is_in_event = self.partial_bytes > 0 || self.position == LinePosition::Field;
+        self.partial_bytes += u64::from(is_in_event);
+    }
+}
+
 /// Returns the index after the empty line that ends the last complete event.
 /// Bytes before `from` are not searched.
 fn last_event_end(buf: &[u8], from: usize) -> Option<usize> {
--- a/src/events/tests.rs
+++ b/src/events/tests.rs
@@ -40,3 +40,47 @@
     );
     assert_eq!(reader.last_id(), Some(8));
 }
+
+/// Returns the bytes of the incomplete event at the end of `stream`, and the number of
+/// complete events, after scanning it in two parts.
+fn scan(stream: &[u8], split: usize) -> (u64, u64) {
+    let mut scanner = EventScanner::new();
+    scanner.push(&stream[..split]);
+    scanner.push(&stream[split..]);
+    (scanner.partial_bytes(), scanner.events())
+}
+
+#[test]
+fn scanner_tells_ends_inside_and_outside_of_events() {
+    let cases: [(&[u8], (u64, u64)); 12] = [
+        (b"", (0, 0)),
+        (b"id: 1\ndata: a\n\n", (0, 1)),
+        (b"id: 1\r\ndata: a\r\n\r\n", (0, 1)),
+        (b"id: 1\rdata: a\r\r", (0, 1)),
+        (b"id: 1\ndata: a\n\n\n", (0, 1)),
+        (b"id: 1\ndata: a\n", (14, 0)),
+        (b"id: 1\ndata: a\n\nid", (2, 1)),
+        (b"i", (1, 0)),
+        (b": keep-alive\n", (0, 0)),
+        (b": keep-al", (0, 0)),
+        (b"data: a\n\n: keep-alive\n\ndata: b\n\n", (0, 2)),
+        (b"data: a\n: comment\n", (18, 0)),
+    ];
+    for (stream, expected) in cases {
+        for split in 0..=stream.len() {
+            assert_eq!(scan(stream, split), expected, "{stream:?} at {split}");
+        }
+    }
+}
+
+proptest! {
+    /// A stream that is cut anywhere is seen as ending inside an event, except after
+    /// an event.
+    #[test]
+    fn scanner_finds_every_cut_inside_an_event(cut in 0..=STREAM.len()) {
+        let ends = [0, 15, 30, 48, STREAM.len()];
+        // A cut between the last CR and LF of an event leaves it complete.
+        let is_end = ends.contains(&cut) || cut == 47;
+        prop_assert_eq!(scan(&STREAM[..cut], cut / 2).0 == 0, is_end, "cut at {}", cut);
+    }
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -24,6 +24,7 @@
 use actix_http::header::HOST;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
+use actix_http::header::TRANSFER_ENCODING;
 use bytes::Bytes;
 use bytes::BytesMut;
 use socket2::SockRef;
@@ -102,11 +103,39 @@
     }
 }
 
+/// What marks the end of an answer's body (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// The answer has no body.
+    NoBody,
+    /// The body has a length.
+    Length,
+    /// The body ends with its last chunk.
+    Chunks,
+    /// The body ends when the connection is closed. Whether it is complete then can
+    /// only be told from its content.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the name of the framing in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoBody => "none",
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// An answer of which the head has arrived. Dropping it closes the connection,
 /// which cancels the request at the upstream.
 pub struct Answer {
     /// Status and headers.
     pub head: AnswerHead,
+    /// What marks the end of the body.
+    pub framing: Framing,
     stream: TcpStream,
     buf: BytesMut,
     body: Body,
@@ -173,17 +202,24 @@
             }
         }
     };
-    let body = match codec.message_type() {
-        MessageType::Payload => Body::Framed(codec.into_payload_codec()),
+    let (framing, body) = match codec.message_type() {
+        MessageType::Payload => {
+            let framing = match head.headers().contains_key(TRANSFER_ENCODING) {
+                true => Framing::Chunks,
+                false => Framing::Length,
+            };
+            (framing, Body::Framed(codec.into_payload_codec()))
+        }
         // The codec treats an answer without a length as one without a body.
         MessageType::None | MessageType::Stream
             if ends_with_connection(upstream_request, &head) =>
         {
-            Body::UntilClose
+            (Framing::Connection, Body::UntilClose)
         }
-        MessageType::None | MessageType::Stream => Body::Ended,
+        MessageType::None | MessageType::Stream => (Framing::NoBody, Body::Ended),
     };
     Ok(Answer {
+        framing,
         head: AnswerHead {
             status: head.status.as_u16(),
             headers: end_to_end(head.headers(), &[]),
