Check the content of an answer before it counts as complete

Cause: an answer with neither a length nor chunks ends with its connection, and a crash closes the connection in order. The entry looked for an incomplete event only where it splits the stream into events, on resumable routes; any other close was taken for the end of the answer. The class: the end of a transport taken for the end of a message.

Change: every answer is followed by a check that its content type selects. An event stream is complete only after an event, and, where nothing but the connection ends it, only with at least one; a JSON document that ends with its connection, only after its last bracket. Content that shows no end (text, encoded bodies) is still accepted when the connection is closed in order; nothing tells there.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -17,6 +17,7 @@
 use crate::exchange;
 use crate::exchange::Answer;
 use crate::exchange::ExchangeError;
+use crate::exchange::Framing;
 use crate::headers::Header;
 use crate::ids::RequestId;
 use crate::name::Name;
@@ -253,9 +254,7 @@
                         }
                         return AttemptResult::Completed(self.outcome(status, now));
                     }
-                    self.state
-                        .record_result(self.upstream, UpstreamResult::Failed);
-                    return AttemptResult::Interrupted;
+                    return self.fail_incomplete(relay);
                 }
                 Err(e) => return self.fail_exchange(&e),
             }
@@ -296,6 +295,17 @@
         AttemptResult::Interrupted
     }
 
+    fn fail_incomplete(&self, relay: &Relay) -> AttemptResult {
+        info!(self.state.log, "answer of the upstream ended before it was complete";
+            "request" => %self.job.logged_id(self.request),
+            "upstream" => %self.upstream,
+            "framing" => relay.framing().map(Framing::name),
+            "partial_bytes" => relay.partial_bytes());
+        self.state
+            .record_result(self.upstream, UpstreamResult::Failed);
+        AttemptResult::Interrupted
+    }
+
     fn fail_exchange(&self, e: &ExchangeError) -> AttemptResult {
         info!(self.state.log, "exchange with the upstream failed";
             "request" => %self.job.logged_id(self.request),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -4,20 +4,17 @@
 use tokio::sync::mpsc::Sender;
 
 use crate::clock::Timestamp;
+use crate::completeness::CompletenessCheck;
 use crate::entry::error::CallerError;
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
 use crate::events::EventReader;
-use crate::events::EventScanner;
 use crate::exchange::Framing;
 use crate::headers::Header;
 use crate::ticket::Work;
 use crate::usage::AnswerFormat;
 use crate::usage::UsageReader;
 
-/// Media type of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// Relays the answer of one request to its caller.
 ///
 /// Only the head of the first upstream that answers is sent to the caller. A
@@ -28,10 +25,10 @@
     status: Option<u16>,
     /// Splits a stream that another upstream can continue into events.
     events: Option<EventReader>,
-    /// Finds the event in which the stream ends; `None` if the answer is no stream.
-    scanner: Option<EventScanner>,
-    /// What marks the end of the last answer's body; `None` before its head.
-    framing: Option<Framing>,
+    /// Checks the end of the last answer; `None` before its head.
+    check: Option<CompletenessCheck>,
+    /// Whether the caller asked to resume a stream.
+    resumes: bool,
     usage: UsageReader,
     first_byte: Option<Timestamp>,
 }
@@ -44,8 +41,8 @@
             reply_tx,
             status: None,
             events: resumable.then(|| EventReader::new(job.last_event)),
-            scanner: None,
-            framing: None,
+            check: None,
+            resumes: job.last_event.is_some(),
             usage: UsageReader::new(AnswerFormat::Opaque),
             first_byte: None,
         }
@@ -74,13 +71,15 @@
 
     /// Returns what marks the end of the last answer's body; `None` before its head.
     pub fn framing(&self) -> Option<Framing> {
-        self.framing
+        self.check.as_ref().map(CompletenessCheck::framing)
     }
 
     /// Returns the number of bytes that the upstream has sent of an incomplete event;
     /// `None` if its answer is no event stream.
     pub fn partial_bytes(&self) -> Option<u64> {
-        self.scanner.as_ref().map(EventScanner::partial_bytes)
+        self.check
+            .as_ref()
+            .and_then(CompletenessCheck::partial_bytes)
     }
 
     /// Returns whether the caller has disconnected.
@@ -102,8 +101,9 @@
         format: AnswerFormat,
     ) {
         self.usage = UsageReader::new(format);
-        self.framing = Some(framing);
-        self.scanner = is_event_stream(&headers, format).then(EventScanner::new);
+        let continues = self.resumes || self.last_event().is_some();
+        let check = CompletenessCheck::new(&headers, framing, format);
+        self.check = Some(check.with_continuation(continues));
         if !(200..300).contains(&status) {
             // An error response is not a stream that another upstream can continue.
             self.events = None;
@@ -120,8 +120,8 @@
     /// Relays bytes of the body.
     pub async fn push(&mut self, now: Timestamp, bytes: Bytes) {
         self.usage.push(&bytes);
-        if let Some(scanner) = &mut self.scanner {
-            scanner.push(&bytes);
+        if let Some(check) = &mut self.check {
+            check.push(&bytes);
         }
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
@@ -136,7 +136,9 @@
     /// Ends the answer if it is complete, and returns whether it is.
     pub async fn finish(&mut self) -> bool {
         let partial = self.events.as_ref().is_some_and(EventReader::has_partial);
-        let complete = self.usage.is_complete() && !partial;
+        let content = self.check.as_ref();
+        let is_content_complete = content.is_none_or(CompletenessCheck::is_complete);
+        let complete = self.usage.is_complete() && is_content_complete && !partial;
         if complete {
             self.send(Reply::End).await;
         }
@@ -165,19 +167,3 @@
         let _ = self.reply_tx.send(reply).await;
     }
 }
-
-/// Returns whether an answer is an event stream, by its content type or, without one,
-/// by its format.
-fn is_event_stream(headers: &[Header], format: AnswerFormat) -> bool {
-    let content_type = headers.iter().find(|h| &*h.name == "content-type");
-    match content_type {
-        Some(header) => media_type(&header.value).eq_ignore_ascii_case(EVENT_STREAM),
-        None => matches!(format, AnswerFormat::Events | AnswerFormat::PlainEvents(_)),
-    }
-}
-
-/// Returns the media type of a `content-type` value, without its parameters.
-fn media_type(value: &[u8]) -> &[u8] {
-    let end = value.iter().position(|b| *b == b';');
-    value[..end.unwrap_or(value.len())].trim_ascii()
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,8 @@
 //!    itself, as a local scheduler.
 //! 5. The entry sends the [`upstream_request`] to the upstream through an
 //!    [`exchange`] and forwards the answer. [`events`] finds the position at which
-//!    an interrupted stream resumes at another upstream. [`retry_budget`] limits
+//!    an interrupted stream resumes at another upstream, and [`completeness`]
+//!    whether an answer was broken off. [`retry_budget`] limits
 //!    retries, and [`outlier`] excludes upstreams that fail their requests.
 //! 6. The entry reads the [`usage`] from the answer, reports it to the scheduler
 //!    and counts the [`outcome`] in [`metrics`] and [`burn`].
@@ -45,6 +46,7 @@
 pub mod claims;
 pub mod cli;
 pub mod clock;
+pub mod completeness;
 pub mod config;
 pub mod daemon;
 pub mod dialect;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -11,3 +11,4 @@
 mod platform;
 mod refusals;
 mod support;
+mod truncation;
