Send whole answers to callers that do not know chunks

Cause: the body was streamed in chunks whatever the version of the request. A caller of HTTP/1.0 got chunk lines inside the body, and could only take the close of the connection for the end, whether the answer was whole or cut.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -1,5 +1,6 @@
 //! HTTP interface to callers.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use actix_http::RequestHead;
 use actix_http::Response;
 use actix_http::StatusCode;
+use actix_http::Version;
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::header;
@@ -51,6 +53,10 @@
 /// process.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 
+/// Largest body of an answer to a caller of HTTP/1.0, in bytes. Such a body is
+/// collected, because only its length can show the caller that it is complete.
+const MAX_COLLECTED_BYTES: usize = 4 << 20;
+
 /// Time after the start of the entry during which requests wait for the first
 /// settings. A responsive object store delivers them within a fraction of it.
 const FIRST_SETTINGS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -237,7 +243,9 @@
         concurrency_permit,
         quota_charge,
     };
-    Ok(serve_accepted(state, accepted, (event_tx, event_rx)).await)
+    let knows_chunks = req.version() > Version::HTTP_10;
+    let channel = (event_tx, event_rx);
+    Ok(serve_accepted(state, accepted, channel, knows_chunks).await)
 }
 
 /// Claims the idempotency key of a request; `None` where no claim is needed.
@@ -258,11 +266,13 @@
 }
 
 /// Starts the task of an accepted request and returns its response once the head
-/// or an error is available.
+/// or an error is available. For a caller that does not know chunks, the body is
+/// collected first.
 async fn serve_accepted(
     state: &Rc<EntryState>,
     accepted: AcceptedRequest,
     channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
+    knows_chunks: bool,
 ) -> Response<BoxBody> {
     let (reply_tx, mut reply_rx) = mpsc::channel(REPLY_BUFFER);
     let id = accepted.job.logged_id(accepted.request).to_string();
@@ -272,11 +282,19 @@
         Some(Reply::Head(status, headers)) => {
             let mut response = response_head(status, &headers);
             if let Some(name) = state.dialect.request_id_header() {
-                response.insert_header((name, id));
+                response.insert_header((name, id.as_str()));
+            }
+            let body = body_stream(reply_rx);
+            match knows_chunks {
+                true => response.body(BodyStream::new(body)).map_into_boxed_body(),
+                false => match collect_body(body).await {
+                    Ok(body) => response.body(body).map_into_boxed_body(),
+                    Err(Truncated) => {
+                        let error = CallerError::UnknownOutcome;
+                        state.dialect.error_response(&error, &id)
+                    }
+                },
             }
-            response
-                .body(BodyStream::new(body_stream(reply_rx)))
-                .map_into_boxed_body()
         }
         Some(Reply::Error(error)) => state.dialect.error_response(&error, &id),
         Some(Reply::Bytes(_) | Reply::End | Reply::Truncated) | None => state
@@ -317,6 +335,22 @@
     })
 }
 
+/// Collects a body. Fails if it is incomplete or too large.
+async fn collect_body<S>(body: S) -> Result<Bytes, Truncated>
+where
+    S: Stream<Item = Result<Bytes, Truncated>>,
+{
+    let mut body = pin!(body);
+    let mut collected = BytesMut::new();
+    while let Some(part) = body.next().await {
+        collected.extend_from_slice(&part?);
+        if collected.len() > MAX_COLLECTED_BYTES {
+            return Err(Truncated);
+        }
+    }
+    Ok(collected.freeze())
+}
+
 /// Returns the number of bytes to reserve for the body: its declared length, or
 /// `limit` where the length is unknown.
 fn body_reservation(req: &Request, limit: u64) -> Result<u64, CallerError> {
