Log the versions of upstreams and which request a caller resumes

The logs could not tell whether a stream went on at another software version. The version of an upstream is read from its registration, or from the settings in the standalone product, and logged when it is added and with each request sent, with the request that a caller names as the begin of its stream. Nothing decides by them yet.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -91,6 +91,10 @@
     /// Returns the id that the caller gave to its request.
     fn request_id(&self, head: &RequestHead) -> Option<Name>;
 
+    /// Returns the id of the request that brought the first event of the stream that
+    /// this request resumes, if the caller names it.
+    fn resumed_request(&self, head: &RequestHead) -> Option<Name>;
+
     /// Returns the headers of callers that are not forwarded to upstreams, in
     /// lower case.
     fn stripped_headers(&self) -> &'static [&'static str];
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -72,6 +72,8 @@
     /// The start time on the upstream's own clock, in Unix milliseconds; `None`
     /// if not reported.
     pub started: Option<u64>,
+    /// The version of the upstream's software; `None` if not reported.
+    pub version: Option<Name>,
     /// The maximum number of requests in flight; `None` if not reported.
     pub slots: Option<u32>,
     /// Whether the upstream is leaving and accepts no new requests.
@@ -396,6 +398,7 @@
                     "upstream" => %name,
                     "service" => upstream.serves.first().map(ToString::to_string),
                     "address" => %upstream.address,
+                    "version" => upstream.version.as_deref(),
                     "leaving" => upstream.leaving);
             }
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -94,6 +94,9 @@
     /// The last event that the caller received before this request, where it
     /// resumes a stream.
     pub last_event: Option<u64>,
+    /// The request that brought the first event of the stream that this one resumes,
+    /// if the caller names it.
+    pub resumes: Option<Name>,
     /// The request id that the caller assigned.
     pub caller_id: Option<Name>,
 }
@@ -196,6 +199,7 @@
                 idempotent,
                 cancellable: idempotent,
                 last_event: None,
+                resumes: None,
                 caller_id,
                 admission: self,
             });
@@ -218,6 +222,7 @@
             idempotent: self.route.resumable || self.route.idempotent.unwrap_or_default(),
             cancellable: true,
             last_event: parse_last_event(head),
+            resumes: dialect.resumed_request(head),
             caller_id,
             admission: self,
         })
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -437,6 +437,8 @@
             "waited_ms" => millis(now.since(self.arrived)),
             "left_ms" => millis(now.until(self.deadline)),
             "view_ms" => self.state.directory.age().map(millis),
+            "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
+            "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
         let timeout = self.job.admission.route.timeout;
         let timeout = timeout.unwrap_or(self.state.active_settings.settings().limits.run);
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -25,8 +25,17 @@
 /// Response header with the id of the request.
 const REQUEST_ID_HEADER: &str = "x-almondramp-request-id";
 
+/// Header by which a caller that resumes a stream names the id of the request that
+/// brought its first event.
+const RESUMES_HEADER: &str = "x-almondramp-resumes";
+
 /// Headers for the entry only, which are not forwarded.
-const STRIPPED_HEADERS: [&str; 3] = ["authorization", TIER_HEADER, DEADLINE_HEADER];
+const STRIPPED_HEADERS: [&str; 4] = [
+    "authorization",
+    TIER_HEADER,
+    DEADLINE_HEADER,
+    RESUMES_HEADER,
+];
 
 /// The product's own dialect.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,6 +68,11 @@
         None
     }
 
+    fn resumed_request(&self, head: &RequestHead) -> Option<Name> {
+        let id = head.headers.get(RESUMES_HEADER)?.to_str().ok()?;
+        Some(Name::new(id))
+    }
+
     fn stripped_headers(&self) -> &'static [&'static str] {
         &STRIPPED_HEADERS
     }
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -204,6 +204,7 @@
                 .agent
                 .filter(|_| service.kind == UpstreamKind::Model),
             instance: discovered.instance.clone(),
+            version: discovered.version.clone(),
             leaving: discovered.leaving || self.outdated.contains_key(&discovered.name),
             event_tokens: service.event_tokens,
             serves: vec![discovered.service.clone()],
--- a/src/registrations/tests.rs
+++ b/src/registrations/tests.rs
@@ -31,6 +31,7 @@
         agent: None,
         instance: Some(Name::new(name)),
         started: None,
+        version: None,
         slots: None,
         leaving: false,
     }
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -132,6 +132,8 @@
     /// Identifier of its current run, with which it recognises requests that are
     /// meant for another instance.
     pub instance: Option<Name>,
+    /// Version of its software. A stream continues only at the version that began it.
+    pub version: Option<Name>,
     /// Whether it is leaving and gets no new requests.
     #[serde(default)]
     pub leaving: bool,
--- a/src/subset/tests.rs
+++ b/src/subset/tests.rs
@@ -12,6 +12,7 @@
         address,
         agent: Some(address),
         instance: None,
+        version: None,
         leaving: false,
         event_tokens: 1,
         serves: vec![Name::new(&format!("model-{}", i % models))],
