Continue an interrupted stream only at the version that began it

Cause: upstreams of a service counted as equal.

Change: once events of an answer have been sent, it may only go on at upstreams of the version that sent them: the tickets still to be offered, later candidates and the upstream as it is right before the request is sent are held to it. Where no such upstream is left that isn't leaving, the answer is cut off at once, so that its caller can act.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -14,6 +14,9 @@
 use crate::name::Name;
 use crate::settings::Upstream;
 
+/// A version of an upstream's software; `None` if the upstream reports none.
+pub type Version = Option<Name>;
+
 /// Upstreams by name.
 pub type Upstreams = BTreeMap<Name, Upstream>;
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -134,6 +134,15 @@
         self
     }
 
+    /// Stops offering tickets to the upstreams for which `may_run` returns false. Must
+    /// not be called while tickets are open.
+    pub fn restrict<F>(&mut self, may_run: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        self.remaining.retain(|choice| may_run(&choice.upstream));
+    }
+
     /// Offers the first tickets.
     pub fn start(&mut self) -> Vec<Action> {
         let mut actions = self.offer_tickets();
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -301,3 +301,18 @@
     assert_eq!(actions, [given_up]);
     assert_eq!(dispatch.handle_event(Event::Upstreams(choices(1))), []);
 }
+
+// Issue 28, ORDER: after a break, a stream was offered to upstreams of another version.
+#[test]
+fn restricted_dispatch_offers_only_to_upstreams_that_may_run_the_rest() {
+    let mut dispatch = Dispatch::new(choices(4), 2);
+    dispatch.start();
+    dispatch.handle_event(granted(0, quote(0, 50, 900)));
+    let actions = dispatch.handle_event(queued(1, 10));
+    assert_eq!(sent(&actions), Some(name(0)));
+    dispatch.restrict(|upstream| *upstream == name(3));
+    let unreachable = refusal(RefusalCode::Unreachable);
+    let actions = dispatch.handle_event(Event::NotRun(name(0), unreachable));
+    assert_eq!(actions[0], Action::Offer(name(3)));
+    assert!(actions[1..].iter().all(|a| !matches!(a, Action::Offer(_))));
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -83,7 +83,7 @@
     /// Sends the request and relays the answer.
     pub async fn run(&self, relay: &mut Relay, claim: &mut Option<OwnedClaim>) -> AttemptResult {
         // A leaving or removed upstream is treated like an unreachable one.
-        let Some(upstream) = self.active_upstream() else {
+        let Some(upstream) = self.active_upstream(relay) else {
             return self.fail_unreachable();
         };
         let until = self.state.instant(self.timeout_at);
@@ -98,11 +98,12 @@
         }
     }
 
-    /// Returns the upstream, or `None` if it is leaving or was removed since the
-    /// ticket was offered.
-    fn active_upstream(&self) -> Option<Upstream> {
-        let upstream = self.state.directory.get(self.upstream);
-        upstream.filter(|u| !u.leaving)
+    /// Returns the upstream, or `None` if it is leaving, was removed or runs another
+    /// software version since the ticket was offered.
+    fn active_upstream(&self, relay: &Relay) -> Option<Upstream> {
+        let upstream = self.state.directory.get(self.upstream)?;
+        let may_answer = relay.origin().is_none_or(|v| upstream.version == *v);
+        Some(upstream).filter(|u| !u.leaving && may_answer)
     }
 
     /// Sends the request and waits for the head of its answer.
@@ -115,7 +116,8 @@
         let stream = stream.map_err(|e| self.fail_exchange(&e))?;
         // The upstream may have started to leave during the connection attempt, and so
         // may the caller.
-        if self.active_upstream().is_none() {
+        let current = self.active_upstream(relay);
+        if current.is_none_or(|u| u.version != upstream.version) {
             return Err(self.fail_unreachable());
         }
         if relay.is_closed() {
@@ -206,7 +208,13 @@
             false => AnswerFormat::Opaque,
         };
         relay
-            .begin_answer(status, headers, answer.framing, format)
+            .begin_answer(
+                status,
+                headers,
+                answer.framing,
+                format,
+                upstream.version.clone(),
+            )
             .await;
         self.relay_body(answer, status, relay, claim).await
     }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::completeness::CompletenessCheck;
+use crate::directory::Version;
 use crate::entry::error::CallerError;
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
@@ -29,6 +30,10 @@
     check: Option<CompletenessCheck>,
     /// Whether the caller asked to resume a stream.
     resumes: bool,
+    /// The software version of the upstream of the last answer.
+    version: Version,
+    /// The software version that began the stream whose events the caller has.
+    origin: Option<Version>,
     usage: UsageReader,
     first_byte: Option<Timestamp>,
 }
@@ -43,6 +48,8 @@
             events: resumable.then(|| EventReader::new(job.last_event)),
             check: None,
             resumes: job.last_event.is_some(),
+            version: None,
+            origin: None,
             usage: UsageReader::new(AnswerFormat::Opaque),
             first_byte: None,
         }
@@ -53,6 +60,12 @@
         self.status.is_some()
     }
 
+    /// Returns the software version of the upstreams that can continue the stream, or
+    /// `None` while any version can begin it.
+    pub fn origin(&self) -> Option<&Version> {
+        self.origin.as_ref()
+    }
+
     /// Returns whether another upstream can begin or continue the answer.
     pub fn can_fail_over(&self) -> bool {
         self.status.is_none() || self.events.is_some()
@@ -92,14 +105,17 @@
         self.reply_tx.closed().await;
     }
 
-    /// Begins the answer of an upstream. Sends the head if it is the first.
+    /// Begins the answer of an upstream that runs `version`. Sends the head if it is the
+    /// first.
     pub async fn begin_answer(
         &mut self,
         status: u16,
         headers: Vec<Header>,
         framing: Framing,
         format: AnswerFormat,
+        version: Version,
     ) {
+        self.version = version;
         self.usage = UsageReader::new(format);
         let continues = self.resumes || self.last_event().is_some();
         let check = CompletenessCheck::new(&headers, framing, format);
@@ -128,6 +144,9 @@
             None => bytes,
         };
         if !bytes.is_empty() {
+            if self.events.is_some() {
+                self.origin.get_or_insert_with(|| self.version.clone());
+            }
             self.first_byte.get_or_insert(now);
             self.send(Reply::Bytes(bytes)).await;
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -166,7 +166,7 @@
             Policy::RoundRobin | Policy::TwoChoices => 1,
         };
         let admission = &job.admission;
-        let dispatch = Dispatch::new(state.candidates(&job), max_tickets)
+        let dispatch = Dispatch::new(state.candidates(&job, None), max_tickets)
             .with_time_limits(admission.objective, admission.urgency().max_expected_wait())
             .with_deadline(admission.deadline);
         state.count_for_retry_budget(&job.target);
@@ -237,8 +237,9 @@
         self.may_have_run |= may_have_run;
         let was_received = may_have_run || refusal.code != RefusalCode::Unreachable;
         let attempts = self.job.admission.route.attempts;
-        let is_retry_allowed =
-            !was_received || (self.attempts < attempts && self.state.try_retry(&self.job.target));
+        let is_retry_allowed = self.has_upstream_of_its_version()
+            && (!was_received
+                || (self.attempts < attempts && self.state.try_retry(&self.job.target)));
         info!(self.state.log, "upstream did not serve the request";
             "request" => %self.job.logged_id(self.request),
             "upstream" => %upstream,
@@ -248,6 +249,7 @@
             "goes_on" => is_retry_allowed);
         if is_retry_allowed {
             self.state.mark_waiting(self.request);
+            self.keep_to_version();
             return self
                 .dispatch
                 .handle_event(Event::NotRun(upstream.clone(), refusal));
@@ -260,6 +262,21 @@
         actions
     }
 
+    /// Returns whether an upstream can continue the answer at the version that began it.
+    fn has_upstream_of_its_version(&self) -> bool {
+        let origin = self.relay.origin();
+        origin.is_none_or(|v| self.state.has_version(&self.job, v))
+    }
+
+    /// Lets only upstreams continue the answer that run the version that began it.
+    fn keep_to_version(&mut self) {
+        if let Some(version) = self.relay.origin() {
+            let directory = &self.state.directory;
+            self.dispatch
+                .restrict(|name| directory.get(name).is_some_and(|u| u.version == *version));
+        }
+    }
+
     /// Offers tickets and waits for a grant of an upstream.
     async fn wait_for_grant(&mut self, actions: Vec<Action>) -> WaitResult {
         let mut timers = WaitTimers::new();
@@ -318,7 +335,10 @@
                 Input::Timer => {
                     let event = match timers.due(self.state.now(), effective_deadline) {
                         Some(Due::WaitTimedOut) => Event::WaitTimedOut,
-                        Some(Due::Refresh) => Event::Upstreams(self.state.candidates(&self.job)),
+                        Some(Due::Refresh) => {
+                            let origin = self.relay.origin();
+                            Event::Upstreams(self.state.candidates(&self.job, origin))
+                        }
                         Some(Due::CollectionTimedOut) => Event::CollectionTimedOut,
                         None => continue,
                     };
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -29,6 +29,7 @@
 use crate::config::EntryConfig;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::directory::Version;
 use crate::dispatch::Choice;
 use crate::dispatch::Event;
 use crate::entry::EntryParts;
@@ -357,8 +358,9 @@
         }
     }
 
-    /// Returns the upstreams that can run `job`, the best first.
-    pub fn candidates(&self, job: &Job) -> Vec<Choice> {
+    /// Returns the upstreams that can run `job`, the best first. With a `version`, only
+    /// upstreams of this software version can.
+    pub fn candidates(&self, job: &Job, version: Option<&Version>) -> Vec<Choice> {
         let now = self.now();
         let settings = self.active_settings.settings();
         let upstreams = self.directory.upstreams();
@@ -378,6 +380,7 @@
         let (ejected, healthy): (Vec<Candidate>, Vec<Candidate>) = upstreams
             .iter()
             .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
+            .filter(|(_, u)| version.is_none_or(|v| u.version == *v))
             .filter(|(name, u)| self.links.may_use(name, u))
             .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
             .map(|(name, u)| candidate(name, u))
@@ -390,6 +393,15 @@
         routing::order_candidates(policy, candidates, sequence, &mut *self.rng.borrow_mut())
     }
 
+    /// Returns whether an upstream that is not leaving can run `job` with this software
+    /// version.
+    pub fn has_version(&self, job: &Job, version: &Version) -> bool {
+        let upstreams = self.directory.upstreams();
+        let kind = job.admission.route.kind;
+        let mut running = upstreams.values().filter(|u| !u.leaving);
+        running.any(|u| serves(u, kind, &job.target) && u.version == *version)
+    }
+
     /// Removes the state kept for upstreams that are no longer listed, and the
     /// idle request classes of the admission control.
     pub fn purge_removed_upstreams(&self) {
