--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -132,6 +132,37 @@
   hello @1 (hello :Hello) -> (welcome :Welcome, desk :Desk);
 }
 
+struct StreamGroup {
+  # Streams that began at upstreams of one software version.
+  service @0 :Text;
+  version @1 :Text;           # empty if the upstreams report none
+  neededMillis @2 :UInt64;    # the longest time for which one of the records is needed
+  streams @3 :List(UInt64);
+}
+
+struct StreamQuery {
+  # Asks an entry where a stream began.
+  number @0 :UInt64;          # repeated in the reply
+  stream @1 :UInt64;
+  service @2 :Text;
+  timeoutMillis @3 :UInt64;   # the longest time ago that the stream began
+}
+
+struct StreamReply {
+  number @0 :UInt64;
+  known @1 :List(StreamGroup);  # the stream, or empty if it isn't known
+  versions @2 :List(Text);      # that upstreams of the service have had in the timeout
+}
+
+struct StreamMessage {
+  # Sent between entries as datagrams, each followed by a tag made with the site key.
+  union {
+    began @0 :List(StreamGroup);
+    query @1 :StreamQuery;
+    reply @2 :StreamReply;
+  }
+}
+
 struct Spend {
   organisation @0 :Text;
   spent @1 :Float64;          # units spent since the entry's start
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -15,7 +15,7 @@
 use crate::settings::Upstream;
 
 /// A version of an upstream's software; `None` if the upstream reports none.
-pub type Version = Option<Name>;
+pub type SoftwareVersion = Option<Name>;
 
 /// Upstreams by name.
 pub type Upstreams = BTreeMap<Name, Upstream>;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -252,7 +252,9 @@
                     if let Some(claim) = claim {
                         claim.record_body(&bytes);
                     }
-                    relay.push(now, bytes).await;
+                    if relay.push(now, bytes).await {
+                        self.record_origin(relay);
+                    }
                 }
                 Ok(None) => {
                     if relay.finish().await {
@@ -269,6 +271,15 @@
         }
     }
 
+    /// Records the software version that began the stream.
+    fn record_origin(&self, relay: &Relay) {
+        let version = relay.origin().cloned().unwrap_or_default();
+        let stream = self.job.stream(self.request);
+        let timeout = self.state.answer_timeout(self.job);
+        let streams = &self.state.streams;
+        streams.begin(stream, &self.job.target, version, timeout);
+    }
+
     fn record_first_byte(&self, now: Timestamp) {
         self.scheduler
             .mark_answering(now, self.upstream, self.request);
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -85,6 +85,10 @@
     /// No upstream can accept the request now; holds the retry delay.
     #[error("no upstream can take the request now")]
     Unavailable(Duration),
+    /// No entry knows which software version began the stream to resume, or no upstream
+    /// runs it; holds the retry delay.
+    #[error("the stream cannot be resumed at the software version that began it")]
+    VersionUnavailable(Duration),
     /// The idempotency key was used for another request.
     #[error("the idempotency key was used for another request")]
     IdempotencyKeyMismatch,
@@ -172,6 +176,7 @@
             Self::DeadlineUnreachable(_) => "late",
             Self::Limited(_) => "limited",
             Self::Unavailable(_) => "unavailable",
+            Self::VersionUnavailable(_) => "version-unavailable",
             Self::IdempotencyKeyMismatch => "key-mismatch",
             Self::IdempotencyKeyRunning => "key-running",
             Self::IdempotencyKeyRan => "key-ran",
@@ -216,6 +221,7 @@
             | Self::ClaimsUnavailable
             | Self::Overloaded(_)
             | Self::DeadlineUnreachable(_)
+            | Self::VersionUnavailable(_)
             | Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownOutcome | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -234,6 +240,7 @@
             | Self::DeadlineUnreachable(after)
             | Self::Limited(after)
             | Self::OverQuota(after)
+            | Self::VersionUnavailable(after)
             | Self::Unavailable(after) => Some(*after),
             _ => None,
         }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -25,6 +25,7 @@
 use crate::admission::retry_after;
 use crate::burn::BurnKey;
 use crate::clock::Timestamp;
+use crate::directory::SoftwareVersion;
 use crate::dispatch::Event;
 use crate::entry::error::CallerError;
 use crate::entry::idempotency;
@@ -43,6 +44,7 @@
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
+use crate::stream_origins::StreamId;
 use crate::units::millis;
 
 /// Maximum number of reply parts that are buffered for a slow caller.
@@ -64,6 +66,9 @@
 /// Retry delay for an organisation that has reached its concurrency limit.
 const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry delay where a stream can't be resumed at its version.
+const NO_VERSION_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Retry delay where the entry is full.
 const ENTRY_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -222,6 +227,7 @@
     {
         return Err(refused);
     }
+    let origin = find_origin(state, &job).await.map_err(&refuse)?;
     let quota_charge = state.charge_quota(&job).map_err(&refuse)?;
     let claim = match claim_if_needed(state, req.head(), &job)
         .await
@@ -239,6 +245,7 @@
         request,
         job,
         arrived,
+        origin,
         claim,
         concurrency_permit,
         quota_charge,
@@ -248,6 +255,30 @@
     Ok(serve_accepted(state, accepted, channel, knows_chunks).await)
 }
 
+/// Returns the software version at which a request resumes its stream; `None` if it
+/// begins one.
+///
+/// # Errors
+///
+/// Fails if the version can't be told, or if no upstream runs it.
+async fn find_origin(
+    state: &EntryState,
+    job: &Job,
+) -> Result<Option<SoftwareVersion>, CallerError> {
+    if !job.resumes_stream() {
+        return Ok(None);
+    }
+    state.wait_for_upstreams(job).await;
+    let organisation = &job.admission.organisation;
+    let stream = job.resumes.as_ref();
+    let stream = stream.map(|id| StreamId::new(organisation, id));
+    let timeout = state.answer_timeout(job);
+    let found = state.streams.find(&job.target, stream, timeout).await;
+    let origin = found.filter(|version| state.has_version(job, version));
+    let unavailable = CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER);
+    origin.map(Some).ok_or(unavailable)
+}
+
 /// Claims the idempotency key of a request; `None` where no claim is needed.
 async fn claim_if_needed(
     state: &EntryState,
@@ -427,9 +458,11 @@
             Self::Overloaded(_) => Outcome::overloaded,
             Self::DeadlineUnreachable(_) => Outcome::expired,
             Self::Limited(_) | Self::OverQuota(_) => Outcome::limited,
-            Self::NotReady | Self::Stopping | Self::ClaimsUnavailable | Self::Unavailable(_) => {
-                Outcome::unavailable
-            }
+            Self::NotReady
+            | Self::Stopping
+            | Self::ClaimsUnavailable
+            | Self::VersionUnavailable(_)
+            | Self::Unavailable(_) => Outcome::unavailable,
             Self::UnknownOutcome | Self::UpstreamFailed | Self::TimedOut => Outcome::unknown,
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod request;
 mod serve;
 mod state;
+mod streams;
 mod timers;
 mod waiter;
 
@@ -53,6 +54,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::entry::links::Links;
+use crate::entry::peers::PeerParts;
 use crate::entry::peers::Peers;
 use crate::entry::record::SpendingRecorder;
 use crate::entry::state::EntryState;
@@ -191,6 +193,7 @@
             let state = Rc::new(state);
             actix_rt::spawn(tick_local_schedulers(Rc::clone(&state)));
             actix_rt::spawn(purge_removed_upstreams(Rc::clone(&state)));
+            actix_rt::spawn(Rc::clone(&state.streams).run());
             self.start_peers(&state).await?;
             self.start_spending_recorder(&state);
             if let Some(base) = &self.config.host_list {
@@ -226,19 +229,21 @@
         let Some(listen) = self.config.peer_listen else {
             return Ok(());
         };
-        let binding = Peers::bind(
-            listen,
-            Rc::clone(&state.quota),
-            Rc::clone(&state.active_settings),
-            self.config.site_key.clone(),
-            state.incarnation,
-            state.clock(),
-            self.log.clone(),
-        );
+        let parts = PeerParts {
+            quota: Rc::clone(&state.quota),
+            streams: Rc::clone(&state.streams),
+            active_settings: Rc::clone(&state.active_settings),
+            key: self.config.site_key.clone(),
+            incarnation: state.incarnation,
+            clock: state.clock(),
+            log: self.log.clone(),
+        };
+        let binding = Peers::bind(listen, parts);
         let peers = binding.await.map_err(|e| KernelError::Failed {
             name: self.name(),
             source: Box::new(e),
         })?;
+        state.streams.set_peers(&peers);
         actix_rt::spawn(Rc::clone(&peers).run());
         actix_rt::spawn(peers.follow_discovered(self.parts.peers.clone()));
         Ok(())
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,4 +1,5 @@
-//! Exchange of quota reports between entries.
+//! Exchange of datagrams between entries: quota reports, and messages on where streams
+//! began, which `streams` handles.
 //!
 //! A report states what organisations have spent at an entry. It is sent as a
 //! datagram, authenticated by a tag that is made with the site key. A lost
@@ -6,8 +7,10 @@
 //! start. An entry that is not known yet is added when its first report
 //! arrives.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,9 +28,12 @@
 use crate::active_settings::ActiveSettings;
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
+use crate::clock::Timestamp;
+use crate::entry::streams::Streams;
 use crate::ids::Incarnation;
 use crate::quota::Quota;
 use crate::quota::QuotaReport;
+use crate::quota::REPORT_TIMEOUT;
 use crate::site_key::KeyHolder;
 use crate::wire;
 
@@ -47,6 +53,9 @@
 /// The length of a tag, in bytes.
 const TAG_SIZE: usize = 32;
 
+/// Precedes the signed text of messages on streams.
+const STREAM_CONTEXT: &[u8] = b"almondramp streams";
+
 /// The size of the largest report, in bytes, bounded by that of a datagram.
 const MAX_REPORT_SIZE: usize = 60 << 10;
 
@@ -54,34 +63,37 @@
 pub struct Peers {
     socket: UdpSocket,
     addresses: RefCell<BTreeSet<SocketAddr>>,
-    quota: Rc<RefCell<Quota>>,
-    active_settings: Rc<ActiveSettings>,
-    key: KeyHolder,
-    incarnation: Incarnation,
-    clock: Clock,
-    log: Logger,
+    /// When each entry last sent a report, or became known.
+    last_heard: RefCell<HashMap<SocketAddr, Timestamp>>,
+    parts: PeerParts,
+}
+
+/// The parts of an entry of which it informs the others.
+pub struct PeerParts {
+    /// The organisations' quotas.
+    pub quota: Rc<RefCell<Quota>>,
+    /// The streams of the entries.
+    pub streams: Rc<Streams>,
+    /// The operators' settings.
+    pub active_settings: Rc<ActiveSettings>,
+    /// The key that signs datagrams.
+    pub key: KeyHolder,
+    /// The incarnation of this entry.
+    pub incarnation: Incarnation,
+    /// The clock of this entry.
+    pub clock: Clock,
+    /// The log.
+    pub log: Logger,
 }
 
 impl Peers {
     /// Binds a UDP socket to `listen`. Fails if the address can't be bound.
-    pub async fn bind(
-        listen: SocketAddr,
-        quota: Rc<RefCell<Quota>>,
-        active_settings: Rc<ActiveSettings>,
-        key: KeyHolder,
-        incarnation: Incarnation,
-        clock: Clock,
-        log: Logger,
-    ) -> io::Result<Rc<Self>> {
+    pub async fn bind(listen: SocketAddr, parts: PeerParts) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Self {
             socket: UdpSocket::bind(listen).await?,
             addresses: RefCell::default(),
-            quota,
-            active_settings,
-            key,
-            incarnation,
-            clock,
-            log,
+            last_heard: RefCell::default(),
+            parts,
         }))
     }
 
@@ -104,20 +116,23 @@
         if Some(peer) == own || !self.addresses.borrow_mut().insert(peer) {
             return;
         }
+        self.last_heard
+            .borrow_mut()
+            .insert(peer, self.parts.clock.now());
         let entries = self.addresses.borrow().len() + 1;
-        self.quota.borrow_mut().set_entries(entries);
-        info!(self.log, "entry discovered"; "peer" => %peer, "entries" => entries);
+        self.parts.quota.borrow_mut().set_entries(entries);
+        info!(self.parts.log, "entry discovered"; "peer" => %peer, "entries" => entries);
     }
 
     /// Sends and receives reports, once the site key is known, until the task is
     /// aborted.
     pub async fn run(self: Rc<Self>) {
-        self.key.wait().await;
+        self.parts.key.wait().await;
         let receiving = async {
             let mut buf = vec![0; MAX_REPORT_SIZE];
             loop {
                 match self.socket.recv_from(&mut buf).await {
-                    Ok((length, peer)) => self.receive(&buf[..length], peer),
+                    Ok((length, peer)) => self.receive(&buf[..length], peer).await,
                     // A peer's host rejected a datagram that was sent earlier.
                     Err(_) => actix_rt::time::sleep(INTERVAL_MIN).await,
                 }
@@ -135,13 +150,14 @@
     }
 
     async fn send_report(&self) {
-        let key = self.key.wait().await;
-        let now = self.clock.now();
-        let window = self.active_settings.settings().limits.quota_window;
+        let key = self.parts.key.wait().await;
+        let now = self.parts.clock.now();
+        let window = self.parts.active_settings.settings().limits.quota_window;
         let report = self
+            .parts
             .quota
             .borrow_mut()
-            .report(now, window, self.incarnation);
+            .report(now, window, self.parts.incarnation);
         let mut message = Builder::new_default();
         wire::write_report(&report, message.init_root::<spend_report::Builder<'_>>());
         let mut datagram = serialize::write_message_to_words(&message);
@@ -153,32 +169,77 @@
         }
     }
 
-    fn receive(&self, datagram: &[u8], peer: SocketAddr) {
-        if self.key.get().is_none() {
+    /// Returns the entries that may be running: all that are known, without those whose
+    /// reports have stopped.
+    pub fn reachable(&self) -> Vec<SocketAddr> {
+        let now = self.parts.clock.now();
+        let last_heard = self.last_heard.borrow();
+        let has_stopped = |peer: &SocketAddr| {
+            let at = last_heard.get(peer);
+            at.is_some_and(|at| now.since(*at) >= REPORT_TIMEOUT)
+        };
+        let addresses = self.addresses.borrow();
+        let reachable = addresses.iter().filter(|peer| !has_stopped(peer));
+        reachable.copied().collect()
+    }
+
+    /// Sends a message on streams, once the site key is known.
+    pub async fn send_stream_message(&self, message: &[u8], peer: SocketAddr) {
+        let key = self.parts.key.wait().await;
+        let mut datagram = message.to_vec();
+        datagram.extend(key.sign(&stream_text(message)));
+        // Records have several copies, and queries are repeated.
+        let _ = self.socket.send_to(&datagram, peer).await;
+    }
+
+    async fn receive(&self, datagram: &[u8], peer: SocketAddr) {
+        if self.parts.key.get().is_none() {
             return;
         }
         let Some((message, tag)) = datagram.split_last_chunk::<TAG_SIZE>() else {
             return;
         };
-        let accepted = self.key.find(|key| key.is_signed(message, tag));
+        let is_report = Cell::new(false);
+        let accepted = self.parts.key.find(|key| {
+            is_report.set(key.is_signed(message, tag));
+            is_report.get() || key.is_signed(&stream_text(message), tag)
+        });
         if accepted.is_none() {
-            warn!(self.log, "rejected a quota report that is not signed with the site key"; "peer" => %peer);
+            warn!(self.parts.log, "rejected a datagram that is not signed with the site key"; "peer" => %peer);
+            return;
+        }
+        if !is_report.get() {
+            if let Some(reply) = self.parts.streams.receive(message, peer) {
+                self.send_stream_message(&reply, peer).await;
+            }
             return;
         }
         match decode_report(message) {
             Ok(report) => {
                 self.add(peer);
-                let window = self.active_settings.settings().limits.quota_window;
-                let now = self.clock.now();
-                self.quota.borrow_mut().merge_report(now, window, &report);
+                self.last_heard
+                    .borrow_mut()
+                    .insert(peer, self.parts.clock.now());
+                let window = self.parts.active_settings.settings().limits.quota_window;
+                let now = self.parts.clock.now();
+                self.parts
+                    .quota
+                    .borrow_mut()
+                    .merge_report(now, window, &report);
             }
             Err(e) => {
-                warn!(self.log, "could not decode quota report"; "peer" => %peer, "error" => %e)
+                warn!(self.parts.log, "could not decode quota report"; "peer" => %peer, "error" => %e)
             }
         }
     }
 }
 
+/// Returns the text that is signed for a message on streams. It can't be the text of a
+/// quota report.
+fn stream_text(message: &[u8]) -> Vec<u8> {
+    [STREAM_CONTEXT, message].concat()
+}
+
 fn decode_report(message: &[u8]) -> Result<QuotaReport, capnp::Error> {
     let mut words = message;
     let reader = serialize::read_message(&mut words, ReaderOptions::new())?;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::completeness::CompletenessCheck;
-use crate::directory::Version;
+use crate::directory::SoftwareVersion;
 use crate::entry::error::CallerError;
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
@@ -31,9 +31,9 @@
     /// Whether the caller asked to resume a stream.
     resumes: bool,
     /// The software version of the upstream of the last answer.
-    version: Version,
+    version: SoftwareVersion,
     /// The software version that began the stream whose events the caller has.
-    origin: Option<Version>,
+    origin: Option<SoftwareVersion>,
     usage: UsageReader,
     first_byte: Option<Timestamp>,
 }
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Sets the software version that began the stream, if the request resumes one.
+    pub fn with_origin(mut self, origin: Option<SoftwareVersion>) -> Self {
+        self.origin = origin;
+        self
+    }
+
     /// Returns whether the head of an answer was sent.
     pub fn has_sent_head(&self) -> bool {
         self.status.is_some()
@@ -62,7 +68,7 @@
 
     /// Returns the software version of the upstreams that can continue the stream, or
     /// `None` while any version can begin it.
-    pub fn origin(&self) -> Option<&Version> {
+    pub fn origin(&self) -> Option<&SoftwareVersion> {
         self.origin.as_ref()
     }
 
@@ -113,7 +119,7 @@
         headers: Vec<Header>,
         framing: Framing,
         format: AnswerFormat,
-        version: Version,
+        version: SoftwareVersion,
     ) {
         self.version = version;
         self.usage = UsageReader::new(format);
@@ -133,8 +139,9 @@
         }
     }
 
-    /// Relays bytes of the body.
-    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) {
+    /// Relays bytes of the body. Returns whether they contain the first events of a
+    /// stream that can be resumed.
+    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> bool {
         self.usage.push(&bytes);
         if let Some(check) = &mut self.check {
             check.push(&bytes);
@@ -143,13 +150,16 @@
             Some(events) => events.push(&bytes),
             None => bytes,
         };
-        if !bytes.is_empty() {
-            if self.events.is_some() {
-                self.origin.get_or_insert_with(|| self.version.clone());
-            }
-            self.first_byte.get_or_insert(now);
-            self.send(Reply::Bytes(bytes)).await;
+        if bytes.is_empty() {
+            return false;
+        }
+        let begins = self.events.is_some() && self.first_byte.is_none();
+        if begins {
+            self.origin.get_or_insert_with(|| self.version.clone());
         }
+        self.first_byte.get_or_insert(now);
+        self.send(Reply::Bytes(bytes)).await;
+        begins
     }
 
     /// Ends the answer if it is complete, and returns whether it is.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -21,6 +21,7 @@
 use crate::settings::Settings;
 use crate::settings::Upstream;
 use crate::settings::UpstreamKind;
+use crate::stream_origins::StreamId;
 use crate::ticket::Work;
 use crate::upstream_request::UpstreamRequest;
 
@@ -239,6 +240,18 @@
         }
     }
 
+    /// Returns whether the request resumes a stream that an upstream has begun.
+    pub fn resumes_stream(&self) -> bool {
+        self.admission.route.resumable && self.last_event.is_some()
+    }
+
+    /// Returns the stream that the answer to `request` begins or continues.
+    pub fn stream(&self, request: RequestId) -> StreamId {
+        let began = self.resumes.clone();
+        let began = began.unwrap_or_else(|| self.logged_id(request));
+        StreamId::new(&self.admission.organisation, &began)
+    }
+
     /// Returns the class of requests with the same organisation, rank and target.
     pub fn request_class(&self) -> RequestClass {
         self.admission.request_class(&self.target)
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::clock::Timestamp;
+use crate::directory::SoftwareVersion;
 use crate::dispatch::Action;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Event;
@@ -75,6 +76,9 @@
     pub job: Job,
     /// The time at which the head of the request arrived.
     pub arrived: Timestamp,
+    /// The software version that began the stream which the request resumes, if it
+    /// does.
+    pub origin: Option<SoftwareVersion>,
     /// The claim on the idempotency key, where the request needs one.
     pub claim: Option<OwnedClaim>,
     /// The count towards the concurrency limit of the organisation.
@@ -156,6 +160,7 @@
             request,
             job,
             arrived,
+            origin,
             claim,
             concurrency_permit,
             quota_charge,
@@ -166,7 +171,7 @@
             Policy::RoundRobin | Policy::TwoChoices => 1,
         };
         let admission = &job.admission;
-        let dispatch = Dispatch::new(state.candidates(&job, None), max_tickets)
+        let dispatch = Dispatch::new(state.candidates(&job, origin.as_ref()), max_tickets)
             .with_time_limits(admission.objective, admission.urgency().max_expected_wait())
             .with_deadline(admission.deadline);
         state.count_for_retry_budget(&job.target);
@@ -175,7 +180,7 @@
             arrived,
             deadline: arrived + admission.deadline,
             dispatch,
-            relay: Relay::new(reply_tx, &job),
+            relay: Relay::new(reply_tx, &job).with_origin(origin),
             job: Rc::new(job),
             schedulers: BTreeMap::new(),
             sent_to: None,
@@ -460,8 +465,7 @@
             "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
             "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
-        let timeout = self.job.admission.route.timeout;
-        let timeout = timeout.unwrap_or(self.state.active_settings.settings().limits.run);
+        let timeout = self.state.answer_timeout(&self.job);
         let attempt = Attempt {
             state: &self.state,
             request: self.request,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -29,7 +29,7 @@
 use crate::config::EntryConfig;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::directory::Version;
+use crate::directory::SoftwareVersion;
 use crate::dispatch::Choice;
 use crate::dispatch::Event;
 use crate::entry::EntryParts;
@@ -40,6 +40,7 @@
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::Job;
 use crate::entry::request::serves;
+use crate::entry::streams::Streams;
 use crate::held_requests::HeldRequestBounds;
 use crate::held_requests::HeldRequests;
 use crate::held_requests::HoldResult;
@@ -86,6 +87,8 @@
     pub local_schedulers: Rc<LocalSchedulers>,
     /// The organisations' quotas.
     pub quota: Rc<RefCell<Quota>>,
+    /// The streams of this entry, and those that others have reported.
+    pub streams: Rc<Streams>,
     /// Whether this entry is a watcher: it watches the object store on behalf of
     /// other entries.
     pub is_watcher: Rc<watch::Sender<bool>>,
@@ -138,7 +141,9 @@
             Rc::new(ClaimStore::new(store))
         });
         let clock = Clock::new();
+        let streams = Streams::new(Rc::clone(&parts.directory), clock, log.clone());
         Self {
+            streams: Rc::new(streams),
             memory: MemoryBudget::new(config.memory),
             config,
             claims,
@@ -360,7 +365,7 @@
 
     /// Returns the upstreams that can run `job`, the best first. With a `version`, only
     /// upstreams of this software version can.
-    pub fn candidates(&self, job: &Job, version: Option<&Version>) -> Vec<Choice> {
+    pub fn candidates(&self, job: &Job, version: Option<&SoftwareVersion>) -> Vec<Choice> {
         let now = self.now();
         let settings = self.active_settings.settings();
         let upstreams = self.directory.upstreams();
@@ -395,13 +400,40 @@
 
     /// Returns whether an upstream that is not leaving can run `job` with this software
     /// version.
-    pub fn has_version(&self, job: &Job, version: &Version) -> bool {
+    pub fn has_version(&self, job: &Job, version: &SoftwareVersion) -> bool {
         let upstreams = self.directory.upstreams();
         let kind = job.admission.route.kind;
         let mut running = upstreams.values().filter(|u| !u.leaving);
         running.any(|u| serves(u, kind, &job.target) && u.version == *version)
     }
 
+    /// Waits until an upstream is listed that can run `job`, for the longest time that
+    /// the job can wait.
+    pub async fn wait_for_upstreams(&self, job: &Job) {
+        let kind = job.admission.route.kind;
+        let mut changes = self.directory.subscribe();
+        let listed = async {
+            loop {
+                let upstreams = self.directory.upstreams();
+                if upstreams.values().any(|u| serves(u, kind, &job.target)) {
+                    return;
+                }
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let max_wait = job.admission.urgency().max_wait();
+        // Without an upstream, the request is refused later.
+        let _ = actix_rt::time::timeout(max_wait, listed).await;
+    }
+
+    /// Returns the time after which an answer to `job` is aborted.
+    pub fn answer_timeout(&self, job: &Job) -> Duration {
+        let timeout = job.admission.route.timeout;
+        timeout.unwrap_or(self.active_settings.settings().limits.run)
+    }
+
     /// Removes the state kept for upstreams that are no longer listed, and the
     /// idle request classes of the admission control.
     pub fn purge_removed_upstreams(&self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod settings_service;
 pub mod site_key;
 pub mod stored_settings;
+pub mod stream_origins;
 mod strict_connector;
 pub mod subset;
 pub mod ticket;
--- /dev/null
+++ b/src/stream_origins/tests.rs
@@ -0,0 +1,265 @@
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::settings::Fencing;
+use crate::settings::Upstream;
+use crate::settings::UpstreamKind;
+
+/// The timeout of all requests, in seconds.
+const TIMEOUT: u64 = 15;
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::new(Duration::from_secs(seconds))
+}
+
+fn timeout() -> Duration {
+    Duration::from_secs(TIMEOUT)
+}
+
+fn version(number: u64) -> SoftwareVersion {
+    Some(Name::new(&format!("v{number}")))
+}
+
+fn pool() -> Name {
+    Name::new("pool")
+}
+
+/// Returns one upstream of each version.
+fn upstreams(versions: &[u64]) -> Upstreams {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let upstream = |number: &u64| Upstream {
+        kind: UpstreamKind::Model,
+        zone: Name::new("a"),
+        address,
+        agent: None,
+        instance: None,
+        version: version(*number),
+        leaving: false,
+        event_tokens: 1,
+        serves: vec![pool()],
+        loads: Vec::new(),
+        slots: 1,
+        cache_tokens: 0,
+        fencing: Fencing::Ignored,
+    };
+    let named = |number: &u64| (Name::new(&format!("u{number}")), upstream(number));
+    versions.iter().map(named).collect()
+}
+
+fn find(origins: &StreamOrigins, now: u64, stream: u64) -> Origin {
+    origins.find(at(now), &pool(), Some(StreamId(stream)), timeout())
+}
+
+fn unknown(versions: &[u64]) -> Origin {
+    Origin::Unknown(versions.iter().map(|v| version(*v)).collect())
+}
+
+#[test]
+fn stream_id_depends_on_the_organisation_and_the_request() {
+    let (a, b) = (Name::new("a"), Name::new("b"));
+    let ids = [
+        StreamId::new(&a, "1"),
+        StreamId::new(&a, "2"),
+        StreamId::new(&b, "1"),
+        StreamId::new(&Name::new("a1"), ""),
+    ];
+    let distinct: BTreeSet<StreamId> = ids.into_iter().collect();
+    assert_eq!(distinct.len(), ids.len());
+    assert_eq!(StreamId::new(&a, "1"), ids[0]);
+}
+
+#[test]
+fn record_is_kept_until_its_caller_can_no_longer_resume() {
+    let mut origins = StreamOrigins::new(at(0));
+    origins.observe(at(0), &upstreams(&[1, 2]));
+    origins.begin(at(1), StreamId(7), &pool(), version(1), timeout());
+    assert_eq!(find(&origins, 45, 7), Origin::Known(version(1)));
+    assert_eq!(find(&origins, 46, 7), unknown(&[1, 2]));
+}
+
+#[test]
+fn only_version_is_assumed_once_no_stream_of_another_can_be_running() {
+    let mut origins = StreamOrigins::new(at(0));
+    origins.observe(at(0), &upstreams(&[1, 2]));
+    assert_eq!(find(&origins, 20, 7), unknown(&[1, 2]));
+    origins.observe(at(20), &upstreams(&[2]));
+    assert_eq!(find(&origins, 34, 7), unknown(&[1, 2]));
+    assert_eq!(find(&origins, 35, 7), Origin::Known(version(2)));
+}
+
+#[test]
+fn entry_that_has_just_started_does_not_know_past_versions() {
+    let mut origins = StreamOrigins::new(at(100));
+    origins.observe(at(100), &upstreams(&[2]));
+    assert_eq!(find(&origins, 114, 7), unknown(&[2]));
+    assert_eq!(find(&origins, 115, 7), Origin::Known(version(2)));
+}
+
+#[test]
+fn records_are_sent_only_beside_several_versions() {
+    let mut origins = StreamOrigins::new(at(0));
+    origins.observe(at(0), &upstreams(&[1]));
+    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
+    assert!(!origins.has_unsent());
+    let other = StreamRecord {
+        stream: StreamId(9),
+        service: pool(),
+        version: version(1),
+        needed_for: timeout(),
+    };
+    origins.learn(at(1), &other);
+    // The second version makes the own streams of before due.
+    origins.observe(at(2), &upstreams(&[1, 2]));
+    origins.begin(at(3), StreamId(2), &pool(), version(2), timeout());
+    let sent = origins.take_unsent(at(3));
+    let sent: Vec<_> = sent.iter().map(|r| (r.stream.0, &r.version)).collect();
+    assert_eq!(sent, [(1, &version(1)), (2, &version(2))]);
+    assert!(!origins.has_unsent());
+}
+
+#[test]
+fn first_record_of_a_stream_stays() {
+    let mut origins = StreamOrigins::new(at(0));
+    origins.observe(at(0), &upstreams(&[1, 2]));
+    origins.begin(at(1), StreamId(7), &pool(), version(1), timeout());
+    let other = StreamRecord {
+        stream: StreamId(7),
+        service: pool(),
+        version: version(2),
+        needed_for: timeout(),
+    };
+    origins.learn(at(2), &other);
+    assert_eq!(find(&origins, 3, 7), Origin::Known(version(1)));
+}
+
+#[test]
+fn number_of_records_is_bounded() {
+    let mut origins = StreamOrigins::new(at(0));
+    for stream in 0..=MAX_RECORDS as u64 {
+        origins.begin(
+            at(stream / 10_000),
+            StreamId(stream),
+            &pool(),
+            None,
+            timeout(),
+        );
+    }
+    assert_eq!(origins.records.len(), MAX_RECORDS);
+    assert_eq!(origins.expiries.len(), MAX_RECORDS);
+    assert_eq!(origins.get(at(10), StreamId(0)), None);
+    assert!(origins.get(at(10), StreamId(1)).is_some());
+}
+
+/// Event of a history of several entries.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Some seconds pass.
+    Wait(u64),
+    /// The upstreams now have these versions; entries see it at once.
+    Release(Vec<u64>),
+    /// An entry begins a stream at one of the versions.
+    Begin(usize, u64),
+    /// An entry starts again without memory.
+    Restart(usize),
+    /// A caller resumes one of the last streams at an entry. The flags say which of the
+    /// other entries reply.
+    Resume(usize, usize, Vec<bool>),
+}
+
+const ENTRIES: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1..8_u64).prop_map(Step::Wait),
+        prop::sample::subsequence(vec![1, 2, 3], 1..=2).prop_map(Step::Release),
+        (0..ENTRIES, 0..3_u64).prop_map(|(entry, pick)| Step::Begin(entry, pick)),
+        (0..ENTRIES).prop_map(Step::Restart),
+        (
+            0..ENTRIES,
+            0..4_usize,
+            prop::collection::vec(any::<bool>(), ENTRIES)
+        )
+            .prop_map(|(entry, stream, replies)| Step::Resume(entry, stream, replies)),
+    ]
+}
+
+/// Resolves a stream as an entry does: by itself, then with the replies of others.
+fn resolve(
+    entries: &[StreamOrigins],
+    entry: usize,
+    replies: &[bool],
+    now: u64,
+    stream: StreamId,
+) -> Option<SoftwareVersion> {
+    let mut versions = match entries[entry].find(at(now), &pool(), Some(stream), timeout()) {
+        Origin::Known(version) => return Some(version),
+        Origin::Unknown(versions) => versions,
+    };
+    let others = entries.iter().zip(replies).enumerate();
+    let others = others.filter(|(i, (_, replies))| *i != entry && **replies);
+    for (_, (other, _)) in others {
+        if let Some(record) = other.get(at(now), stream) {
+            return Some(record.version);
+        }
+        versions.extend(other.versions_within(at(now), &pool(), timeout()));
+    }
+    (versions.len() == 1).then(|| versions.into_iter().next())?
+}
+
+proptest! {
+    /// Whatever is released, restarted and lost, a stream is never resumed at another
+    /// version while an entry that was there at its begin replies or resumes it.
+    #[test]
+    fn no_stream_is_resumed_at_another_version(steps in prop::collection::vec(step(), 1..60)) {
+        let mut now = 0;
+        let mut versions = vec![1];
+        let mut entries: Vec<StreamOrigins> =
+            (0..ENTRIES).map(|_| StreamOrigins::new(at(0))).collect();
+        // The numbers of the steps in which each entry and each stream began.
+        let mut started = [0; ENTRIES];
+        let mut streams: Vec<(StreamId, usize, u64, SoftwareVersion)> = Vec::new();
+        entries.iter_mut().for_each(|e| e.observe(at(0), &upstreams(&[1])));
+        for (number, step) in (1..).zip(steps) {
+            match step {
+                Step::Wait(seconds) => now += seconds,
+                Step::Release(next) => {
+                    versions = next;
+                    entries.iter_mut().for_each(|e| e.observe(at(now), &upstreams(&versions)));
+                }
+                Step::Begin(entry, pick) => {
+                    let begun = version(versions[pick as usize % versions.len()]);
+                    let stream = StreamId(streams.len() as u64 + 1);
+                    entries[entry].begin(at(now), stream, &pool(), begun.clone(), timeout());
+                    streams.push((stream, number, now, begun));
+                }
+                Step::Restart(entry) => {
+                    entries[entry] = StreamOrigins::new(at(now));
+                    entries[entry].observe(at(now), &upstreams(&versions));
+                    started[entry] = number;
+                }
+                Step::Resume(entry, back, replies) => {
+                    let Some((stream, begun_in, begun_at, begun)) = streams.iter().rev().nth(back) else {
+                        continue;
+                    };
+                    if now >= begun_at + TIMEOUT {
+                        continue;
+                    }
+                    let was_there = (0..ENTRIES)
+                        .any(|i| (i == entry || replies[i]) && started[i] < *begun_in);
+                    let resolved = resolve(&entries, entry, &replies, now, *stream);
+                    if was_there && let Some(resolved) = resolved {
+                        prop_assert_eq!(&resolved, begun);
+                    }
+                }
+            }
+            // Due records reach one other entry.
+            for entry in 0..ENTRIES {
+                let due = entries[entry].take_unsent(at(now));
+                let other = &mut entries[(entry + 1) % ENTRIES];
+                due.iter().for_each(|record| other.learn(at(now), record));
+            }
+        }
+    }
+}
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -9355,6 +9355,1236 @@
     }
 }
 
+pub mod stream_group {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_needed_millis(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_streams(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_streams(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_needed_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_needed_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_streams(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_streams(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_streams(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_streams(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(26, 19, 240, 123, 49, 89, 117, 215),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 116, 114, 101, 97, 109, 71),
+            ::capnp::word(114, 111, 117, 112, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 101, 100, 77, 105),
+            ::capnp::word(108, 108, 105, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+        pub(crate) const TYPE_ID: u64 = 0xd775_5931_7bf0_131a;
+    }
+}
+
+pub mod stream_query {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_timeout_millis(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_stream(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_timeout_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_timeout_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(65, 59, 10, 0, 159, 183, 102, 185),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 116, 114, 101, 97, 109, 81),
+            ::capnp::word(117, 101, 114, 121, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 105, 109, 101, 111, 117, 116, 77),
+            ::capnp::word(105, 108, 108, 105, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+        pub(crate) const TYPE_ID: u64 = 0xb966_b79f_000a_3b41;
+    }
+}
+
+pub mod stream_reply {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::almondramp_capnp::stream_group::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_known(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_versions(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_versions(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::almondramp_capnp::stream_group::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_known(&mut self, value: ::capnp::struct_list::Reader<'_,crate::almondramp_capnp::stream_group::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_known(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::almondramp_capnp::stream_group::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_known(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_versions(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_versions(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_versions(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_versions(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(187, 215, 228, 176, 197, 180, 252, 182),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 116, 114, 101, 97, 109, 82),
+            ::capnp::word(101, 112, 108, 121, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 19, 240, 123, 49, 89, 117, 215),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::almondramp_capnp::stream_group::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xb6fc_b4c5_b0e4_d7bb;
+    }
+}
+
+pub mod stream_message {
+    pub use self::Which::{Began,Query,Reply};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn has_began(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_query(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Began(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Query(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Reply(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn set_began(&mut self, value: ::capnp::struct_list::Reader<'_,crate::almondramp_capnp::stream_group::Owned>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_began(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::almondramp_capnp::stream_group::Owned> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_began(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_query(&mut self, value: crate::almondramp_capnp::stream_query::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_query(self, ) -> crate::almondramp_capnp::stream_query::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_query(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_reply(&mut self, value: crate::almondramp_capnp::stream_reply::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_reply(self, ) -> crate::almondramp_capnp::stream_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Began(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Query(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Reply(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(42, 223, 226, 120, 61, 21, 34, 184),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 116, 114, 101, 97, 109, 77),
+            ::capnp::word(101, 115, 115, 97, 103, 101, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(98, 101, 103, 97, 110, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 19, 240, 123, 49, 89, 117, 215),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 114, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 59, 10, 0, 159, 183, 102, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(187, 215, 228, 176, 197, 180, 252, 182),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::almondramp_capnp::stream_group::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::almondramp_capnp::stream_query::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::almondramp_capnp::stream_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xb822_153d_78e2_df2a;
+    }
+    pub enum Which<A0,A1,A2> {
+        Began(A0),
+        Query(A1),
+        Reply(A2),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::struct_list::Reader<'a,crate::almondramp_capnp::stream_group::Owned>>,::capnp::Result<crate::almondramp_capnp::stream_query::Reader<'a>>,::capnp::Result<crate::almondramp_capnp::stream_reply::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::struct_list::Builder<'a,crate::almondramp_capnp::stream_group::Owned>>,::capnp::Result<crate::almondramp_capnp::stream_query::Builder<'a>>,::capnp::Result<crate::almondramp_capnp::stream_reply::Builder<'a>>>;
+}
+
 pub mod spend {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,8 @@
 //! Conversions between the Cap'n Proto messages of the peer protocol and the
 //! crate's own types.
 
+pub mod streams;
+
 use std::time::Duration;
 
 use capnp::Error;
