Cut a broken stream off where its last event has no id

Cause: on a resumable route, a stream without ids was sent again from its begin after a break, and one whose last event had no id from an earlier one. Its caller got events twice, in one answer that looked complete.

Change: an answer goes on at another upstream only if the last event that the caller got has an id; otherwise it is cut off.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -74,7 +74,8 @@
 
     /// Returns whether another upstream can begin or continue the answer.
     pub fn can_fail_over(&self) -> bool {
-        self.status.is_none() || self.events.is_some()
+        let can_resume = self.events.as_ref().is_some_and(EventReader::can_resume);
+        self.status.is_none() || can_resume
     }
 
     /// Returns the id of the last event that the caller has received, in this
--- a/src/events.rs
+++ b/src/events.rs
@@ -19,6 +19,8 @@
 pub struct EventReader {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Whether the last complete event has no id, so that `last_id` is an earlier one's.
+    lacks_id: bool,
 }
 
 impl EventReader {
@@ -27,6 +29,7 @@
         Self {
             partial: BytesMut::new(),
             last_id,
+            lacks_id: false,
         }
     }
 
@@ -35,6 +38,12 @@
         self.last_id
     }
 
+    /// Returns whether the stream can resume after the complete events without
+    /// repeating one: whether the last of them has an id.
+    pub fn can_resume(&self) -> bool {
+        !self.lacks_id
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -48,13 +57,32 @@
             return Bytes::new();
         };
         let complete = self.partial.split_to(end).freeze();
-        let mut ids = complete.rsplit(|b| *b == b'\n').filter_map(event_id);
-        if let Some(id) = ids.next() {
-            self.last_id = Some(id);
-        }
+        self.read_ids(&complete);
         complete
     }
 
+    /// Reads the ids of complete events.
+    fn read_ids(&mut self, complete: &[u8]) {
+        let mut is_event = false;
+        let mut id = None;
+        for line in complete.split(|b| *b == b'\n') {
+            match line.trim_ascii_end() {
+                [] => {
+                    if std::mem::take(&mut is_event) {
+                        self.lacks_id = id.is_none();
+                        self.last_id = id.take().or(self.last_id);
+                    }
+                }
+                // Comments are not a part of an event.
+                [b':', ..] => {}
+                field => {
+                    is_event = true;
+                    id = event_id(field).or(id);
+                }
+            }
+        }
+    }
+
     /// Discards the incomplete event.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
--- a/src/events/tests.rs
+++ b/src/events/tests.rs
@@ -84,3 +84,25 @@
         prop_assert_eq!(scan(&STREAM[..cut], cut / 2).0 == 0, is_end, "cut at {}", cut);
     }
 }
+
+// Issue 28, ORDER: a stream without ids began again inside one answer.
+#[test]
+fn stream_can_resume_only_after_an_event_with_an_id() {
+    let mut reader = EventReader::new(None);
+    assert!(reader.can_resume());
+    let cases: [(&[u8], Option<u64>, bool); 6] = [
+        (b"id: 1\ndata: a\n\n", Some(1), true),
+        (b"data: b\n\n", Some(1), false),
+        (b"data: c\nid: 2\n\n: comment\n\n", Some(2), true),
+        (b"id: 3\r\ndata: d\r\n\r\ndata: e\r\n\r\n", Some(3), false),
+        (b"id: no number\ndata: f\n\n", Some(3), false),
+        (b"id: 4\nda", Some(3), false),
+    ];
+    for (bytes, last_id, can_resume) in cases {
+        reader.push(bytes);
+        assert_eq!(
+            (reader.last_id(), reader.can_resume()),
+            (last_id, can_resume)
+        );
+    }
+}
