Admit requests that resume a stream like fresh ones

Cause: a caller that resumes sends what is left of its deadline, and so counted as one that comes back after its objective: behind all fresh requests of its rank, and the first to be refused early.

Change: the time tried isn't taken from the deadline of a resuming request, and early refusals pass it over; expected waits still bound it.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -34,6 +34,7 @@
 use crate::entry::idempotency::replay_response;
 use crate::entry::request::Admission;
 use crate::entry::request::Job;
+use crate::entry::request::resumes_stream;
 use crate::entry::serve::AcceptedRequest;
 use crate::entry::serve::Reply;
 use crate::entry::serve::RequestTask;
@@ -184,7 +185,8 @@
         random_below,
     )?;
     let sends_deadline = dialect.deadline(req.head())?.is_some();
-    if sends_deadline && dialect.deadline_counts_down() {
+    let resumes = resumes_stream(&admission.route, req.head());
+    if sends_deadline && dialect.deadline_counts_down() && !resumes {
         admission.tried_for = state.record_caller(&admission.route_name, admission.deadline);
     }
     let admitted = admission.clone();
@@ -200,7 +202,8 @@
             admitted.deadline,
         ))))
     };
-    if let Some(refused) = admission.service.as_ref().and_then(refuse_early) {
+    let service = admission.service.as_ref().filter(|_| !resumes);
+    if let Some(refused) = service.and_then(refuse_early) {
         discard_body(req, settings.limits.body, settings.limits.caller_timeout).await;
         return Err(refused);
     }
@@ -223,6 +226,7 @@
     let job = job.map_err(&refuse)?;
     // Otherwise the body names the model, and the check was not possible before.
     if admitted.service.is_none()
+        && !resumes
         && let Some(refused) = refuse_early(&job.target)
     {
         return Err(refused);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -384,6 +384,12 @@
     None
 }
 
+/// Returns whether a request on `route` with this head resumes a stream that an upstream
+/// has begun.
+pub fn resumes_stream(route: &Route, head: &RequestHead) -> bool {
+    route.kind == RouteKind::Model && route.resumable && parse_last_event(head).is_some()
+}
+
 fn parse_last_event(head: &RequestHead) -> Option<u64> {
     let value = head.headers.get("last-event-id")?;
     value.to_str().ok()?.parse().ok()
