Take an answer for broken off if its upstream refuses connections after it

Change: where an answer has ended with its connection and its content could go on, the entry looks whether its upstream still listens. If the connection is refused, the answer counts as broken off. An upstream that is leaving or gone from the directory is believed, since it may exit after its last answer, and so is one that doesn't reply.

Measured: the new test fails without the change and passes with it. Not found this way: a process that is back within the time of a round trip.

--- a/src/completeness.rs
+++ b/src/completeness.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Returns whether a body that is complete by its content may still lack a part: it
+    /// has ended with its connection, at a place where such content can go on.
+    pub fn may_go_on(&self) -> bool {
+        let shows_end = match &self.content {
+            Content::Events(_) => self.format == AnswerFormat::Events,
+            Content::Json(_) => true,
+            Content::Opaque => false,
+        };
+        self.framing == Framing::Connection && !shows_end
+    }
+
     /// Returns what marks the end of the body.
     pub fn framing(&self) -> Framing {
         self.framing
--- a/src/completeness/tests.rs
+++ b/src/completeness/tests.rs
@@ -93,3 +93,40 @@
         }
     }
 }
+
+#[test]
+fn only_content_without_an_end_of_its_own_may_go_on() {
+    let events = Some("text/event-stream");
+    let may_go_on = |content_type, framing, format, body| {
+        check(content_type, framing, format, body).may_go_on()
+    };
+    let engine = AnswerFormat::PlainEvents(1);
+    assert!(may_go_on(
+        events,
+        Framing::Connection,
+        engine,
+        "data: a\n\n"
+    ));
+    assert!(!may_go_on(events, Framing::Chunks, engine, "data: a\n\n"));
+    let marked = AnswerFormat::Events;
+    assert!(!may_go_on(
+        events,
+        Framing::Connection,
+        marked,
+        "data: [DONE]\n\n"
+    ));
+    let json = Some("application/json");
+    assert!(!may_go_on(
+        json,
+        Framing::Connection,
+        AnswerFormat::Opaque,
+        "{}"
+    ));
+    assert!(may_go_on(
+        None,
+        Framing::Connection,
+        AnswerFormat::Opaque,
+        "text"
+    ));
+    assert!(!may_go_on(None, Framing::NoBody, AnswerFormat::Opaque, ""));
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -257,6 +257,9 @@
                     }
                 }
                 Ok(None) => {
+                    if self.has_crashed(relay).await {
+                        return self.fail_incomplete(relay);
+                    }
                     if relay.finish().await {
                         if status < 500 {
                             self.state
@@ -314,6 +317,20 @@
         AttemptResult::Interrupted
     }
 
+    /// Returns whether the upstream has crashed at the end of an answer that only its
+    /// connection has ended. A crash looks like the end of such an answer, but leaves
+    /// no listener.
+    async fn has_crashed(&self, relay: &Relay) -> bool {
+        if !relay.may_go_on() {
+            return false;
+        }
+        match self.active_upstream(relay) {
+            Some(upstream) => exchange::refuses_connections(upstream.address).await,
+            // It may have exited after its last answer.
+            None => false,
+        }
+    }
+
     fn fail_incomplete(&self, relay: &Relay) -> AttemptResult {
         info!(self.state.log, "answer of the upstream ended before it was complete";
             "request" => %self.job.logged_id(self.request),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -163,6 +163,13 @@
         begins
     }
 
+    /// Returns whether the answer may lack a part although its content is complete.
+    pub fn may_go_on(&self) -> bool {
+        self.check
+            .as_ref()
+            .is_some_and(CompletenessCheck::may_go_on)
+    }
+
     /// Ends the answer if it is complete, and returns whether it is.
     pub async fn finish(&mut self) -> bool {
         let partial = self.events.as_ref().is_some_and(EventReader::has_partial);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// Returns whether no process listens at `address`. A lost connection attempt does not
+/// tell.
+pub async fn refuses_connections(address: SocketAddr) -> bool {
+    match connect(address).await {
+        Err(ExchangeError::Connect(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// The head of an upstream's answer.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
--- a/standins/src/raw_upstream.rs
+++ b/standins/src/raw_upstream.rs
@@ -21,6 +21,8 @@
     Close,
     /// It resets the connection.
     Reset,
+    /// It stops listening and closes the connection in order, as a process that dies.
+    Crash,
 }
 
 /// Starts an upstream that answers each request with status 200, `headers`, which are
@@ -34,6 +36,10 @@
     let body = body.to_vec();
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            if end == ConnectionEnd::Crash {
+                drop(listener);
+                return answer(stream, headers, body, end).await;
+            }
             actix_rt::spawn(answer(stream, headers.clone(), body.clone(), end));
         }
     });
