Let departures be read before a request is sent to an upstream on the host

Cause: the request is granted by the end of another answer. Its connection opens without a pause where the upstream is on the same host, so the task reaches the check of its caller before the tasks that read callers' sockets have run once.

Change: the task yields once after it has connected, which lets the runtime poll the sockets first.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -114,6 +114,9 @@
     ) -> Result<Answer, AttemptResult> {
         let stream = exchange::connect(upstream.address).await;
         let stream = stream.map_err(|e| self.fail_exchange(&e))?;
+        // A connection on the same host opens without a pause, in which the closed
+        // connections of callers would be read.
+        tokio::task::yield_now().await;
         // The upstream may have started to leave during the connection attempt, and so
         // may the caller.
         let current = self.active_upstream(relay);
