Test streams beside two versions in the product's own dialect

The standalone product takes an upstream's version from the settings, and a caller names its stream in x-almondramp-resumes.

--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -12,3 +12,4 @@
 mod refusals;
 mod support;
 mod truncation;
+mod versions;
