--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -74,9 +74,10 @@
         self
     }
 
-    /// Records that the platform answered that nothing has changed.
+    /// Records that the platform answered that nothing has changed. After an outage in
+    /// which registrations can have expired, they can still be removed.
     pub fn confirm(&mut self, now: Timestamp) {
-        self.last_contact = now;
+        self.end_outage(now);
     }
 
     /// Records that the platform can't be reached.
@@ -94,11 +95,7 @@
     /// [`REREGISTRATION_TIME`] after an outage in which registrations can have
     /// expired, upstreams that are not in `listed` are kept.
     pub fn update(&mut self, now: Timestamp, listed: Vec<DiscoveredUpstream>) {
-        if self.may_have_lapsed(now) {
-            self.keep_until = Some(now + REREGISTRATION_TIME);
-        }
-        self.unreachable = false;
-        self.last_contact = now;
+        self.end_outage(now);
         let mut listed: BTreeMap<Name, DiscoveredUpstream> =
             listed.into_iter().map(|d| (d.name.clone(), d)).collect();
         self.mark_outdated(now, &listed);
@@ -119,6 +116,16 @@
         self.tick(now);
     }
 
+    /// Records that the platform answers. Keeps missing upstreams for some time if
+    /// registrations can have expired since its last answer.
+    fn end_outage(&mut self, now: Timestamp) {
+        if self.may_have_lapsed(now) {
+            self.keep_until = Some(now + REREGISTRATION_TIME);
+        }
+        self.unreachable = false;
+        self.last_contact = now;
+    }
+
     /// Returns whether registrations of running upstreams can be missing in a
     /// listing received now.
     fn may_have_lapsed(&self, now: Timestamp) -> bool {
