--- /dev/null
+++ b/src/entry/candidates.rs
@@ -0,0 +1,129 @@
+//! The upstreams that a request can be sent to, and what the entry keeps about them.
+
+use std::collections::BTreeSet;
+
+use crate::directory::SoftwareVersion;
+use crate::dispatch::Choice;
+use crate::entry::request::Job;
+use crate::entry::request::serves;
+use crate::entry::state::EntryState;
+use crate::name::Name;
+use crate::prefix::PrefixIndex;
+use crate::routing;
+use crate::routing::Candidate;
+use crate::settings::Upstream;
+
+/// The number of prompt chunks in the prefix index of one upstream.
+const PREFIX_INDEX_CHUNKS: usize = 4096;
+
+impl EntryState {
+    /// Returns the upstreams that can run `job`, the best first. With a `version`, only
+    /// upstreams of this software version can.
+    pub fn candidates(&self, job: &Job, version: Option<&SoftwareVersion>) -> Vec<Choice> {
+        let now = self.now();
+        let settings = self.active_settings.settings();
+        let upstreams = self.directory.upstreams();
+        let prefix_indexes = self.prefix_indexes.borrow();
+        let outstanding = self.outstanding.borrow();
+        let leaving = self.leaving_hosts.borrow();
+        let outliers = self.outliers.borrow();
+        let kind = job.admission.route.kind;
+        let candidate = |name: &Name, u: &Upstream| Candidate {
+            upstream: name.clone(),
+            same_zone: u.zone == self.config.zone,
+            matching_chunks: prefix_indexes
+                .get(name)
+                .map_or(0, |a| a.matching_chunks(&job.prefix)),
+            outstanding: outstanding.get(name).copied().unwrap_or_default(),
+        };
+        let (ejected, healthy): (Vec<Candidate>, Vec<Candidate>) = upstreams
+            .iter()
+            .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
+            .filter(|(_, u)| version.is_none_or(|v| u.version == *v))
+            .filter(|(name, u)| self.links.may_use(name, u))
+            .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
+            .map(|(name, u)| candidate(name, u))
+            .partition(|c| outliers.is_ejected(now, &c.upstream));
+        // An ejected upstream is better than none.
+        let candidates = if healthy.is_empty() { ejected } else { healthy };
+        // The policy `round-robin` starts at the candidate that this number gives.
+        let sequence = self.last_sequence.get();
+        let policy = settings.limits.policy;
+        routing::order_candidates(policy, candidates, sequence, &mut *self.rng.borrow_mut())
+    }
+
+    /// Returns whether an upstream that is not leaving can run `job` with this software
+    /// version.
+    pub fn has_version(&self, job: &Job, version: &SoftwareVersion) -> bool {
+        let upstreams = self.directory.upstreams();
+        let kind = job.admission.route.kind;
+        let mut running = upstreams.values().filter(|u| !u.leaving);
+        running.any(|u| serves(u, kind, &job.target) && u.version == *version)
+    }
+
+    /// Waits until an upstream is listed that can run `job`, for the longest time that
+    /// the job can wait.
+    pub async fn wait_for_upstreams(&self, job: &Job) {
+        let kind = job.admission.route.kind;
+        let mut changes = self.directory.subscribe();
+        let listed = async {
+            loop {
+                let upstreams = self.directory.upstreams();
+                if upstreams.values().any(|u| serves(u, kind, &job.target)) {
+                    return;
+                }
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let max_wait = job.admission.urgency().max_wait();
+        // Without an upstream, the request is refused later.
+        let _ = actix_rt::time::timeout(max_wait, listed).await;
+    }
+
+    /// Removes the state kept for upstreams that are no longer listed, and the
+    /// idle request classes of the admission control.
+    pub fn purge_removed_upstreams(&self) {
+        let upstreams = self.directory.upstreams();
+        let is_listed = |name: &Name| upstreams.contains_key(name);
+        self.local_schedulers.retain(is_listed);
+        self.outliers.borrow_mut().retain(is_listed);
+        self.prefix_indexes
+            .borrow_mut()
+            .retain(|name, _| is_listed(name));
+        let mut outstanding = self.outstanding.borrow_mut();
+        outstanding.retain(|name, count| *count > 0 || is_listed(name));
+        self.admission.borrow_mut().remove_idle(self.now());
+    }
+
+    /// Sets the hosts that are about to be removed.
+    pub fn set_leaving(&self, leaving: BTreeSet<Name>) {
+        self.leaving_hosts.replace(leaving);
+    }
+
+    /// Records that the prompt with this prefix was sent to `upstream`.
+    pub fn record_prefix(&self, upstream: &Name, prefix: &[u64]) {
+        let mut prefix_indexes = self.prefix_indexes.borrow_mut();
+        prefix_indexes
+            .entry(upstream.clone())
+            .or_insert_with(|| PrefixIndex::new(PREFIX_INDEX_CHUNKS))
+            .touch(prefix);
+    }
+
+    /// Counts an outstanding ticket or request at `upstream`.
+    pub fn add_outstanding(&self, upstream: &Name) {
+        *self
+            .outstanding
+            .borrow_mut()
+            .entry(upstream.clone())
+            .or_default() += 1;
+    }
+
+    /// Reverses one `add_outstanding`.
+    pub fn remove_outstanding(&self, upstream: &Name) {
+        if let Some(count) = self.outstanding.borrow_mut().get_mut(upstream) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod auth;
 mod calls;
+mod candidates;
 mod charges;
 mod error;
 mod http;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -29,8 +29,6 @@
 use crate::config::EntryConfig;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::directory::SoftwareVersion;
-use crate::dispatch::Choice;
 use crate::dispatch::Event;
 use crate::entry::EntryParts;
 use crate::entry::auth::KeyTable;
@@ -39,7 +37,6 @@
 use crate::entry::local_schedulers::SchedulerHandle;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::Job;
-use crate::entry::request::serves;
 use crate::entry::streams::Streams;
 use crate::held_requests::HeldRequestBounds;
 use crate::held_requests::HeldRequests;
@@ -56,19 +53,13 @@
 use crate::quota::Quota;
 use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudget;
-use crate::routing;
-use crate::routing::Candidate;
 use crate::settings::Settings;
-use crate::settings::Upstream;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
 /// The retry delay given to callers of evicted requests.
 const EVICTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The number of prompt chunks in the prefix index of one upstream.
-const PREFIX_INDEX_CHUNKS: usize = 4096;
-
 /// The shared state of an entry.
 pub struct EntryState {
     /// The process's own settings.
@@ -99,26 +90,26 @@
     /// The log.
     pub log: Logger,
     /// Hosts that are about to be removed.
-    leaving_hosts: RefCell<BTreeSet<Name>>,
+    pub(super) leaving_hosts: RefCell<BTreeSet<Name>>,
     memory: MemoryBudget,
     clock: Clock,
     keys: RefCell<(Revision, Rc<KeyTable>)>,
     /// The sequence number of the last request.
-    last_sequence: Cell<u64>,
+    pub(super) last_sequence: Cell<u64>,
     held_requests: RefCell<HeldRequests>,
     /// The event channels of the held requests.
     listeners: RefCell<HashMap<RequestId, UnboundedSender<Event>>>,
     /// The prompt prefixes sent to each upstream.
-    prefix_indexes: RefCell<HashMap<Name, PrefixIndex>>,
+    pub(super) prefix_indexes: RefCell<HashMap<Name, PrefixIndex>>,
     /// Outstanding tickets and requests, by upstream.
-    outstanding: RefCell<HashMap<Name, usize>>,
+    pub(super) outstanding: RefCell<HashMap<Name, usize>>,
     /// Concurrent requests, by organisation; every count is above zero.
     pub(super) concurrency: RefCell<HashMap<Name, u32>>,
     pub(super) rng: RefCell<SmallRng>,
     stopping: Cell<bool>,
     refusing_new: Cell<bool>,
     retry_budget: RefCell<RetryBudget>,
-    outliers: RefCell<Outliers>,
+    pub(super) outliers: RefCell<Outliers>,
     pub(super) admission: RefCell<AdmissionControl>,
     released: Notify,
     burn: RefCell<BurnLog>,
@@ -363,122 +354,12 @@
         }
     }
 
-    /// Returns the upstreams that can run `job`, the best first. With a `version`, only
-    /// upstreams of this software version can.
-    pub fn candidates(&self, job: &Job, version: Option<&SoftwareVersion>) -> Vec<Choice> {
-        let now = self.now();
-        let settings = self.active_settings.settings();
-        let upstreams = self.directory.upstreams();
-        let prefix_indexes = self.prefix_indexes.borrow();
-        let outstanding = self.outstanding.borrow();
-        let leaving = self.leaving_hosts.borrow();
-        let outliers = self.outliers.borrow();
-        let kind = job.admission.route.kind;
-        let candidate = |name: &Name, u: &Upstream| Candidate {
-            upstream: name.clone(),
-            same_zone: u.zone == self.config.zone,
-            matching_chunks: prefix_indexes
-                .get(name)
-                .map_or(0, |a| a.matching_chunks(&job.prefix)),
-            outstanding: outstanding.get(name).copied().unwrap_or_default(),
-        };
-        let (ejected, healthy): (Vec<Candidate>, Vec<Candidate>) = upstreams
-            .iter()
-            .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
-            .filter(|(_, u)| version.is_none_or(|v| u.version == *v))
-            .filter(|(name, u)| self.links.may_use(name, u))
-            .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
-            .map(|(name, u)| candidate(name, u))
-            .partition(|c| outliers.is_ejected(now, &c.upstream));
-        // An ejected upstream is better than none.
-        let candidates = if healthy.is_empty() { ejected } else { healthy };
-        // The policy `round-robin` starts at the candidate that this number gives.
-        let sequence = self.last_sequence.get();
-        let policy = settings.limits.policy;
-        routing::order_candidates(policy, candidates, sequence, &mut *self.rng.borrow_mut())
-    }
-
-    /// Returns whether an upstream that is not leaving can run `job` with this software
-    /// version.
-    pub fn has_version(&self, job: &Job, version: &SoftwareVersion) -> bool {
-        let upstreams = self.directory.upstreams();
-        let kind = job.admission.route.kind;
-        let mut running = upstreams.values().filter(|u| !u.leaving);
-        running.any(|u| serves(u, kind, &job.target) && u.version == *version)
-    }
-
-    /// Waits until an upstream is listed that can run `job`, for the longest time that
-    /// the job can wait.
-    pub async fn wait_for_upstreams(&self, job: &Job) {
-        let kind = job.admission.route.kind;
-        let mut changes = self.directory.subscribe();
-        let listed = async {
-            loop {
-                let upstreams = self.directory.upstreams();
-                if upstreams.values().any(|u| serves(u, kind, &job.target)) {
-                    return;
-                }
-                if changes.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        let max_wait = job.admission.urgency().max_wait();
-        // Without an upstream, the request is refused later.
-        let _ = actix_rt::time::timeout(max_wait, listed).await;
-    }
-
     /// Returns the time after which an answer to `job` is aborted.
     pub fn answer_timeout(&self, job: &Job) -> Duration {
         let timeout = job.admission.route.timeout;
         timeout.unwrap_or(self.active_settings.settings().limits.run)
     }
 
-    /// Removes the state kept for upstreams that are no longer listed, and the
-    /// idle request classes of the admission control.
-    pub fn purge_removed_upstreams(&self) {
-        let upstreams = self.directory.upstreams();
-        let is_listed = |name: &Name| upstreams.contains_key(name);
-        self.local_schedulers.retain(is_listed);
-        self.outliers.borrow_mut().retain(is_listed);
-        self.prefix_indexes
-            .borrow_mut()
-            .retain(|name, _| is_listed(name));
-        let mut outstanding = self.outstanding.borrow_mut();
-        outstanding.retain(|name, count| *count > 0 || is_listed(name));
-        self.admission.borrow_mut().remove_idle(self.now());
-    }
-
-    /// Sets the hosts that are about to be removed.
-    pub fn set_leaving(&self, leaving: BTreeSet<Name>) {
-        self.leaving_hosts.replace(leaving);
-    }
-
-    /// Records that the prompt with this prefix was sent to `upstream`.
-    pub fn record_prefix(&self, upstream: &Name, prefix: &[u64]) {
-        let mut prefix_indexes = self.prefix_indexes.borrow_mut();
-        prefix_indexes
-            .entry(upstream.clone())
-            .or_insert_with(|| PrefixIndex::new(PREFIX_INDEX_CHUNKS))
-            .touch(prefix);
-    }
-
-    /// Counts an outstanding ticket or request at `upstream`.
-    pub fn add_outstanding(&self, upstream: &Name) {
-        *self
-            .outstanding
-            .borrow_mut()
-            .entry(upstream.clone())
-            .or_default() += 1;
-    }
-
-    /// Reverses one `add_outstanding`.
-    pub fn remove_outstanding(&self, upstream: &Name) {
-        if let Some(count) = self.outstanding.borrow_mut().get_mut(upstream) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
     /// Records the outcome of a request. `upstream` is the one that it was last
     /// dispatched to, if any.
     pub fn record_outcome(&self, key: BurnKey, outcome: Outcome, upstream: Option<&Name>) {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -31,6 +31,8 @@
 pub use process::Process;
 pub use process::run_daemon_if_requested;
 pub use raw_upstream::ConnectionEnd;
+pub use raw_upstream::header;
+pub use raw_upstream::read_request;
 pub use raw_upstream::start_raw_upstream;
 pub use relay::Relay;
 pub use service::Service;
--- a/standins/src/raw_upstream.rs
+++ b/standins/src/raw_upstream.rs
@@ -61,8 +61,8 @@
 }
 
 /// Reads a request with its body, because unread bytes would turn the close into a
-/// reset, and returns its head in lower case.
-async fn read_request(stream: &mut TcpStream) -> String {
+/// reset, and returns its head in lower case. It is cut if the connection ends.
+pub async fn read_request(stream: &mut TcpStream) -> String {
     let mut request = String::new();
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
@@ -81,7 +81,8 @@
     }
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+/// Returns the value of the header `name` in a head, both in lower case.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
     lines.find(|(n, _)| *n == name).map(|(_, value)| value)
 }
