Learn of a second version from the records of other entries

Change: a record of a version that the entry doesn't know makes the service one of several versions, and the entry's own records due to be sent.

Measured: the new test fails without the change and passes with it.

--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -227,6 +227,9 @@
             Ok(StreamMessage::Began(records)) => {
                 let mut origins = self.origins.borrow_mut();
                 records.iter().for_each(|record| origins.learn(now, record));
+                if origins.has_unsent() {
+                    self.due.notify_one();
+                }
                 None
             }
             Ok(StreamMessage::Query(query)) => {
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -128,9 +128,13 @@
             }
         }
         self.versions.retain(|_, seen| !seen.is_empty());
-        let mixed: BTreeSet<Name> = &self.mixed_services() - &mixed_before;
+        self.mark_due(&(&self.mixed_services() - &mixed_before));
+    }
+
+    /// Makes the own records of streams of these services due to be sent.
+    fn mark_due(&mut self, services: &BTreeSet<Name>) {
         let own = self.records.iter().filter(|(_, r)| r.is_own);
-        let due = own.filter(|(_, r)| mixed.contains(&r.service));
+        let due = own.filter(|(_, r)| services.contains(&r.service));
         self.unsent.extend(due.map(|(id, _)| *id));
     }
 
@@ -156,8 +160,13 @@
         self.insert(now, stream, stored);
     }
 
-    /// Stores a record that another entry has sent.
+    /// Stores a record that another entry has sent. It also shows a version that this
+    /// entry may not know yet, because its view of the upstreams is old.
     pub fn learn(&mut self, now: Timestamp, record: &StreamRecord) {
+        let mixed_before = self.mixed_services();
+        let seen = self.versions.entry(record.service.clone()).or_default();
+        seen.entry(record.version.clone()).or_insert(Some(now));
+        self.mark_due(&(&self.mixed_services() - &mixed_before));
         if self.records.contains_key(&record.stream) {
             return;
         }
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -119,6 +119,26 @@
     assert!(!origins.has_unsent());
 }
 
+// Found by the soak, seed 100: an entry that was cut off from the platform did not know of
+// a release, kept its records to itself and died.
+#[test]
+fn record_of_another_entry_shows_a_version_that_is_not_known_yet() {
+    let mut origins = StreamOrigins::new(at(0));
+    origins.observe(at(0), &upstreams(&[1]));
+    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
+    assert!(!origins.has_unsent());
+    let of_new_version = StreamRecord {
+        stream: StreamId(9),
+        service: pool(),
+        version: version(2),
+        needed_for: timeout(),
+    };
+    origins.learn(at(2), &of_new_version);
+    let sent = origins.take_unsent(at(2));
+    assert_eq!(sent.iter().map(|r| r.stream.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(find(&origins, 3, 7), unknown(&[1, 2]));
+}
+
 #[test]
 fn first_record_of_a_stream_stays() {
     let mut origins = StreamOrigins::new(at(0));
