Look whether a leaving upstream still listens, too

Cause: the entry believed an upstream that was leaving or gone from the directory, because it may exit after its last answer. But it exits at a time, not after an answer, and cuts what still runs.

Change: the listener is looked for at the address to which the request was sent, whatever the directory says. An upstream that exits within a round trip after a whole answer without a length now makes it look broken off.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempt to serve a request at one upstream.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -219,7 +220,8 @@
                 upstream.version.clone(),
             )
             .await;
-        self.relay_body(answer, status, relay, claim).await
+        self.relay_body(answer, status, upstream.address, relay, claim)
+            .await
     }
 
     fn record_claim_head(&self, claim: &mut Option<OwnedClaim>, status: u16, headers: &[Header]) {
@@ -232,6 +234,7 @@
         &self,
         mut answer: Answer,
         status: u16,
+        address: SocketAddr,
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
     ) -> AttemptResult {
@@ -260,7 +263,8 @@
                     }
                 }
                 Ok(None) => {
-                    if self.has_crashed(relay).await {
+                    // A crash looks like the end of such an answer, but leaves no listener.
+                    if relay.may_go_on() && exchange::refuses_connections(address).await {
                         return self.fail_incomplete(relay);
                     }
                     if relay.finish().await {
@@ -320,20 +324,6 @@
         AttemptResult::Interrupted
     }
 
-    /// Returns whether the upstream has crashed at the end of an answer that only its
-    /// connection has ended. A crash looks like the end of such an answer, but leaves
-    /// no listener.
-    async fn has_crashed(&self, relay: &Relay) -> bool {
-        if !relay.may_go_on() {
-            return false;
-        }
-        match self.active_upstream(relay) {
-            Some(upstream) => exchange::refuses_connections(upstream.address).await,
-            // It may have exited after its last answer.
-            None => false,
-        }
-    }
-
     fn fail_incomplete(&self, relay: &Relay) -> AttemptResult {
         info!(self.state.log, "answer of the upstream ended before it was complete";
             "request" => %self.job.logged_id(self.request),
