Log stalls of the event loop and for how long a silent upstream has sent nothing

An idle timeout that elapses looks the same whether the upstream was silent or the entry itself had run nothing for as long. No decision changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::event_loop;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
 
@@ -42,6 +43,7 @@
     let mut stop = StopSignals::new().map_err(DaemonError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     actix_rt::spawn(log_hangups(hangup, log.clone()));
+    actix_rt::spawn(event_loop::log_stalls(log.clone()));
     kernel.start().await?;
     info!(log, "started");
     stop.recv().await;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -27,6 +27,7 @@
 use crate::settings::Upstream;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
+use crate::units::millis;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
@@ -136,7 +137,7 @@
         let answer = match head_timeout {
             Some(timeout) => match actix_rt::time::timeout(timeout, sent).await {
                 Ok(answer) => answer,
-                Err(_) => return Err(self.fail_idle()),
+                Err(_) => return Err(self.fail_idle(timeout)),
             },
             None => sent.await,
         };
@@ -240,15 +241,17 @@
     ) -> AttemptResult {
         let until = self.state.instant(self.timeout_at);
         let mut has_body_started = false;
+        let mut last_read = self.state.now();
         loop {
             let idle = sleep_or_forever(self.idle_timeout(relay));
             let next = tokio::select! {
                 next = answer.next() => next,
                 () = relay.closed(), if self.job.cancellable => return AttemptResult::CallerDisconnected,
                 () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
-                () = idle => return self.fail_idle(),
+                () = idle => return self.fail_idle(self.state.now().since(last_read)),
             };
             let now = self.state.now();
+            last_read = now;
             match next {
                 Ok(Some(bytes)) => {
                     if !has_body_started {
@@ -315,10 +318,12 @@
         }
     }
 
-    fn fail_idle(&self) -> AttemptResult {
+    /// Ends the attempt after the upstream has been silent for `silent`.
+    fn fail_idle(&self, silent: Duration) -> AttemptResult {
         info!(self.state.log, "upstream sent nothing within the idle timeout";
             "request" => %self.job.logged_id(self.request),
-            "upstream" => %self.upstream);
+            "upstream" => %self.upstream,
+            "silent_ms" => millis(silent));
         self.state
             .record_result(self.upstream, UpstreamResult::Failed);
         AttemptResult::Interrupted
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 //! The modules, in the order in which a request passes through them:
 //!
 //! 1. [`programs`], [`cli`] and [`config`] start a daemon. [`daemon`] runs the
-//!    services of its [`kernel`] until a signal stops it.
+//!    services of its [`kernel`] until a signal stops it, and [`event_loop`] logs when
+//!    it ran nothing for long.
 //! 2. [`entry`] receives the request through [`http_server`] and reads it
 //!    according to its [`dialect`]; the built-in dialect is [`openai`].
 //!    [`held_requests`] limits the number of requests at the entry, [`quota`]
@@ -54,6 +55,7 @@
 pub mod discovery;
 pub mod dispatch;
 pub mod entry;
+pub mod event_loop;
 pub mod events;
 pub mod exchange;
 pub mod exit_codes;
