--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod engine;
 mod load;
+mod paced_upstream;
 mod platform;
 mod ports;
 mod process;
@@ -24,6 +25,7 @@
 pub use load::LoadWork;
 pub use load::run_load;
 pub use load::summarise;
+pub use paced_upstream::PacedUpstream;
 pub use platform::Platform;
 pub use platform::PlatformFaults;
 pub use ports::Ports;
