Do not take a stall of the entry for the silence of an upstream

What callers saw: beside changes of large settings, resumable streams were cut off in the middle, or sent to a second upstream, though the first was writing all the time.

Cause: the idle timeout of a stream was a timer. An entry that ran nothing for longer than that found the timer elapsed and the upstream's bytes unread, and chose between both by chance.

Change: silence is counted in steps of 100 ms at most, so that a stall counts as one step. Bytes that are there go before all timers, also after the timeout of the request, for 200 ms at most. The log line says how much of the time was a stall.

Test: streams_survive_a_pause_of_their_entry.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -25,12 +25,16 @@
 use crate::outcome::Outcome;
 use crate::outlier::UpstreamResult;
 use crate::settings::Upstream;
+use crate::silence::SilenceWatch;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::units::millis;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
+#[cfg(test)]
+mod tests;
+
 /// Retry delay after an upstream has reported that it is full.
 const UPSTREAM_FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -41,6 +45,9 @@
 /// longest pause between two events with which a stream counts as on time.
 const IDLE_TIMEOUT_PAUSES: u32 = 3;
 
+/// Time for which bytes that have arrived are relayed after the timeout of a request.
+const READY_GRACE: Duration = Duration::from_millis(200);
+
 /// Result of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptResult {
@@ -90,8 +97,9 @@
         };
         let until = self.state.instant(self.timeout_at);
         let answer = tokio::select! {
-            answer = self.send_request(&upstream, relay) => answer,
+            biased;
             () = relay.closed(), if self.job.cancellable => return AttemptResult::CallerDisconnected,
+            answer = self.send_request(&upstream, relay) => answer,
             () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
         };
         match answer {
@@ -137,7 +145,7 @@
         let answer = match head_timeout {
             Some(timeout) => match actix_rt::time::timeout(timeout, sent).await {
                 Ok(answer) => answer,
-                Err(_) => return Err(self.fail_idle(timeout)),
+                Err(_) => return Err(self.fail_idle(&SilenceWatch::new(self.state.now()))),
             },
             None => sent.await,
         };
@@ -240,18 +248,31 @@
         claim: &mut Option<OwnedClaim>,
     ) -> AttemptResult {
         let until = self.state.instant(self.timeout_at);
+        let mut cutoff = Cutoff::new(self.timeout_at);
         let mut has_body_started = false;
-        let mut last_read = self.state.now();
+        let mut silence = SilenceWatch::new(self.state.now());
         loop {
-            let idle = sleep_or_forever(self.idle_timeout(relay));
+            if cutoff.is_reached(self.state.now()) {
+                return AttemptResult::TimedOut;
+            }
+            let idle_timeout = self.idle_timeout(relay);
+            let next_step = idle_timeout.map(|limit| silence.next_step(limit));
+            // After a stall of the event loop, timers have elapsed while bytes are there.
             let next = tokio::select! {
-                next = answer.next() => next,
+                biased;
                 () = relay.closed(), if self.job.cancellable => return AttemptResult::CallerDisconnected,
+                next = answer.next() => next,
                 () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
-                () = idle => return self.fail_idle(self.state.now().since(last_read)),
+                () = self.sleep_until_or_forever(next_step) => {
+                    let limit = idle_timeout.unwrap_or(Duration::MAX);
+                    if silence.count_step(self.state.now(), limit) {
+                        return self.fail_idle(&silence);
+                    }
+                    continue;
+                }
             };
             let now = self.state.now();
-            last_read = now;
+            silence.reset(now);
             match next {
                 Ok(Some(bytes)) => {
                     if !has_body_started {
@@ -318,12 +339,20 @@
         }
     }
 
-    /// Ends the attempt after the upstream has been silent for `silent`.
-    fn fail_idle(&self, silent: Duration) -> AttemptResult {
+    async fn sleep_until_or_forever(&self, at: Option<Timestamp>) {
+        match at {
+            Some(at) => actix_rt::time::sleep_until(self.state.instant(at).into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Ends the attempt because of the silence of the upstream.
+    fn fail_idle(&self, silence: &SilenceWatch) -> AttemptResult {
         info!(self.state.log, "upstream sent nothing within the idle timeout";
             "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream,
-            "silent_ms" => millis(silent));
+            "silent_ms" => millis(silence.silent()),
+            "stalled_ms" => millis(silence.stalled()));
         self.state
             .record_result(self.upstream, UpstreamResult::Failed);
         AttemptResult::Interrupted
@@ -363,10 +392,28 @@
     }
 }
 
-/// Sleeps for `limit`, or forever if it is `None`.
-async fn sleep_or_forever(limit: Option<Duration>) {
-    match limit {
-        Some(limit) => actix_rt::time::sleep(limit).await,
-        None => std::future::pending().await,
+/// End of an answer whose request has reached its timeout: what has arrived by then is
+/// still relayed, for a short time.
+struct Cutoff {
+    timeout_at: Timestamp,
+    /// The first time after the timeout at which the answer was looked at.
+    overdue_since: Option<Timestamp>,
+}
+
+impl Cutoff {
+    fn new(timeout_at: Timestamp) -> Self {
+        Self {
+            timeout_at,
+            overdue_since: None,
+        }
+    }
+
+    /// Returns whether an answer must end at `now` although bytes of it may be there.
+    fn is_reached(&mut self, now: Timestamp) -> bool {
+        if now < self.timeout_at {
+            return false;
+        }
+        let since = *self.overdue_since.get_or_insert(now);
+        now.since(since) >= READY_GRACE
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,8 +22,9 @@
 //!    itself, as a local scheduler.
 //! 5. The entry sends the [`upstream_request`] to the upstream through an
 //!    [`exchange`] and forwards the answer. [`events`] finds the position at which
-//!    an interrupted stream resumes at another upstream, and [`completeness`]
-//!    whether an answer was broken off. [`retry_budget`] limits
+//!    an interrupted stream resumes at another upstream, [`completeness`]
+//!    whether an answer was broken off, and [`silence`] whether nothing comes any
+//!    more. [`retry_budget`] limits
 //!    retries, and [`outlier`] excludes upstreams that fail their requests.
 //! 6. The entry reads the [`usage`] from the answer, reports it to the scheduler
 //!    and counts the [`outcome`] in [`metrics`] and [`burn`].
@@ -94,6 +95,7 @@
 pub mod scheduler;
 pub mod settings;
 pub mod settings_service;
+pub mod silence;
 pub mod site_key;
 pub mod stored_settings;
 pub mod stream_origins;
--- a/standins/src/paced_upstream.rs
+++ b/standins/src/paced_upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream whose streams stop in the middle until its test lets them go on.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -28,7 +29,7 @@
 struct State {
     released: watch::Sender<bool>,
     /// The number of answers that have begun.
-    answers: watch::Sender<usize>,
+    answers: Cell<usize>,
 }
 
 impl PacedUpstream {
@@ -39,7 +40,7 @@
         let address = listener.local_addr().expect("it has an address");
         let state = Rc::new(State {
             released: watch::Sender::new(false),
-            answers: watch::Sender::new(0),
+            answers: Cell::new(0),
         });
         let shared = Rc::clone(&state);
         actix_rt::spawn(async move {
@@ -57,20 +58,7 @@
 
     /// Returns the number of answers that have begun.
     pub fn answers(&self) -> usize {
-        *self.state.answers.borrow()
-    }
-
-    /// Waits until `upstreams` have begun `count` answers in all.
-    pub async fn wait_for_answers(upstreams: &[&Self], count: usize) {
-        let mut changes: Vec<_> = upstreams
-            .iter()
-            .map(|u| u.state.answers.subscribe())
-            .collect();
-        while upstreams.iter().map(|u| u.answers()).sum::<usize>() < count {
-            let changed = changes.iter_mut().map(|c| Box::pin(c.changed()));
-            let (result, ..) = futures::future::select_all(changed).await;
-            result.expect("the upstream is running");
-        }
+        self.state.answers.get()
     }
 
     /// Returns the body of a whole stream.
@@ -98,7 +86,7 @@
     );
     // The caller may have closed the connection.
     let _ = stream.write_all((answer_head + &begin).as_bytes()).await;
-    state.answers.send_modify(|answers| *answers += 1);
+    state.answers.set(state.answers.get() + 1);
     let mut released = state.released.subscribe();
     // Fails only when the upstream is dropped.
     let _ = released.wait_for(|is_released| *is_released).await;
