--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -21,38 +21,27 @@
 use crate::entry::error::CallerError;
 use crate::entry::idempotency::OwnedClaim;
 use crate::entry::local_schedulers::SchedulerHandle;
-use crate::entry::local_schedulers::local_scheduler_config;
-use crate::entry::local_schedulers::offer_to_agent;
 use crate::entry::relay::Relay;
 use crate::entry::request::Job;
 use crate::entry::state::EntryState;
-use crate::entry::timers::Due;
-use crate::entry::timers::WaitTimers;
 use crate::headers::Header;
 use crate::ids::GrantId;
-use crate::ids::LinkId;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::settings::Policy;
-use crate::ticket::Rank;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
-use crate::ticket::Ticket;
-use crate::ticket::WithdrawReason;
 use crate::units::millis;
 
+use self::waiting::WaitResult;
+
 mod endings;
-#[cfg(test)]
-mod tests;
+mod waiting;
 
 /// Retry delay after an upstream has failed and no other is left.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time between two refreshes of the candidate upstreams while there is none. It
-/// is a small part of common objectives.
-const CANDIDATE_REFRESH_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Part of the reply to a caller, in the order of sending.
 #[derive(Debug)]
 pub enum Reply {
@@ -113,40 +102,6 @@
     _concurrency_permit: ConcurrencyPermit,
 }
 
-/// Result of waiting for a grant.
-enum WaitResult {
-    /// The grant of this upstream was accepted; the request can be sent.
-    Granted(Name, GrantId),
-    /// The request has ended without a grant.
-    Finished(Outcome),
-}
-
-/// What a waiting request reacts to.
-#[derive(Debug)]
-enum Input {
-    /// The caller has disconnected.
-    CallerLeft,
-    /// An event for the dispatch.
-    Event(Event),
-    /// The next timer is due.
-    Timer,
-}
-
-/// Waits for the next input. If several are there, a busy entry must not send a request
-/// whose caller has left, and events precede timers.
-async fn next_input<C, T>(closed: C, events: &mut UnboundedReceiver<Event>, timer: T) -> Input
-where
-    C: Future<Output = ()>,
-    T: Future<Output = ()>,
-{
-    tokio::select! {
-        biased;
-        () = closed => Input::CallerLeft,
-        Some(event) = events.recv() => Input::Event(event),
-        () = timer => Input::Timer,
-    }
-}
-
 impl RequestTask {
     /// Creates the task of an accepted request. `event_tx` and `event_rx` are the
     /// ends of the event channel that is registered for the held request.
@@ -282,166 +237,6 @@
         }
     }
 
-    /// Offers tickets and waits for a grant of an upstream.
-    async fn wait_for_grant(&mut self, actions: Vec<Action>) -> WaitResult {
-        let mut timers = WaitTimers::new();
-        let mut pending_actions = actions;
-        let wait_deadline =
-            (self.arrived + self.job.admission.urgency().max_wait()).min(self.deadline);
-        loop {
-            for action in std::mem::take(&mut pending_actions) {
-                match action {
-                    Action::Offer(upstream) => self.offer(upstream),
-                    Action::RecordWait(wait) => {
-                        if !std::mem::replace(&mut self.is_arrival_recorded, true) {
-                            self.state.record_refused(&self.job);
-                        }
-                        self.state.record_wait(&self.job, wait);
-                    }
-                    Action::RecordQueued => self.record_arrival(),
-                    Action::CollectFor(time) => timers.collect_until(self.state.now() + time),
-                    Action::AwaitUpstreams => {
-                        timers.refresh_at(self.state.now() + CANDIDATE_REFRESH_INTERVAL)
-                    }
-                    Action::Withdraw(upstream) => {
-                        self.withdraw(&upstream, WithdrawReason::GivenUp);
-                    }
-                    Action::Send(upstream, grant) => {
-                        self.record_arrival();
-                        self.state.record_sent(&self.job);
-                        self.withdraw_others(&upstream);
-                        return WaitResult::Granted(upstream, grant);
-                    }
-                    Action::GiveUp {
-                        refusal,
-                        retry_after,
-                    } => return WaitResult::Finished(self.give_up(refusal, retry_after).await),
-                }
-            }
-            // A request that continues a partial answer is limited only by its
-            // deadline.
-            let effective_deadline = if self.relay.has_sent_head() {
-                self.deadline
-            } else {
-                wait_deadline
-            };
-            let next_timer = self.state.instant(timers.next(effective_deadline));
-            let timer = actix_rt::time::sleep_until(next_timer.into());
-            match next_input(self.relay.closed(), &mut self.event_rx, timer).await {
-                Input::CallerLeft => {
-                    // `finish` withdraws the tickets, so the actions are not needed.
-                    self.dispatch.abandon();
-                    return WaitResult::Finished(Outcome::cancelled);
-                }
-                Input::Event(event) if self.is_current(&event) => {
-                    pending_actions = self.dispatch.handle_event(event);
-                }
-                Input::Event(_) => {}
-                Input::Timer => {
-                    let event = match timers.due(self.state.now(), effective_deadline) {
-                        Some(Due::WaitTimedOut) => Event::WaitTimedOut,
-                        Some(Due::Refresh) => {
-                            let origin = self.relay.origin();
-                            Event::Upstreams(self.state.candidates(&self.job, origin))
-                        }
-                        Some(Due::CollectionTimedOut) => Event::CollectionTimedOut,
-                        None => continue,
-                    };
-                    pending_actions = self.dispatch.handle_event(event);
-                }
-            }
-        }
-    }
-
-    /// Records the arrival for the throttle, once per request.
-    fn record_arrival(&mut self) {
-        if !std::mem::replace(&mut self.is_arrival_recorded, true) {
-            self.state.record_arrival(&self.job);
-        }
-    }
-
-    /// Returns whether an event concerns the scheduler that holds the ticket now.
-    ///
-    /// The loss of a connection is ignored if the ticket has been offered over
-    /// another connection, or to a local scheduler, in the meantime.
-    fn is_current(&self, event: &Event) -> bool {
-        match event {
-            Event::ConnectionLost(upstream, id) => self
-                .schedulers
-                .get(upstream)
-                .is_none_or(|s| s.uses_link(*id)),
-            _ => true,
-        }
-    }
-
-    fn offer(&mut self, upstream: Name) {
-        let Some(upstream_settings) = self.state.directory.get(&upstream) else {
-            // The upstream was removed, which has the same effect as a lost connection.
-            // The default id belongs to no connection. Sending can't fail, because
-            // this task owns the receiver.
-            let _ = self
-                .event_tx
-                .send(Event::ConnectionLost(upstream, LinkId::default()));
-            return;
-        };
-        // Withdraws a ticket from a lost connection before it is offered again.
-        self.withdraw(&upstream, WithdrawReason::GivenUp);
-        let now = self.state.now();
-        let ticket = self.ticket();
-        let scheduler = self.state.scheduler_for(&upstream);
-        self.state.add_outstanding(&upstream);
-        match &scheduler {
-            SchedulerHandle::Agent(link) => {
-                let links = &self.state.links;
-                links.register(&upstream, self.request, self.event_tx.clone());
-                offer_to_agent(link, &upstream, &ticket, now, &self.event_tx);
-            }
-            SchedulerHandle::Local(schedulers) => {
-                // The quota keeps the number of running entries.
-                let entries = self.state.quota.borrow().entries();
-                let settings = self.state.active_settings.settings();
-                let config = local_scheduler_config(&settings, &upstream_settings, entries);
-                schedulers.offer(now, &upstream, config, ticket, &self.event_tx);
-            }
-        }
-        self.schedulers.insert(upstream, scheduler);
-    }
-
-    fn ticket(&self) -> Ticket {
-        let admission = &self.job.admission;
-        Ticket {
-            request: self.request,
-            organisation: admission.organisation.clone(),
-            rank: Rank::from(admission.rank),
-            deadline: self.deadline,
-            objective: self.arrived + admission.urgency().objective_left(),
-            wait_deadline: (self.arrived + admission.urgency().max_wait()).min(self.deadline),
-            work: self.job.work,
-            prefix: self.job.prefix.clone(),
-            idempotent: self.job.idempotent,
-        }
-    }
-
-    fn withdraw(&mut self, upstream: &Name, reason: WithdrawReason) {
-        if let Some(scheduler) = self.schedulers.remove(upstream) {
-            self.state.links.unregister(upstream, self.request);
-            self.state.remove_outstanding(upstream);
-            scheduler.withdraw(self.state.now(), upstream, self.request, reason);
-        }
-    }
-
-    fn withdraw_others(&mut self, kept: &Name) {
-        let others: Vec<Name> = self
-            .schedulers
-            .keys()
-            .filter(|u| *u != kept)
-            .cloned()
-            .collect();
-        for upstream in others {
-            self.withdraw(&upstream, WithdrawReason::SentElsewhere);
-        }
-    }
-
     /// Sends the request to `upstream` and relays its answer.
     async fn attempt(&mut self, upstream: &Name, grant: GrantId) -> AttemptResult {
         let Some(scheduler) = self.schedulers.remove(upstream) else {
