Keep the answer of a silent upstream until another one has room

What callers saw: streams whose upstream fell silent were cut off if nothing could go on with them: no other upstream, no attempt left, no room, no retry budget.

Cause: the idle timeout ended the attempt first and asked afterwards whether the stream can go on. The wait for the head of the second upstream had the same timeout, though that was the last attempt, and a full upstream begins later than that.

Change: after a silence, tickets are offered to other upstreams while the attempt stays. What comes first decides: if the upstream speaks again, the tickets are withdrawn and its answer goes on; if another one grants room, the request moves. If neither an attempt nor an upstream is left, the request waits for the silent one until its timeout. An upstream may be silent for 1.5 s at least before another is sought, and a silence counts as a failure only where it was left. The wait for a head is limited by the timeout of the request alone.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -143,6 +143,20 @@
         self.remaining.retain(|choice| may_run(&choice.upstream));
     }
 
+    /// Ends the search for another upstream, since the one to which the request was sent
+    /// may answer after all. Upstreams that have refused a ticket can be offered one
+    /// again in the next search.
+    pub fn stay(&mut self) -> Vec<Action> {
+        let actions = self.withdraw_all();
+        self.state = State::Sent;
+        self.tickets.clear();
+        self.remaining.clear();
+        self.reoffered.clear();
+        self.refusal = None;
+        self.retry_after = None;
+        actions
+    }
+
     /// Offers the first tickets.
     pub fn start(&mut self) -> Vec<Action> {
         let mut actions = self.offer_tickets();
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -316,3 +316,49 @@
     assert_eq!(actions[0], Action::Offer(name(3)));
     assert!(actions[1..].iter().all(|a| !matches!(a, Action::Offer(_))));
 }
+
+/// Returns a dispatch that was sent to upstream 0 and seeks another one, since upstream 0
+/// is silent.
+fn seeking_dispatch() -> (Dispatch, Vec<Action>) {
+    let mut dispatch = Dispatch::new(choices(3), 2);
+    dispatch.start();
+    dispatch.handle_event(granted(0, quote(0, 50, 900)));
+    let actions = dispatch.handle_event(queued(1, 10));
+    assert_eq!(sent(&actions), Some(name(0)));
+    let unreachable = refusal(RefusalCode::Unreachable);
+    let actions = dispatch.handle_event(Event::NotRun(name(0), unreachable));
+    (dispatch, actions)
+}
+
+// Issue 31, LOST: the search for another upstream could only end with another one, or
+// with the loss of the answer.
+#[test]
+fn search_ends_without_a_send_if_the_silent_upstream_answers() {
+    let (mut dispatch, offered) = seeking_dispatch();
+    assert!(offered.contains(&Action::Offer(name(1))));
+    let withdrawn = dispatch.stay();
+    assert!(withdrawn.contains(&Action::Withdraw(name(1))));
+    assert!(!dispatch.needs_upstream());
+    let late = Event::Granted(name(1), grant(1, quote(0, 50, 900)));
+    assert_eq!(dispatch.handle_event(late), [Action::Withdraw(name(1))]);
+}
+
+#[test]
+fn upstreams_that_refused_in_an_ended_search_are_offered_a_ticket_again() {
+    let (mut dispatch, _) = seeking_dispatch();
+    let refused = |i| Event::OfferReplied(name(i), OfferResult::Refused(busy()));
+    dispatch.handle_event(refused(1));
+    let actions = dispatch.handle_event(refused(2));
+    assert!(matches!(actions[..], [Action::GiveUp { .. }]));
+    dispatch.stay();
+    let unreachable = refusal(RefusalCode::Unreachable);
+    let actions = dispatch.handle_event(Event::NotRun(name(0), unreachable));
+    assert!(actions.contains(&Action::AwaitUpstreams));
+    let actions = dispatch.handle_event(Event::Upstreams(choices(3)));
+    assert!(actions.contains(&Action::Offer(name(0))));
+    assert!(actions.contains(&Action::Offer(name(1))));
+}
+
+fn busy() -> Refusal {
+    refusal(RefusalCode::Overloaded)
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,6 +1,5 @@
 //! Attempt to serve a request at one upstream.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,28 +24,31 @@
 use crate::outcome::Outcome;
 use crate::outlier::UpstreamResult;
 use crate::settings::Upstream;
-use crate::silence::SilenceWatch;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 use crate::units::millis;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
+mod running;
 #[cfg(test)]
 mod tests;
 
+use self::running::RunningAnswer;
+
 /// Retry delay after an upstream has reported that it is full.
 const UPSTREAM_FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Retry delay after an upstream could not be reached or was replaced.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Idle timeout of a resumable stream, as a multiple of the route's `pause`, the
-/// longest pause between two events with which a stream counts as on time.
+/// Silence after which another upstream is sought for a resumable stream, as a multiple
+/// of the route's `pause`, the longest pause between two events with which a stream
+/// counts as on time.
 const IDLE_TIMEOUT_PAUSES: u32 = 3;
 
-/// Time for which bytes that have arrived are relayed after the timeout of a request.
-const READY_GRACE: Duration = Duration::from_millis(200);
+/// Shortest such silence: a sound upstream may say nothing for about a second.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Result of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,22 +64,25 @@
     CallerDisconnected,
     /// The caller had disconnected before the request was sent.
     NotSent,
+    /// The upstream is silent. Another one can be sought meanwhile; the attempt goes on
+    /// with [`Attempt::run`].
+    Silent,
     /// The timeout of the request has elapsed.
     TimedOut,
 }
 
 /// Attempt to serve a request at one upstream.
-pub struct Attempt<'a> {
+pub struct Attempt {
     /// The state of the entry.
-    pub state: &'a Rc<EntryState>,
+    pub state: Rc<EntryState>,
     /// The id of the request.
     pub request: RequestId,
     /// The request to send.
-    pub job: &'a Job,
+    pub job: Rc<Job>,
     /// The upstream.
-    pub upstream: &'a Name,
+    pub upstream: Name,
     /// The scheduler that issued the grant.
-    pub scheduler: &'a SchedulerHandle,
+    pub scheduler: SchedulerHandle,
     /// The time after which the answer counts as late.
     pub deadline: Timestamp,
     /// The time at which the answer is aborted.
@@ -86,32 +91,83 @@
     pub arrived: Timestamp,
     /// Whether the route allows no further attempt.
     pub is_last: bool,
+    /// The answer, from its head on, while [`Attempt::run`] does not run.
+    pub(super) running: Option<RunningAnswer>,
 }
 
-impl Attempt<'_> {
-    /// Sends the request and relays the answer.
-    pub async fn run(&self, relay: &mut Relay, claim: &mut Option<OwnedClaim>) -> AttemptResult {
+impl Attempt {
+    /// Sends the request and relays the answer, or goes on with it after
+    /// [`AttemptResult::Silent`].
+    pub async fn run(
+        &mut self,
+        relay: &mut Relay,
+        claim: &mut Option<OwnedClaim>,
+    ) -> AttemptResult {
+        let begun = match self.running.take() {
+            Some(running) => Ok(running),
+            None => self.begin(relay, claim).await,
+        };
+        let mut running = match begun {
+            Ok(running) => running,
+            Err(result) => return result,
+        };
+        let result = self.relay_body(&mut running, relay, claim).await;
+        if result == AttemptResult::Silent {
+            self.running = Some(running);
+        }
+        result
+    }
+
+    /// Lets the upstream be silent for as long as the request may last.
+    pub fn be_patient(&mut self) {
+        if let Some(running) = &mut self.running {
+            running.be_patient();
+        }
+    }
+
+    /// Waits until a silent upstream sends something.
+    pub async fn wait_for_bytes(&mut self) {
+        match &mut self.running {
+            Some(running) => running.wait_for_bytes().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Records that the answer was abandoned for another upstream after a silence.
+    pub fn leave_silent_upstream(&self) {
+        info!(self.state.log, "silent upstream left for another";
+            "request" => %self.job.logged_id(self.request),
+            "upstream" => %self.upstream);
+        self.state
+            .record_result(&self.upstream, UpstreamResult::Failed);
+    }
+
+    /// Sends the request and relays the head of the answer.
+    async fn begin(
+        &self,
+        relay: &mut Relay,
+        claim: &mut Option<OwnedClaim>,
+    ) -> Result<RunningAnswer, AttemptResult> {
         // A leaving or removed upstream is treated like an unreachable one.
         let Some(upstream) = self.active_upstream(relay) else {
-            return self.fail_unreachable();
+            return Err(self.fail_unreachable());
         };
         let until = self.state.instant(self.timeout_at);
         let answer = tokio::select! {
             biased;
-            () = relay.closed(), if self.job.cancellable => return AttemptResult::CallerDisconnected,
-            answer = self.send_request(&upstream, relay) => answer,
-            () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
+            () = relay.closed(), if self.job.cancellable => {
+                return Err(AttemptResult::CallerDisconnected);
+            }
+            answer = self.send_request(&upstream, relay) => answer?,
+            () = actix_rt::time::sleep_until(until.into()) => return Err(AttemptResult::TimedOut),
         };
-        match answer {
-            Ok(answer) => self.handle_answer(answer, &upstream, relay, claim).await,
-            Err(result) => result,
-        }
+        self.handle_answer(answer, &upstream, relay, claim).await
     }
 
     /// Returns the upstream, or `None` if it is leaving, was removed or runs another
     /// software version since the ticket was offered.
     fn active_upstream(&self, relay: &Relay) -> Option<Upstream> {
-        let upstream = self.state.directory.get(self.upstream)?;
+        let upstream = self.state.directory.get(&self.upstream)?;
         let may_answer = relay.origin().is_none_or(|v| upstream.version == *v);
         Some(upstream).filter(|u| !u.leaving && may_answer)
     }
@@ -136,19 +192,9 @@
         if relay.is_closed() {
             return Err(AttemptResult::NotSent);
         }
-        self.state.record_prefix(self.upstream, &self.job.prefix);
+        self.state.record_prefix(&self.upstream, &self.job.prefix);
         let upstream_request = self.upstream_request(upstream, relay);
-        let sent = exchange::send(stream, &upstream_request);
-        // Until a head is relayed to the caller, only the timeout of the request
-        // limits the wait for an answer.
-        let head_timeout = self.idle_timeout(relay).filter(|_| relay.has_sent_head());
-        let answer = match head_timeout {
-            Some(timeout) => match actix_rt::time::timeout(timeout, sent).await {
-                Ok(answer) => answer,
-                Err(_) => return Err(self.fail_idle(&SilenceWatch::new(self.state.now()))),
-            },
-            None => sent.await,
-        };
+        let answer = exchange::send(stream, &upstream_request).await;
         answer.map_err(|e| self.fail_exchange(&e))
     }
 
@@ -175,43 +221,43 @@
         upstream: &Upstream,
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
-    ) -> AttemptResult {
+    ) -> Result<RunningAnswer, AttemptResult> {
         let dialect = &self.state.dialect;
         let verdict = dialect.classify_answer(self.job.caller_id.as_ref(), &answer.head);
         match verdict {
             AnswerVerdict::Answer => {}
             AnswerVerdict::Full => {
-                return AttemptResult::NotRun(Refusal::new(
+                return Err(AttemptResult::NotRun(Refusal::new(
                     RefusalCode::Overloaded,
                     UPSTREAM_FULL_RETRY_AFTER,
-                ));
+                )));
             }
             AnswerVerdict::WrongInstance => {
                 self.state
-                    .record_result(self.upstream, UpstreamResult::Replaced);
-                return AttemptResult::NotRun(Refusal::new(
+                    .record_result(&self.upstream, UpstreamResult::Replaced);
+                return Err(AttemptResult::NotRun(Refusal::new(
                     RefusalCode::Stale,
                     UNREACHABLE_RETRY_AFTER,
-                ));
+                )));
             }
             AnswerVerdict::RequestIdMismatch => {
                 self.state
-                    .record_result(self.upstream, UpstreamResult::Failed);
-                return AttemptResult::Interrupted;
+                    .record_result(&self.upstream, UpstreamResult::Failed);
+                return Err(AttemptResult::Interrupted);
             }
         }
         let status = answer.head.status;
         if relay.has_sent_head() && !(200..300).contains(&status) {
             // A response that doesn't continue the stream must not be appended to it.
             self.state
-                .record_result(self.upstream, UpstreamResult::Failed);
-            return AttemptResult::Interrupted;
+                .record_result(&self.upstream, UpstreamResult::Failed);
+            return Err(AttemptResult::Interrupted);
         }
         if status >= 500 {
             self.state
-                .record_result(self.upstream, UpstreamResult::Failed);
+                .record_result(&self.upstream, UpstreamResult::Failed);
             if self.job.idempotent && !self.is_last {
-                return AttemptResult::Interrupted;
+                return Err(AttemptResult::Interrupted);
             }
         }
         let headers = std::mem::take(&mut answer.head.headers);
@@ -229,8 +275,12 @@
                 upstream.version.clone(),
             )
             .await;
-        self.relay_body(answer, status, upstream.address, relay, claim)
-            .await
+        Ok(RunningAnswer::new(
+            answer,
+            upstream.address,
+            self.state.now(),
+            self.timeout_at,
+        ))
     }
 
     fn record_claim_head(&self, claim: &mut Option<OwnedClaim>, status: u16, headers: &[Header]) {
@@ -241,42 +291,38 @@
 
     async fn relay_body(
         &self,
-        mut answer: Answer,
-        status: u16,
-        address: SocketAddr,
+        running: &mut RunningAnswer,
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
     ) -> AttemptResult {
         let until = self.state.instant(self.timeout_at);
-        let mut cutoff = Cutoff::new(self.timeout_at);
-        let mut has_body_started = false;
-        let mut silence = SilenceWatch::new(self.state.now());
         loop {
-            if cutoff.is_reached(self.state.now()) {
+            if running.cutoff.is_reached(self.state.now()) {
                 return AttemptResult::TimedOut;
             }
-            let idle_timeout = self.idle_timeout(relay);
-            let next_step = idle_timeout.map(|limit| silence.next_step(limit));
+            let idle_timeout = running.limit_of_silence(self.idle_timeout(relay));
+            let next_step = idle_timeout.map(|limit| running.silence.next_step(limit));
             // After a stall of the event loop, timers have elapsed while bytes are there.
             let next = tokio::select! {
                 biased;
-                () = relay.closed(), if self.job.cancellable => return AttemptResult::CallerDisconnected,
-                next = answer.next() => next,
+                () = relay.closed(), if self.job.cancellable => {
+                    return AttemptResult::CallerDisconnected;
+                }
+                next = running.next() => next,
                 () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
                 () = self.sleep_until_or_forever(next_step) => {
                     let limit = idle_timeout.unwrap_or(Duration::MAX);
-                    if silence.count_step(self.state.now(), limit) {
-                        return self.fail_idle(&silence);
+                    if running.silence.count_step(self.state.now(), limit) {
+                        return self.report_silence(running);
                     }
                     continue;
                 }
             };
             let now = self.state.now();
-            silence.reset(now);
+            running.silence.reset(now);
             match next {
                 Ok(Some(bytes)) => {
-                    if !has_body_started {
-                        has_body_started = true;
+                    if !std::mem::replace(&mut running.has_body_started, true) {
                         self.record_first_byte(now);
                     }
                     if let Some(claim) = claim {
@@ -286,48 +332,57 @@
                         self.record_origin(relay);
                     }
                 }
-                Ok(None) => {
-                    // A crash looks like the end of such an answer, but leaves no listener.
-                    if relay.may_go_on() && exchange::refuses_connections(address).await {
-                        return self.fail_incomplete(relay);
-                    }
-                    if relay.finish().await {
-                        if status < 500 {
-                            self.state
-                                .record_result(self.upstream, UpstreamResult::Served);
-                        }
-                        return AttemptResult::Completed(self.outcome(status, now));
-                    }
-                    return self.fail_incomplete(relay);
-                }
+                Ok(None) => return self.end_answer(running, relay, now).await,
                 Err(e) => return self.fail_exchange(&e),
             }
         }
     }
 
+    /// Ends the answer after the upstream has ended its body.
+    async fn end_answer(
+        &self,
+        running: &RunningAnswer,
+        relay: &mut Relay,
+        now: Timestamp,
+    ) -> AttemptResult {
+        // A crash looks like the end of such an answer, but leaves no listener.
+        if relay.may_go_on() && exchange::refuses_connections(running.address).await {
+            return self.fail_incomplete(relay);
+        }
+        if !relay.finish().await {
+            return self.fail_incomplete(relay);
+        }
+        if running.status < 500 {
+            self.state
+                .record_result(&self.upstream, UpstreamResult::Served);
+        }
+        AttemptResult::Completed(self.outcome(running.status, now))
+    }
+
     /// Records the software version that began the stream.
     fn record_origin(&self, relay: &Relay) {
         let version = relay.origin().cloned().unwrap_or_default();
         let stream = self.job.stream(self.request);
-        let timeout = self.state.answer_timeout(self.job);
+        let timeout = self.state.answer_timeout(&self.job);
         let streams = &self.state.streams;
         streams.begin(stream, &self.job.target, version, timeout);
     }
 
     fn record_first_byte(&self, now: Timestamp) {
         self.scheduler
-            .mark_answering(now, self.upstream, self.request);
+            .mark_answering(now, &self.upstream, self.request);
         let waited = now.since(self.arrived).as_secs_f64();
         let tier = &self.job.admission.tier;
         self.state.metrics.record_first_byte(tier, waited);
     }
 
-    /// Returns the idle time after which a resumable stream is continued at
-    /// another upstream, or `None` if no other upstream can continue it.
+    /// Returns the silence after which another upstream is sought for a resumable
+    /// stream, or `None` if no other upstream can continue it.
     fn idle_timeout(&self, relay: &Relay) -> Option<Duration> {
         let route = &self.job.admission.route;
         let pause = route.pause.filter(|_| route.resumable)?;
-        relay.can_fail_over().then_some(pause * IDLE_TIMEOUT_PAUSES)
+        let limit = (pause * IDLE_TIMEOUT_PAUSES).max(MIN_IDLE_TIMEOUT);
+        relay.can_fail_over().then_some(limit)
     }
 
     fn outcome(&self, status: u16, now: Timestamp) -> Outcome {
@@ -346,16 +401,13 @@
         }
     }
 
-    /// Ends the attempt because of the silence of the upstream.
-    fn fail_idle(&self, silence: &SilenceWatch) -> AttemptResult {
+    fn report_silence(&self, running: &RunningAnswer) -> AttemptResult {
         info!(self.state.log, "upstream sent nothing within the idle timeout";
             "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream,
-            "silent_ms" => millis(silence.silent()),
-            "stalled_ms" => millis(silence.stalled()));
-        self.state
-            .record_result(self.upstream, UpstreamResult::Failed);
-        AttemptResult::Interrupted
+            "silent_ms" => millis(running.silence.silent()),
+            "stalled_ms" => millis(running.silence.stalled()));
+        AttemptResult::Silent
     }
 
     fn fail_incomplete(&self, relay: &Relay) -> AttemptResult {
@@ -365,7 +417,7 @@
             "framing" => relay.framing().map(Framing::name),
             "partial_bytes" => relay.partial_bytes());
         self.state
-            .record_result(self.upstream, UpstreamResult::Failed);
+            .record_result(&self.upstream, UpstreamResult::Failed);
         AttemptResult::Interrupted
     }
 
@@ -378,42 +430,16 @@
             return self.fail_unreachable();
         }
         self.state
-            .record_result(self.upstream, UpstreamResult::Failed);
+            .record_result(&self.upstream, UpstreamResult::Failed);
         AttemptResult::Interrupted
     }
 
     fn fail_unreachable(&self) -> AttemptResult {
         self.state
-            .record_result(self.upstream, UpstreamResult::Unreachable);
+            .record_result(&self.upstream, UpstreamResult::Unreachable);
         AttemptResult::NotRun(Refusal::new(
             RefusalCode::Unreachable,
             UNREACHABLE_RETRY_AFTER,
         ))
     }
 }
-
-/// End of an answer whose request has reached its timeout: what has arrived by then is
-/// still relayed, for a short time.
-struct Cutoff {
-    timeout_at: Timestamp,
-    /// The first time after the timeout at which the answer was looked at.
-    overdue_since: Option<Timestamp>,
-}
-
-impl Cutoff {
-    fn new(timeout_at: Timestamp) -> Self {
-        Self {
-            timeout_at,
-            overdue_since: None,
-        }
-    }
-
-    /// Returns whether an answer must end at `now` although bytes of it may be there.
-    fn is_reached(&mut self, now: Timestamp) -> bool {
-        if now < self.timeout_at {
-            return false;
-        }
-        let since = *self.overdue_since.get_or_insert(now);
-        now.since(since) >= READY_GRACE
-    }
-}
--- /dev/null
+++ b/src/entry/attempt/running.rs
@@ -0,0 +1,107 @@
+//! An answer that an upstream is sending.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Timestamp;
+use crate::exchange::Answer;
+use crate::exchange::ExchangeError;
+use crate::silence::SilenceWatch;
+
+/// Time for which bytes that have arrived are relayed after the timeout of a request.
+const READY_GRACE: Duration = Duration::from_millis(200);
+
+/// The next bytes of a body, or `None` at its end.
+type NextBytes = Result<Option<Bytes>, ExchangeError>;
+
+/// Answer of which the body is relayed.
+pub(crate) struct RunningAnswer {
+    /// The status code of the answer.
+    pub(super) status: u16,
+    /// The address of the upstream.
+    pub(super) address: SocketAddr,
+    /// Whether a part of the body was read.
+    pub(super) has_body_started: bool,
+    pub(super) silence: SilenceWatch,
+    pub(super) cutoff: Cutoff,
+    /// Whether the answer is awaited however long the upstream is silent.
+    is_patient: bool,
+    answer: Answer,
+    /// What the upstream has sent after a silence, until it is relayed.
+    pending: Option<NextBytes>,
+}
+
+impl RunningAnswer {
+    /// Creates the state of an answer whose head was relayed. `timeout_at` is the time
+    /// at which it is aborted.
+    pub(super) fn new(
+        answer: Answer,
+        address: SocketAddr,
+        now: Timestamp,
+        timeout_at: Timestamp,
+    ) -> Self {
+        Self {
+            status: answer.head.status,
+            address,
+            has_body_started: false,
+            silence: SilenceWatch::new(now),
+            cutoff: Cutoff::new(timeout_at),
+            is_patient: false,
+            answer,
+            pending: None,
+        }
+    }
+
+    /// Returns the next bytes of the body. Can be cancelled without losing any.
+    pub(super) async fn next(&mut self) -> NextBytes {
+        match self.pending.take() {
+            Some(next) => next,
+            None => self.answer.next().await,
+        }
+    }
+
+    /// Waits until the upstream sends something, which is kept for the relay.
+    pub(super) async fn wait_for_bytes(&mut self) {
+        if self.pending.is_none() {
+            self.pending = Some(self.answer.next().await);
+        }
+    }
+
+    /// Lets the upstream be silent for as long as the request may last.
+    pub(super) fn be_patient(&mut self) {
+        self.is_patient = true;
+    }
+
+    /// Returns whether silence ends the wait for the answer at `limit`.
+    pub(super) fn limit_of_silence(&self, limit: Option<Duration>) -> Option<Duration> {
+        limit.filter(|_| !self.is_patient)
+    }
+}
+
+/// End of an answer whose request has reached its timeout: what has arrived by then is
+/// still relayed, for a short time.
+pub(super) struct Cutoff {
+    timeout_at: Timestamp,
+    /// The first time after the timeout at which the answer was looked at.
+    overdue_since: Option<Timestamp>,
+}
+
+impl Cutoff {
+    pub(super) fn new(timeout_at: Timestamp) -> Self {
+        Self {
+            timeout_at,
+            overdue_since: None,
+        }
+    }
+
+    /// Returns whether an answer must end at `now` although bytes of it may be there.
+    pub(super) fn is_reached(&mut self, now: Timestamp) -> bool {
+        if now < self.timeout_at {
+            return false;
+        }
+        let since = *self.overdue_since.get_or_insert(now);
+        now.since(since) >= READY_GRACE
+    }
+}
--- a/src/entry/attempt/tests.rs
+++ b/src/entry/attempt/tests.rs
@@ -1,3 +1,4 @@
+use super::running::Cutoff;
 use super::*;
 
 fn at(milliseconds: u64) -> Timestamp {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one accepted request until the end of its answer.
 
 use std::collections::BTreeMap;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -88,6 +89,8 @@
     schedulers: BTreeMap<Name, SchedulerHandle>,
     /// The upstream to which the request was last sent.
     sent_to: Option<Name>,
+    /// The attempt at an upstream that is silent, while another one is sought.
+    silent: Option<Attempt>,
     /// Number of attempts in which an upstream may have run the request.
     attempts: u32,
     /// Whether an upstream may have run the request.
@@ -102,6 +105,9 @@
     _concurrency_permit: ConcurrencyPermit,
 }
 
+/// The ticket of a grant is gone: the upstream was withdrawn from meanwhile.
+struct NoTicket(Name);
+
 impl RequestTask {
     /// Creates the task of an accepted request. `event_tx` and `event_rx` are the
     /// ends of the event channel that is registered for the held request.
@@ -139,6 +145,7 @@
             job: Rc::new(job),
             schedulers: BTreeMap::new(),
             sent_to: None,
+            silent: None,
             attempts: 0,
             may_have_run: false,
             is_arrival_recorded: false,
@@ -160,28 +167,78 @@
     async fn run_to_end(&mut self) -> Outcome {
         let mut actions = self.dispatch.start();
         loop {
-            let (upstream, grant) = match self.wait_for_grant(actions).await {
-                WaitResult::Granted(upstream, grant) => (upstream, grant),
+            let attempt = match self.wait_for_grant(actions).await {
+                WaitResult::Granted(upstream, grant) => self.new_attempt(upstream, grant),
+                WaitResult::Stayed(attempt) => Ok(*attempt),
                 WaitResult::Finished(outcome) => return outcome,
             };
-            actions = match self.attempt(&upstream, grant).await {
-                AttemptResult::Completed(outcome) => return outcome,
-                AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
-                    return Outcome::cancelled;
-                }
-                AttemptResult::TimedOut => return self.fail(CallerError::TimedOut).await,
-                AttemptResult::NotRun(refusal) => self.reschedule(&upstream, refusal, false),
-                AttemptResult::Interrupted if self.can_fail_over() => {
-                    // The dispatch handles the failure like that of an unreachable
-                    // upstream; `true` records that the request may have run.
+            let next = match attempt {
+                Ok(attempt) => self.run_attempt(attempt).await,
+                Err(NoTicket(upstream)) => {
                     let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
-                    self.reschedule(&upstream, refusal, true)
+                    ControlFlow::Continue(self.reschedule(&upstream, refusal, false))
                 }
-                AttemptResult::Interrupted => return self.fail(CallerError::UpstreamFailed).await,
+            };
+            actions = match next {
+                ControlFlow::Continue(actions) => actions,
+                ControlFlow::Break(outcome) => return outcome,
             };
         }
     }
 
+    /// Runs an attempt until it ends, or until its upstream is silent and another one is
+    /// sought. Returns the outcome of the request, or the actions with which it goes on.
+    async fn run_attempt(&mut self, mut attempt: Attempt) -> ControlFlow<Outcome, Vec<Action>> {
+        let mut result = attempt.run(&mut self.relay, &mut self.claim).await;
+        while result == AttemptResult::Silent {
+            if self.may_seek_other() {
+                return ControlFlow::Continue(self.seek_other(attempt));
+            }
+            attempt.be_patient();
+            result = attempt.run(&mut self.relay, &mut self.claim).await;
+        }
+        self.end_attempt(&attempt, result);
+        match result {
+            AttemptResult::Completed(outcome) => ControlFlow::Break(outcome),
+            AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
+                ControlFlow::Break(Outcome::cancelled)
+            }
+            AttemptResult::TimedOut => ControlFlow::Break(self.fail(CallerError::TimedOut).await),
+            AttemptResult::NotRun(refusal) => {
+                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, false))
+            }
+            AttemptResult::Interrupted | AttemptResult::Silent if self.can_fail_over() => {
+                // The dispatch handles the failure like that of an unreachable upstream;
+                // `true` records that the request may have run.
+                let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
+                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, true))
+            }
+            AttemptResult::Interrupted | AttemptResult::Silent => {
+                ControlFlow::Break(self.fail(CallerError::UpstreamFailed).await)
+            }
+        }
+    }
+
+    /// Returns whether the answer of a silent upstream can go on at another one.
+    fn may_seek_other(&self) -> bool {
+        // The attempt at the silent upstream is not counted yet.
+        let has_attempt = self.attempts + 1 < self.job.admission.route.attempts;
+        self.can_fail_over()
+            && has_attempt
+            && self.has_upstream_of_its_version()
+            && self.state.try_retry(&self.job.target)
+    }
+
+    /// Offers tickets to other upstreams, and keeps the attempt at the silent one until
+    /// one of them has room: a sound upstream may go on at any time.
+    fn seek_other(&mut self, attempt: Attempt) -> Vec<Action> {
+        let upstream = attempt.upstream.clone();
+        self.silent = Some(attempt);
+        self.keep_to_version();
+        let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
+        self.dispatch.handle_event(Event::NotRun(upstream, refusal))
+    }
+
     /// Returns whether a request that may have run can be sent to another
     /// upstream.
     fn can_fail_over(&self) -> bool {
@@ -237,18 +294,20 @@
         }
     }
 
-    /// Sends the request to `upstream` and relays its answer.
-    async fn attempt(&mut self, upstream: &Name, grant: GrantId) -> AttemptResult {
-        let Some(scheduler) = self.schedulers.remove(upstream) else {
-            return AttemptResult::NotRun(Refusal::new(
-                RefusalCode::Unreachable,
-                FAILED_RETRY_AFTER,
-            ));
+    /// Returns the attempt for which `upstream` has granted room. A silent upstream is
+    /// left for it.
+    fn new_attempt(&mut self, upstream: Name, grant: GrantId) -> Result<Attempt, NoTicket> {
+        let Some(scheduler) = self.schedulers.remove(&upstream) else {
+            return Err(NoTicket(upstream));
         };
-        self.state.links.unregister(upstream, self.request);
+        if let Some(silent) = self.silent.take() {
+            silent.leave_silent_upstream();
+            self.end_attempt(&silent, AttemptResult::Silent);
+        }
+        self.state.links.unregister(&upstream, self.request);
         self.state.mark_sent(self.request);
         let now = self.state.now();
-        scheduler.mark_sent(now, upstream, self.request, grant);
+        scheduler.mark_sent(now, &upstream, self.request, grant);
         self.sent_to = Some(upstream.clone());
         info!(self.state.log, "request sent";
             "request" => %self.job.logged_id(self.request),
@@ -257,27 +316,37 @@
             "waited_ms" => millis(now.since(self.arrived)),
             "left_ms" => millis(now.until(self.deadline)),
             "view_ms" => self.state.directory.age().map(millis),
-            "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
+            "version" => self.state.directory.get(&upstream).and_then(|u| u.version).as_deref(),
             "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
-        let timeout = self.state.answer_timeout(&self.job);
-        let attempt = Attempt {
-            state: &self.state,
+        Ok(Attempt {
+            state: Rc::clone(&self.state),
             request: self.request,
-            job: &self.job,
+            job: Rc::clone(&self.job),
             upstream,
-            scheduler: &scheduler,
+            scheduler,
             deadline: self.deadline,
-            timeout_at: self.arrived + timeout,
+            timeout_at: self.timeout_at(),
             arrived: self.arrived,
             is_last: self.attempts + 1 >= self.job.admission.route.attempts,
-        };
-        let result = attempt.run(&mut self.relay, &mut self.claim).await;
+            running: None,
+        })
+    }
+
+    /// Returns the time at which an answer to the request is aborted.
+    fn timeout_at(&self) -> Timestamp {
+        self.arrived + self.state.answer_timeout(&self.job)
+    }
+
+    /// Releases what an attempt holds at its upstream, and counts it.
+    fn end_attempt(&mut self, attempt: &Attempt, result: AttemptResult) {
         let work = match result {
             AttemptResult::Completed(_) => self.relay.take_work(self.job.work),
             _ => None,
         };
-        scheduler.finish(self.state.now(), upstream, self.request, work);
+        let upstream = &attempt.upstream;
+        let now = self.state.now();
+        attempt.scheduler.finish(now, upstream, self.request, work);
         self.state.remove_outstanding(upstream);
         if !matches!(result, AttemptResult::NotRun(_) | AttemptResult::NotSent) {
             self.quota_charge.commit();
@@ -288,6 +357,5 @@
             let organisation = &self.job.admission.organisation;
             self.state.metrics.record_tokens(organisation, work);
         }
-        result
     }
 }
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -6,6 +6,7 @@
 
 use super::RequestTask;
 use crate::burn::BurnKey;
+use crate::entry::attempt::AttemptResult;
 use crate::entry::error::CallerError;
 use crate::exchange::Framing;
 use crate::name::Name;
@@ -53,6 +54,9 @@
     }
 
     pub(super) fn finish(&mut self, outcome: Outcome) {
+        if let Some(silent) = self.silent.take() {
+            self.end_attempt(&silent, AttemptResult::Silent);
+        }
         self.record_claim_result(outcome);
         let schedulers: Vec<Name> = self.schedulers.keys().cloned().collect();
         for upstream in schedulers {
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -6,7 +6,9 @@
 
 use super::RequestTask;
 use crate::dispatch::Action;
+use crate::dispatch::Choice;
 use crate::dispatch::Event;
+use crate::entry::attempt::Attempt;
 use crate::entry::local_schedulers::SchedulerHandle;
 use crate::entry::local_schedulers::local_scheduler_config;
 use crate::entry::local_schedulers::offer_to_agent;
@@ -31,6 +33,8 @@
 pub(super) enum WaitResult {
     /// The grant of this upstream was accepted; the request can be sent.
     Granted(Name, GrantId),
+    /// The silent upstream answers after all, or no other can go on with its answer.
+    Stayed(Box<Attempt>),
     /// The request has ended without a grant.
     Finished(Outcome),
 }
@@ -40,6 +44,8 @@
 enum Input {
     /// The caller has disconnected.
     CallerLeft,
+    /// The upstream that was silent has sent something.
+    Answered,
     /// An event for the dispatch.
     Event(Event),
     /// The next timer is due.
@@ -47,20 +53,35 @@
 }
 
 /// Waits for the next input. If several are there, a busy entry must not send a request
-/// whose caller has left, and events precede timers.
-async fn next_input<C, T>(closed: C, events: &mut UnboundedReceiver<Event>, timer: T) -> Input
+/// whose caller has left or whose upstream answers, and events precede timers.
+async fn next_input<C, A, T>(
+    closed: C,
+    answered: A,
+    events: &mut UnboundedReceiver<Event>,
+    timer: T,
+) -> Input
 where
     C: Future<Output = ()>,
+    A: Future<Output = ()>,
     T: Future<Output = ()>,
 {
     tokio::select! {
         biased;
         () = closed => Input::CallerLeft,
+        () = answered => Input::Answered,
         Some(event) = events.recv() => Input::Event(event),
         () = timer => Input::Timer,
     }
 }
 
+/// Waits until a silent upstream sends something; forever if there is none.
+async fn wait_for_bytes(silent: &mut Option<Attempt>) {
+    match silent {
+        Some(attempt) => attempt.wait_for_bytes().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl RequestTask {
     /// Offers tickets and waits for a grant of an upstream.
     pub(super) async fn wait_for_grant(&mut self, actions: Vec<Action>) -> WaitResult {
@@ -95,24 +116,35 @@
                     Action::GiveUp {
                         refusal,
                         retry_after,
-                    } => return WaitResult::Finished(self.give_up(refusal, retry_after).await),
+                    } => {
+                        if let Some(attempt) = self.stay_for_good() {
+                            return WaitResult::Stayed(Box::new(attempt));
+                        }
+                        return WaitResult::Finished(self.give_up(refusal, retry_after).await);
+                    }
                 }
             }
             // A request that continues a partial answer is limited only by its
-            // deadline.
-            let effective_deadline = if self.relay.has_sent_head() {
-                self.deadline
-            } else {
-                wait_deadline
+            // deadline and timeout.
+            let effective_deadline = match self.relay.has_sent_head() {
+                true => self.deadline.min(self.timeout_at()),
+                false => wait_deadline,
             };
             let next_timer = self.state.instant(timers.next(effective_deadline));
             let timer = actix_rt::time::sleep_until(next_timer.into());
-            match next_input(self.relay.closed(), &mut self.event_rx, timer).await {
+            let closed = self.relay.closed();
+            let answered = wait_for_bytes(&mut self.silent);
+            match next_input(closed, answered, &mut self.event_rx, timer).await {
                 Input::CallerLeft => {
                     // `finish` withdraws the tickets, so the actions are not needed.
                     self.dispatch.abandon();
                     return WaitResult::Finished(Outcome::cancelled);
                 }
+                Input::Answered => {
+                    if let Some(attempt) = self.stay() {
+                        return WaitResult::Stayed(Box::new(attempt));
+                    }
+                }
                 Input::Event(event) if self.is_current(&event) => {
                     pending_actions = self.dispatch.handle_event(event);
                 }
@@ -120,10 +152,7 @@
                 Input::Timer => {
                     let event = match timers.due(self.state.now(), effective_deadline) {
                         Some(Due::WaitTimedOut) => Event::WaitTimedOut,
-                        Some(Due::Refresh) => {
-                            let origin = self.relay.origin();
-                            Event::Upstreams(self.state.candidates(&self.job, origin))
-                        }
+                        Some(Due::Refresh) => Event::Upstreams(self.other_candidates()),
                         Some(Due::CollectionTimedOut) => Event::CollectionTimedOut,
                         None => continue,
                     };
@@ -133,6 +162,35 @@
         }
     }
 
+    /// Returns the upstreams that can run the request, without one that is silent.
+    fn other_candidates(&self) -> Vec<Choice> {
+        let origin = self.relay.origin();
+        let mut candidates = self.state.candidates(&self.job, origin);
+        if let Some(silent) = &self.silent {
+            candidates.retain(|c| c.upstream != silent.upstream);
+        }
+        candidates
+    }
+
+    /// Ends the search for another upstream and returns the attempt at the silent one.
+    fn stay(&mut self) -> Option<Attempt> {
+        let attempt = self.silent.take()?;
+        for action in self.dispatch.stay() {
+            if let Action::Withdraw(upstream) = action {
+                self.withdraw(&upstream, WithdrawReason::GivenUp);
+            }
+        }
+        Some(attempt)
+    }
+
+    /// The same where no other upstream can be found: the attempt waits for the silent
+    /// one for as long as the request may last.
+    fn stay_for_good(&mut self) -> Option<Attempt> {
+        let mut attempt = self.stay()?;
+        attempt.be_patient();
+        Some(attempt)
+    }
+
     /// Records the arrival for the throttle, once per request.
     fn record_arrival(&mut self) {
         if !std::mem::replace(&mut self.is_arrival_recorded, true) {
--- a/src/entry/serve/waiting/tests.rs
+++ b/src/entry/serve/waiting/tests.rs
@@ -9,7 +9,9 @@
         .send(Event::CollectionTimedOut)
         .expect("the channel is open");
     let left = futures::future::ready(());
-    let input = next_input(left, &mut event_rx, futures::future::ready(())).await;
+    let answered = futures::future::ready(());
+    let timer = futures::future::ready(());
+    let input = next_input(left, answered, &mut event_rx, timer).await;
     assert!(matches!(input, Input::CallerLeft), "{input:?}");
 }
 
@@ -20,6 +22,22 @@
         .send(Event::CollectionTimedOut)
         .expect("the channel is open");
     let stays = futures::future::pending();
-    let input = next_input(stays, &mut event_rx, futures::future::ready(())).await;
+    let silent = futures::future::pending();
+    let timer = futures::future::ready(());
+    let input = next_input(stays, silent, &mut event_rx, timer).await;
     assert!(matches!(input, Input::Event(_)), "{input:?}");
 }
+
+// Issue 31, LOST: an upstream that went on after a silence was left for another one.
+#[actix_rt::test]
+async fn answer_of_a_silent_upstream_precedes_a_grant() {
+    let (event_tx, mut event_rx) = tokio::sync::mpsc::unbounded_channel();
+    event_tx
+        .send(Event::CollectionTimedOut)
+        .expect("the channel is open");
+    let stays = futures::future::pending();
+    let answered = futures::future::ready(());
+    let timer = futures::future::ready(());
+    let input = next_input(stays, answered, &mut event_rx, timer).await;
+    assert!(matches!(input, Input::Answered), "{input:?}");
+}
