Do not count stalls of the entry towards the timeouts of its callers

What callers saw: after a stall of their entry of 2.5 s, a connection that had rested for 200 ms of an allowed second was closed with a whole request in it, neither answered nor refused; a head or a body whose rest had arrived in the stall got 408.

Cause: the same as for silent upstreams. The timers of the connection elapsed in the stall, and the HTTP library closes such a connection before it reads.

Change: the HTTP library's timeouts are 10 s longer than the configured ones, and the time for a body is counted in steps of which a stall is one. A caller that is idle or slow for longer is closed 10 s later than before, unless connections are scarce.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -39,6 +39,7 @@
 use crate::entry::serve::Reply;
 use crate::entry::serve::RequestTask;
 use crate::entry::state::EntryState;
+use crate::event_loop;
 use crate::headers::Header;
 use crate::health::liveness;
 use crate::health::readiness;
@@ -421,7 +422,7 @@
         }
     };
     // A body that does not end in time is cut off with the connection.
-    let _ = actix_rt::time::timeout(timeout, read).await;
+    let _ = event_loop::timeout(timeout, read).await;
 }
 
 async fn read_body(req: &mut Request, limit: u64, timeout: Duration) -> Result<Bytes, CallerError> {
@@ -437,7 +438,7 @@
         }
         Ok(body.freeze())
     };
-    let timed = actix_rt::time::timeout(timeout, read).await;
+    let timed = event_loop::timeout(timeout, read).await;
     timed.unwrap_or(Err(CallerError::BodyTimeout))
 }
 
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -1,16 +1,20 @@
 //! Watches for stalls of the event loop: times in which this process ran nothing of
 //! what was due, because one task worked for long or the host gave it no processor time.
 //!
-//! All timeouts of the process elapse during a stall, so a log line tells them apart
-//! from timeouts that a peer has caused.
+//! Timers elapse during a stall, whatever a peer has sent meanwhile. [`timeout`] does not
+//! count it, and a log line tells timeouts of other kinds apart from those that a peer
+//! has caused.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use slog::Logger;
 use slog::warn;
+use thiserror::Error;
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
+use crate::silence::SilenceWatch;
 use crate::units::millis;
 
 #[cfg(test)]
@@ -22,6 +26,37 @@
 /// Shortest stall that is logged.
 const MIN_STALL: Duration = Duration::from_millis(250);
 
+/// The time limit of an operation has elapsed.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the operation timed out")]
+pub struct Elapsed;
+
+/// Runs `operation` for at most `limit`, without the stalls of the event loop.
+///
+/// # Errors
+///
+/// Fails if the operation does not end in time.
+pub async fn timeout<F>(limit: Duration, operation: F) -> Result<F::Output, Elapsed>
+where
+    F: Future,
+{
+    let clock = Clock::new();
+    let mut watch = SilenceWatch::new(clock.now());
+    let mut operation = pin!(operation);
+    loop {
+        let next_step = clock.instant(watch.next_step(limit));
+        tokio::select! {
+            biased;
+            output = &mut operation => return Ok(output),
+            () = actix_rt::time::sleep_until(next_step.into()) => {
+                if watch.count_step(clock.now(), limit) {
+                    return Err(Elapsed);
+                }
+            }
+        }
+    }
+}
+
 /// Logs each stall after its end. Never returns.
 pub async fn log_stalls(log: Logger) {
     let clock = Clock::new();
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -24,6 +24,11 @@
 /// The pause after a failed `accept`, for example if no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// The time by which the timeouts of a connection are exceeded. They elapse in a stall of
+/// the event loop too, and a connection whose timeout has elapsed is closed without
+/// reading what has arrived on it.
+const STALL_ALLOWANCE: Duration = Duration::from_secs(10);
+
 /// The part of the allowed connections above which callers are asked to close theirs
 /// after the next answer: idle ones would keep others out.
 const CROWDED_FRACTION: f64 = 0.5;
@@ -152,8 +157,8 @@
         }
     });
     let factory = HttpService::<Io, _, _>::build()
-        .keep_alive(bounds.keep_alive)
-        .client_request_timeout(bounds.head_timeout)
+        .keep_alive(bounds.keep_alive + STALL_ALLOWANCE)
+        .client_request_timeout(bounds.head_timeout + STALL_ALLOWANCE)
         .h1_allow_half_closed(false)
         .h1(service);
     let Ok(handler) = factory.new_service(()).await else {
