Read replies that arrived in a stall before a call counts as unanswered

What was seen: an entry that had stalled for 3 s logged that the store did not answer, gave up its connections, and counted an outage of its platform; its connections to agents time out in the same way, and tickets that wait there are lost with them.

The reply had arrived in the stall, and the timer of the call had elapsed.

Change: calls to the store and heartbeats to agents whose limit elapses in a stall get 250 ms more. The same now holds for bodies of callers, which were counted in steps: an entry that stalls again and again would have waited many times the limit, and calls to the store must end within the bound for leaving upstreams.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -33,6 +33,7 @@
 use crate::config::EntryConfig;
 use crate::directory::Directory;
 use crate::dispatch::Event;
+use crate::event_loop;
 use crate::handshake::AuthenticatedAgent;
 use crate::handshake::authenticate;
 use crate::ids::Incarnation;
@@ -253,7 +254,7 @@
     /// Authenticates to the agent and exchanges heartbeats until one fails.
     async fn run_session(&self, upstream: &Name, gate: &gate::Client, key: &SiteKey) {
         let handshake = authenticate(gate, key, &self.config.name, self.incarnation);
-        let authenticated = match actix_rt::time::timeout(HEARTBEAT_TIMEOUT, handshake).await {
+        let authenticated = match event_loop::timeout(HEARTBEAT_TIMEOUT, handshake).await {
             Ok(Ok(authenticated)) => authenticated,
             Ok(Err(e)) => {
                 warn!(self.log, "could not authenticate to agent"; "upstream" => %upstream, "error" => %e);
@@ -379,7 +380,7 @@
     req.get().set_revision(revision.0);
     let hold_millis = u64::try_from(hold.as_millis()).unwrap_or(u64::MAX);
     req.get().set_hold_millis(hold_millis);
-    let reply = actix_rt::time::timeout(hold + HEARTBEAT_TIMEOUT, req.send().promise);
+    let reply = event_loop::timeout(hold + HEARTBEAT_TIMEOUT, req.send().promise);
     let timed_out = |_| capnp::Error::disconnected("heartbeat timed out".to_owned());
     let reply = reply.await.map_err(timed_out)??;
     Ok(Revision(reply.get()?.get_revision()))
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -1,8 +1,8 @@
 //! Watches for stalls of the event loop: times in which this process ran nothing of
 //! what was due, because one task worked for long or the host gave it no processor time.
 //!
-//! Timers elapse during a stall, whatever a peer has sent meanwhile. [`timeout`] does not
-//! count it, and a log line tells timeouts of other kinds apart from those that a peer
+//! Timers elapse during a stall, whatever a peer has sent meanwhile. [`timeout`] lets it be
+//! read first, and a log line tells timeouts of other kinds apart from those that a peer
 //! has caused.
 
 use std::pin::pin;
@@ -14,7 +14,6 @@
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
-use crate::silence::SilenceWatch;
 use crate::units::millis;
 
 #[cfg(test)]
@@ -23,15 +22,19 @@
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Shortest stall that is logged.
+/// Shortest delay that counts as a stall.
 const MIN_STALL: Duration = Duration::from_millis(250);
 
+/// Time that an operation gets after a stall in which its limit has elapsed.
+const AFTER_STALL: Duration = Duration::from_millis(250);
+
 /// The time limit of an operation has elapsed.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the operation timed out")]
 pub struct Elapsed;
 
-/// Runs `operation` for at most `limit`, without the stalls of the event loop.
+/// Runs `operation` for at most `limit`. If the limit elapses in a stall of the event
+/// loop, the operation gets a short time to read what has arrived meanwhile.
 ///
 /// # Errors
 ///
@@ -41,19 +44,20 @@
     F: Future,
 {
     let clock = Clock::new();
-    let mut watch = SilenceWatch::new(clock.now());
+    let due = clock.now() + limit;
     let mut operation = pin!(operation);
-    loop {
-        let next_step = clock.instant(watch.next_step(limit));
-        tokio::select! {
-            biased;
-            output = &mut operation => return Ok(output),
-            () = actix_rt::time::sleep_until(next_step.into()) => {
-                if watch.count_step(clock.now(), limit) {
-                    return Err(Elapsed);
-                }
-            }
-        }
+    tokio::select! {
+        biased;
+        output = &mut operation => return Ok(output),
+        () = actix_rt::time::sleep_until(clock.instant(due).into()) => {}
+    }
+    if stall_at(due, clock.now()).is_none() {
+        return Err(Elapsed);
+    }
+    tokio::select! {
+        biased;
+        output = &mut operation => Ok(output),
+        () = actix_rt::time::sleep(AFTER_STALL) => Err(Elapsed),
     }
 }
 
--- a/src/object_store/http.rs
+++ b/src/object_store/http.rs
@@ -16,6 +16,7 @@
 use futures::future::LocalBoxFuture;
 use tokio::sync::watch;
 
+use crate::event_loop;
 use crate::http_client::new_client;
 use crate::http_client::was_not_sent;
 use crate::name::Name;
@@ -75,7 +76,7 @@
             })
         };
         let within = wait + REPLY_TIMEOUT;
-        let timed = actix_rt::time::timeout(within, replied).await;
+        let timed = event_loop::timeout(within, replied).await;
         timed.unwrap_or(Err(StoreError::OutcomeUnknown))
     }
 
