Keep the times of spending when entries start after a burst

Cause: an entry that starts took the sum of the window from a peer, without the times, and spread it evenly over the window. So a burst of the last two seconds left its account within eight seconds of the start at the pace of the average, though none of it had left the window. An entry whose first request came before the first report did the same with the margin for what the record lacks, and kept that margin although a peer knew the sum. And an entry that knew no peer of a full window's age counted the record and, once more, all that its peers had spent since their start: 2.6 million.

Change: the account of a starting entry begins with the record, which holds the times. The sum that a peer has observed replaces the margin, and what the record lacks of it counts as spent since the record was read. A peer counts as an observer also if it has started with the record and has run for long enough to hear from all others. Accounts of all reported organisations are created once the record is read, so that later spending gets its times even before the first request here; reports still name only organisations that have sent requests.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -5,10 +5,12 @@
 //! others, so that every entry can compute what was spent in the last window.
 //! Entries that can't be reached may be spending too, so an equal share of the
 //! quota is reserved for each of them. An entry that starts takes the sum of
-//! the window from the entries that have run for at least a window. If there
-//! are none, as after a restart of all entries, it uses the record that one of
-//! them keeps in the platform's object store; without a recent record it
-//! assumes that the quota is spent.
+//! the window from the entries that have observed it, and the times of spending
+//! from the record that one of them keeps in the platform's object store: what
+//! the record lacks was spent since. Without the times, a burst would leave the
+//! window early. If no entry has observed the window, as after a restart of all,
+//! it adds a margin to the record; without a recent record it assumes that the
+//! quota is spent.
 //!
 //! Between two of its reports, an entry spends only a part of what remained of a
 //! quota at the first one, in proportion to its part of the recent spending. So
@@ -191,7 +193,7 @@
         let allowed = bounds.allowed(rate);
         let unobserved_fraction = self.unobserved_fraction(now, bounds.window);
         if !self.organisations.contains_key(organisation) {
-            let account = self.new_account(now, organisation, allowed, bounds.window);
+            let account = self.new_account(now, organisation, bounds.window);
             self.organisations.insert(organisation.clone(), account);
         }
         let Some(account) = self.organisations.get_mut(organisation) else {
@@ -230,8 +232,8 @@
         let is_older = report.age > now.since(self.started);
         let known = self.peers.get(&report.from);
         let was_unreachable = known.is_some_and(|peer| peer.is_unreachable(now));
-        let unobserved_fraction = self.unobserved_fraction(now, window);
-        let is_recorded = self.restored.is_some() && report.age >= RECORD_LAG;
+        let undated_span = self.undated_span(now, window);
+        let is_observer = self.is_observer(report.age, window);
         let peer = self.peers.entry(report.from).or_insert_with(|| Peer {
             last_report: now,
             age: report.age,
@@ -239,30 +241,39 @@
         });
         peer.last_report = now;
         peer.age = report.age;
+        let mut without_account = Vec::new();
         for spend in &report.totals {
             let organisation = spend.organisation.clone();
             let before = peer.totals.insert(organisation, spend.clone());
             let Some(account) = self.organisations.get_mut(&spend.organisation) else {
+                without_account.push(spend.organisation.clone());
                 continue;
             };
             let increase = spend.spent - before.as_ref().map_or(0.0, |b| b.spent);
             match before {
                 // This is the first report of an entry that started earlier.
                 // What it spent before this entry started is included in the
-                // window sum that it reports, or in the restored record.
-                None if is_older && report.age >= window => {
-                    let counted = account.window_sum(unobserved_fraction);
-                    account.add_evenly(now, spend.window_sum - counted, window);
+                // window sum that it or another one reports.
+                None if is_older && is_observer => {
+                    account.raise_to(now, spend.window_sum, undated_span, window);
                 }
-                None if is_older && is_recorded => {}
+                None if is_older && account.is_sum_known() => {}
                 // The peer refunded more units than it spent since its last
                 // report.
                 _ if increase < 0.0 => account.remove_latest(-increase),
                 // The times of spending during the disconnection are unknown.
-                _ if was_unreachable => account.add_evenly(now, increase, window),
+                _ if was_unreachable => account.add_evenly(now, increase, window, window),
                 _ => account.add(now + window, increase),
             }
         }
+        // With the record, an account has the times of what was spent so far. It is
+        // created now, so that it gets those of what is spent from now on.
+        if self.restored.is_some() {
+            for organisation in without_account {
+                let account = self.new_account(now, &organisation, window);
+                self.organisations.insert(organisation, account);
+            }
+        }
         self.peers
             .retain(|_, peer| now.since(peer.last_report) < PEER_RETENTION);
     }
@@ -274,19 +285,22 @@
         let entries = self.entries as f64;
         let spend = |(organisation, account): (&Name, &mut Account)| {
             account.remove_expired(now);
+            if !account.is_in_use() {
+                return None;
+            }
             let available = account.allowed * reachable_fraction;
             let remaining = available - account.window_sum(unobserved_fraction);
             account.add_credit(remaining.max(0.0), entries);
-            SpendTotals {
+            Some(SpendTotals {
                 organisation: organisation.clone(),
                 spent: account.own_spent,
                 window_sum: account.window_sum(unobserved_fraction),
-            }
+            })
         };
         QuotaReport {
             from,
             age: now.since(self.started),
-            totals: self.organisations.iter_mut().map(spend).collect(),
+            totals: self.organisations.iter_mut().filter_map(spend).collect(),
         }
     }
 
@@ -309,28 +323,36 @@
         (1.0 - windows_run).max(0.0)
     }
 
-    /// Creates an account with the window sum that peers report, or else with
-    /// an estimate of what may have been spent.
-    fn new_account(
-        &self,
-        now: Timestamp,
-        organisation: &Name,
-        allowed: f64,
-        window: Duration,
-    ) -> Account {
-        let mut account = Account::new(allowed);
+    /// Returns the time in which spending took place that the restored record does not
+    /// hold; without a record, the whole window.
+    fn undated_span(&self, now: Timestamp, window: Duration) -> Duration {
+        let since_record = self.restored.as_ref().map(|r| now.since(r.read_at()));
+        since_record.map_or(window, |since| since.min(window))
+    }
+
+    /// Returns whether an entry of this age knows what was spent in the last window: it
+    /// has run for a window, or has started with the record and has heard of all others
+    /// since.
+    fn is_observer(&self, age: Duration, window: Duration) -> bool {
+        age >= window || (self.restored.is_some() && age >= RECORD_LAG)
+    }
+
+    /// Creates an account with what the restored record holds, and with the window sum
+    /// that peers report or else with an estimate of what may have been spent.
+    fn new_account(&self, now: Timestamp, organisation: &Name, window: Duration) -> Account {
+        let mut account = Account::new();
+        account.assumed_fraction = 1.0;
+        if let Some(restored) = &self.restored {
+            restored.apply(now, organisation, &mut account, window);
+        }
         let reachable = || self.peers.values().filter(|p| !p.is_unreachable(now));
         let spent = |p: &Peer| p.totals.get(organisation).cloned();
-        let full_window = reachable().filter(|p| p.age >= window);
-        let known = full_window.filter_map(|p| Some(spent(p)?.window_sum));
+        let observers = reachable().filter(|p| self.is_observer(p.age, window));
+        let known = observers.filter_map(|p| Some(spent(p)?.window_sum));
         if let Some(known) = known.reduce(f64::max) {
-            account.add_evenly(now, known, window);
+            account.raise_to(now, known, self.undated_span(now, window), window);
             return account;
         }
-        account.assumed_fraction = 1.0;
-        if let Some(restored) = &self.restored {
-            restored.apply(now, organisation, &mut account, window);
-        }
         for spend in reachable().filter_map(spent) {
             account.add(now + window, spend.spent);
         }
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -26,7 +26,8 @@
 /// counted units.
 #[derive(Debug)]
 pub(super) struct Account {
-    /// Units that callers can spend in a window at the current rate.
+    /// Units that callers can spend in a window at the current rate; 0 before the first
+    /// request.
     pub(super) allowed: f64,
     /// Spending in the last window, the earliest first.
     pub(super) spendings: VecDeque<Spending>,
@@ -74,9 +75,9 @@
 }
 
 impl Account {
-    pub(super) fn new(allowed: f64) -> Self {
+    pub(super) fn new() -> Self {
         Self {
-            allowed,
+            allowed: 0.0,
             spendings: VecDeque::new(),
             sum: 0.0,
             own_spent: 0.0,
@@ -88,9 +89,12 @@
         }
     }
 
-    /// Sets the units that callers can spend in a window, and recounts the
-    /// sum.
+    /// Sets the units that callers can spend in a window, and recounts the sum. What was
+    /// spent before the first request counts as spent at the rate of that request.
     pub(super) fn set_allowed(&mut self, allowed: f64) {
+        if !self.is_in_use() {
+            self.spendings.iter_mut().for_each(|s| s.allowed = allowed);
+        }
         if allowed != self.allowed {
             self.allowed = allowed;
             self.sum = self
@@ -101,6 +105,11 @@
         }
     }
 
+    /// Returns whether a request has asked for units.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.allowed > 0.0
+    }
+
     pub(super) fn spend_own(&mut self, units: f64) {
         self.own_spent += units;
         self.own_recent = (self.own_recent + units).max(0.0);
@@ -179,10 +188,36 @@
         }
     }
 
-    /// Adds `units` as if they were spent evenly over the last window.
-    pub(super) fn add_evenly(&mut self, now: Timestamp, units: f64, window: Duration) {
+    /// Raises the sum to that of an entry that has observed the last window, which
+    /// replaces the assumption. What is missing was spent within the last `span`.
+    pub(super) fn raise_to(
+        &mut self,
+        now: Timestamp,
+        window_sum: f64,
+        span: Duration,
+        window: Duration,
+    ) {
+        self.assumed_fraction = 0.0;
+        self.add_evenly(now, window_sum - self.sum, span, window);
+    }
+
+    /// Returns whether the sum is that of an entry that has observed the last window.
+    pub(super) fn is_sum_known(&self) -> bool {
+        self.assumed_fraction == 0.0
+    }
+
+    /// Adds `units` as if they were spent evenly over the last `span`, which is at most
+    /// a window.
+    pub(super) fn add_evenly(
+        &mut self,
+        now: Timestamp,
+        units: f64,
+        span: Duration,
+        window: Duration,
+    ) {
+        let first_expiry = now + window.saturating_sub(span);
         for part in 1..=WINDOW_PARTS {
-            let expires_at = now + window * part / WINDOW_PARTS;
+            let expires_at = first_expiry + span * part / WINDOW_PARTS;
             self.add(expires_at, units / f64::from(WINDOW_PARTS));
         }
     }
--- a/src/quota/record.rs
+++ b/src/quota/record.rs
@@ -55,6 +55,11 @@
 }
 
 impl RestoredRecord {
+    /// Returns the time from which the recorded spending counts.
+    pub(super) fn read_at(&self) -> Timestamp {
+        self.read_at
+    }
+
     /// Adds the recorded spending of an organisation to its account, and
     /// replaces the fraction that was assumed without a record.
     pub(super) fn apply(
