Look once more for what has arrived after a limit has elapsed

An operation now gets 5 ms more in any case. Connections to upstreams use the same limit: one that had been accepted in a stall counted as unreachable, which ejects the upstream. Found by reading; no test shows it failing.

--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -28,6 +28,9 @@
 /// Time that an operation gets after a stall in which its limit has elapsed.
 const AFTER_STALL: Duration = Duration::from_millis(250);
 
+/// Time in which the event loop learns what has arrived before a timer that has elapsed.
+pub const SETTLE_TIME: Duration = Duration::from_millis(5);
+
 /// The time limit of an operation has elapsed.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the operation timed out")]
@@ -51,13 +54,14 @@
         output = &mut operation => return Ok(output),
         () = actix_rt::time::sleep_until(clock.instant(due).into()) => {}
     }
-    if stall_at(due, clock.now()).is_none() {
-        return Err(Elapsed);
-    }
+    let left = match stall_at(due, clock.now()) {
+        Some(_) => AFTER_STALL,
+        None => SETTLE_TIME,
+    };
     tokio::select! {
         biased;
         output = &mut operation => Ok(output),
-        () = actix_rt::time::sleep(AFTER_STALL) => Err(Elapsed),
+        () = actix_rt::time::sleep(left) => Err(Elapsed),
     }
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -36,6 +36,7 @@
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 
+use crate::event_loop;
 use crate::headers::Header;
 use crate::headers::end_to_end;
 use crate::upstream_request::UpstreamRequest;
@@ -162,7 +163,7 @@
 /// Opens a connection to an upstream.
 pub async fn connect(address: SocketAddr) -> Result<TcpStream, ExchangeError> {
     let connection = TcpStream::connect(address);
-    let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connection)
+    let stream = event_loop::timeout(CONNECT_TIMEOUT, connection)
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         .map_err(ExchangeError::Connect)?;
