Leave a silent upstream only for one that is reachable, and search again after it

What callers would have seen: a stream left its silent upstream for one that refused the connection, or for a grant of an earlier search, and was cut off though the first upstream went on.

Cause, found in a review of the search for another upstream: the silent one was dropped before the connection to the next was open; late replies to the tickets of an earlier search counted for the next one; the retry budget was charged for searches that moved nothing; after one failed search there was no other; and a failure of the upstream that was kept could be missed after a grant that was not used.

Change: the connection comes first, then the retry budget, then the silent upstream is left. Each search has an event channel of its own. A search begins only if another upstream is known, and again after another silence of the same length. An answer whose timeout elapsed in a stall ends after a second look at its connection.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -143,12 +143,13 @@
         self.remaining.retain(|choice| may_run(&choice.upstream));
     }
 
-    /// Ends the search for another upstream, since the one to which the request was sent
-    /// may answer after all. Upstreams that have refused a ticket can be offered one
-    /// again in the next search.
-    pub fn stay(&mut self) -> Vec<Action> {
+    /// Ends the search for another upstream, since `upstream`, to which the request was
+    /// sent, may answer after all. Upstreams that have refused a ticket can be offered
+    /// one again in the next search.
+    pub fn stay(&mut self, upstream: Name) -> Vec<Action> {
         let actions = self.withdraw_all();
         self.state = State::Sent;
+        self.sent_to = Some(upstream);
         self.tickets.clear();
         self.remaining.clear();
         self.reoffered.clear();
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -336,7 +336,7 @@
 fn search_ends_without_a_send_if_the_silent_upstream_answers() {
     let (mut dispatch, offered) = seeking_dispatch();
     assert!(offered.contains(&Action::Offer(name(1))));
-    let withdrawn = dispatch.stay();
+    let withdrawn = dispatch.stay(name(0));
     assert!(withdrawn.contains(&Action::Withdraw(name(1))));
     assert!(!dispatch.needs_upstream());
     let late = Event::Granted(name(1), grant(1, quote(0, 50, 900)));
@@ -350,7 +350,7 @@
     dispatch.handle_event(refused(1));
     let actions = dispatch.handle_event(refused(2));
     assert!(matches!(actions[..], [Action::GiveUp { .. }]));
-    dispatch.stay();
+    dispatch.stay(name(0));
     let unreachable = refusal(RefusalCode::Unreachable);
     let actions = dispatch.handle_event(Event::NotRun(name(0), unreachable));
     assert!(actions.contains(&Action::AwaitUpstreams));
@@ -362,3 +362,17 @@
 fn busy() -> Refusal {
     refusal(RefusalCode::Overloaded)
 }
+
+// A request that had been granted room elsewhere in its search is at the silent upstream
+// again, and its failure there must be noticed.
+#[test]
+fn search_can_begin_again_after_a_grant_that_could_not_be_used() {
+    let (mut dispatch, _) = seeking_dispatch();
+    dispatch.handle_event(granted(1, quote(0, 50, 900)));
+    let actions = dispatch.handle_event(queued(2, 10));
+    assert_eq!(sent(&actions), Some(name(1)));
+    dispatch.stay(name(0));
+    let unreachable = refusal(RefusalCode::Unreachable);
+    let actions = dispatch.handle_event(Event::NotRun(name(0), unreachable));
+    assert!(actions.contains(&Action::AwaitUpstreams));
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use slog::info;
+use tokio::net::TcpStream;
 
 use crate::clock::Timestamp;
 use crate::dialect::AnswerVerdict;
@@ -91,11 +92,29 @@
     pub arrived: Timestamp,
     /// Whether the route allows no further attempt.
     pub is_last: bool,
+    /// The connection to the upstream, from [`Attempt::connect`] to [`Attempt::run`].
+    pub(super) connected: Option<Connected>,
     /// The answer, from its head on, while [`Attempt::run`] does not run.
     pub(super) running: Option<RunningAnswer>,
 }
 
+/// An upstream to which a connection is open.
+pub struct Connected {
+    upstream: Upstream,
+    stream: TcpStream,
+}
+
 impl Attempt {
+    /// Opens the connection on which [`Attempt::run`] will send the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the result of the attempt, which has sent nothing.
+    pub async fn connect(&mut self, relay: &Relay) -> Result<(), AttemptResult> {
+        self.connected = Some(self.open_connection(relay).await?);
+        Ok(())
+    }
+
     /// Sends the request and relays the answer, or goes on with it after
     /// [`AttemptResult::Silent`].
     pub async fn run(
@@ -118,10 +137,10 @@
         result
     }
 
-    /// Lets the upstream be silent for as long as the request may last.
-    pub fn be_patient(&mut self) {
+    /// Lets the upstream be silent for another idle timeout.
+    pub fn restart_silence(&mut self) {
         if let Some(running) = &mut self.running {
-            running.be_patient();
+            running.silence.reset(self.state.now());
         }
     }
 
@@ -144,23 +163,21 @@
 
     /// Sends the request and relays the head of the answer.
     async fn begin(
-        &self,
+        &mut self,
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
     ) -> Result<RunningAnswer, AttemptResult> {
-        // A leaving or removed upstream is treated like an unreachable one.
-        let Some(upstream) = self.active_upstream(relay) else {
-            return Err(self.fail_unreachable());
-        };
+        let connected = self.connected.take();
         let until = self.state.instant(self.timeout_at);
         let answer = tokio::select! {
             biased;
             () = relay.closed(), if self.job.cancellable => {
                 return Err(AttemptResult::CallerDisconnected);
             }
-            answer = self.send_request(&upstream, relay) => answer?,
+            answer = self.send_request(connected, relay) => answer?,
             () = actix_rt::time::sleep_until(until.into()) => return Err(AttemptResult::TimedOut),
         };
+        let (answer, upstream) = answer;
         self.handle_answer(answer, &upstream, relay, claim).await
     }
 
@@ -172,14 +189,26 @@
         Some(upstream).filter(|u| !u.leaving && may_answer)
     }
 
-    /// Sends the request and waits for the head of its answer.
+    async fn open_connection(&self, relay: &Relay) -> Result<Connected, AttemptResult> {
+        // A leaving or removed upstream is treated like an unreachable one.
+        let upstream = self.active_upstream(relay);
+        let upstream = upstream.ok_or_else(|| self.fail_unreachable())?;
+        let stream = exchange::connect(upstream.address).await;
+        let stream = stream.map_err(|e| self.fail_exchange(&e))?;
+        Ok(Connected { upstream, stream })
+    }
+
+    /// Sends the request and waits for the head of its answer. Opens a connection if
+    /// there is none.
     async fn send_request(
         &self,
-        upstream: &Upstream,
+        connected: Option<Connected>,
         relay: &Relay,
-    ) -> Result<Answer, AttemptResult> {
-        let stream = exchange::connect(upstream.address).await;
-        let stream = stream.map_err(|e| self.fail_exchange(&e))?;
+    ) -> Result<(Answer, Upstream), AttemptResult> {
+        let Connected { upstream, stream } = match connected {
+            Some(connected) => connected,
+            None => self.open_connection(relay).await?,
+        };
         // A connection on the same host opens without a pause, in which the closed
         // connections of callers would be read.
         tokio::task::yield_now().await;
@@ -193,9 +222,10 @@
             return Err(AttemptResult::NotSent);
         }
         self.state.record_prefix(&self.upstream, &self.job.prefix);
-        let upstream_request = self.upstream_request(upstream, relay);
+        let upstream_request = self.upstream_request(&upstream, relay);
         let answer = exchange::send(stream, &upstream_request).await;
-        answer.map_err(|e| self.fail_exchange(&e))
+        let answer = answer.map_err(|e| self.fail_exchange(&e))?;
+        Ok((answer, upstream))
     }
 
     fn upstream_request(&self, upstream: &Upstream, relay: &Relay) -> UpstreamRequest {
@@ -295,12 +325,12 @@
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
     ) -> AttemptResult {
-        let until = self.state.instant(self.timeout_at);
         loop {
             if running.cutoff.is_reached(self.state.now()) {
                 return AttemptResult::TimedOut;
             }
-            let idle_timeout = running.limit_of_silence(self.idle_timeout(relay));
+            let end = running.cutoff.end();
+            let idle_timeout = self.idle_timeout(relay);
             let next_step = idle_timeout.map(|limit| running.silence.next_step(limit));
             // After a stall of the event loop, timers have elapsed while bytes are there.
             let next = tokio::select! {
@@ -309,7 +339,12 @@
                     return AttemptResult::CallerDisconnected;
                 }
                 next = running.next() => next,
-                () = actix_rt::time::sleep_until(until.into()) => return AttemptResult::TimedOut,
+                () = self.sleep_until_or_forever(Some(end)) => {
+                    if running.cutoff.is_end(self.state.now()) {
+                        return AttemptResult::TimedOut;
+                    }
+                    continue;
+                }
                 () = self.sleep_until_or_forever(next_step) => {
                     let limit = idle_timeout.unwrap_or(Duration::MAX);
                     if running.silence.count_step(self.state.now(), limit) {
--- a/src/entry/attempt/running.rs
+++ b/src/entry/attempt/running.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::clock::Timestamp;
+use crate::event_loop::SETTLE_TIME;
 use crate::exchange::Answer;
 use crate::exchange::ExchangeError;
 use crate::silence::SilenceWatch;
@@ -26,8 +27,6 @@
     pub(super) has_body_started: bool,
     pub(super) silence: SilenceWatch,
     pub(super) cutoff: Cutoff,
-    /// Whether the answer is awaited however long the upstream is silent.
-    is_patient: bool,
     answer: Answer,
     /// What the upstream has sent after a silence, until it is relayed.
     pending: Option<NextBytes>,
@@ -48,7 +47,6 @@
             has_body_started: false,
             silence: SilenceWatch::new(now),
             cutoff: Cutoff::new(timeout_at),
-            is_patient: false,
             answer,
             pending: None,
         }
@@ -68,16 +66,6 @@
             self.pending = Some(self.answer.next().await);
         }
     }
-
-    /// Lets the upstream be silent for as long as the request may last.
-    pub(super) fn be_patient(&mut self) {
-        self.is_patient = true;
-    }
-
-    /// Returns whether silence ends the wait for the answer at `limit`.
-    pub(super) fn limit_of_silence(&self, limit: Option<Duration>) -> Option<Duration> {
-        limit.filter(|_| !self.is_patient)
-    }
 }
 
 /// End of an answer whose request has reached its timeout: what has arrived by then is
@@ -104,4 +92,16 @@
         let since = *self.overdue_since.get_or_insert(now);
         now.since(since) >= READY_GRACE
     }
+
+    /// Returns the time at which an answer ends of which no bytes are there: the timeout,
+    /// or shortly after the first look at it if that was later.
+    pub(super) fn end(&self) -> Timestamp {
+        let settled = self.overdue_since.map(|since| since + SETTLE_TIME);
+        settled.unwrap_or(self.timeout_at)
+    }
+
+    /// Returns whether an answer of which no bytes are there ends at `now`.
+    pub(super) fn is_end(&self, now: Timestamp) -> bool {
+        self.overdue_since.is_some() && now >= self.end()
+    }
 }
--- a/src/entry/attempt/tests.rs
+++ b/src/entry/attempt/tests.rs
@@ -29,3 +29,14 @@
     assert!(!cutoff.is_reached(at(3_000)));
     assert!(cutoff.is_reached(at(3_200)));
 }
+
+// Issue 31, LOST: the timer was seen before the bytes that had arrived in a stall.
+#[test]
+fn answer_ends_only_after_a_second_look_past_its_timeout() {
+    let mut cutoff = Cutoff::new(at(3_000));
+    assert_eq!(cutoff.end(), at(3_000));
+    assert!(!cutoff.is_end(at(5_000)));
+    cutoff.is_reached(at(5_000));
+    assert!(!cutoff.is_end(at(5_000)));
+    assert!(cutoff.is_end(cutoff.end()));
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -213,9 +213,9 @@
         .acquire_permit(&admission.organisation)
         .ok_or_else(limited)?;
     let bytes = body_reservation(req, settings.limits.body).map_err(&refuse)?;
-    let (event_tx, event_rx) = mpsc::unbounded_channel();
+    let (evicted_tx, evicted_rx) = mpsc::unbounded_channel();
     let deadline = arrived + admission.deadline;
-    let held = state.hold(admission.eviction_rank(), deadline, bytes, event_tx.clone());
+    let held = state.hold(admission.eviction_rank(), deadline, bytes, evicted_tx);
     let full = || refuse(CallerError::Overloaded(ENTRY_FULL_RETRY_AFTER));
     let mut held = HeldGuard {
         request: Some(held.ok_or_else(full)?),
@@ -256,8 +256,7 @@
         quota_charge,
     };
     let knows_chunks = req.version() > Version::HTTP_10;
-    let channel = (event_tx, event_rx);
-    Ok(serve_accepted(state, accepted, channel, knows_chunks).await)
+    Ok(serve_accepted(state, accepted, evicted_rx, knows_chunks).await)
 }
 
 /// Returns the software version at which a request resumes its stream; `None` if it
@@ -307,12 +306,12 @@
 async fn serve_accepted(
     state: &Rc<EntryState>,
     accepted: AcceptedRequest,
-    channel: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
+    evicted_rx: mpsc::UnboundedReceiver<Event>,
     knows_chunks: bool,
 ) -> Response<BoxBody> {
     let (reply_tx, mut reply_rx) = mpsc::channel(REPLY_BUFFER);
     let id = accepted.job.logged_id(accepted.request).to_string();
-    let task = RequestTask::new(Rc::clone(state), accepted, channel, reply_tx);
+    let task = RequestTask::new(Rc::clone(state), accepted, evicted_rx, reply_tx);
     actix_rt::spawn(task.run());
     let mut response = match reply_rx.recv().await {
         Some(Reply::Head(status, headers)) => {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use slog::info;
+use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -97,6 +98,9 @@
     may_have_run: bool,
     /// Whether the arrival was recorded for the throttle.
     is_arrival_recorded: bool,
+    /// Tells if the entry evicts the request.
+    evicted_rx: UnboundedReceiver<Event>,
+    /// The events of the tickets of the current search for an upstream.
     event_tx: UnboundedSender<Event>,
     event_rx: UnboundedReceiver<Event>,
     relay: Relay,
@@ -105,16 +109,13 @@
     _concurrency_permit: ConcurrencyPermit,
 }
 
-/// The ticket of a grant is gone: the upstream was withdrawn from meanwhile.
-struct NoTicket(Name);
-
 impl RequestTask {
-    /// Creates the task of an accepted request. `event_tx` and `event_rx` are the
-    /// ends of the event channel that is registered for the held request.
+    /// Creates the task of an accepted request. `evicted_rx` is the end of the event
+    /// channel that is registered for the held request.
     pub fn new(
         state: Rc<EntryState>,
         accepted: AcceptedRequest,
-        (event_tx, event_rx): (UnboundedSender<Event>, UnboundedReceiver<Event>),
+        evicted_rx: UnboundedReceiver<Event>,
         reply_tx: Sender<Reply>,
     ) -> Self {
         let AcceptedRequest {
@@ -136,6 +137,7 @@
             .with_time_limits(admission.objective, admission.urgency().max_expected_wait())
             .with_deadline(admission.deadline);
         state.count_for_retry_budget(&job.target);
+        let (event_tx, event_rx) = mpsc::unbounded_channel();
         Self {
             request,
             arrived,
@@ -149,6 +151,7 @@
             attempts: 0,
             may_have_run: false,
             is_arrival_recorded: false,
+            evicted_rx,
             event_tx,
             event_rx,
             claim,
@@ -168,16 +171,13 @@
         let mut actions = self.dispatch.start();
         loop {
             let attempt = match self.wait_for_grant(actions).await {
-                WaitResult::Granted(upstream, grant) => self.new_attempt(upstream, grant),
+                WaitResult::Granted(upstream, grant) => self.new_attempt(upstream, grant).await,
                 WaitResult::Stayed(attempt) => Ok(*attempt),
                 WaitResult::Finished(outcome) => return outcome,
             };
             let next = match attempt {
                 Ok(attempt) => self.run_attempt(attempt).await,
-                Err(NoTicket(upstream)) => {
-                    let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
-                    ControlFlow::Continue(self.reschedule(&upstream, refusal, false))
-                }
+                Err(actions) => ControlFlow::Continue(actions),
             };
             actions = match next {
                 ControlFlow::Continue(actions) => actions,
@@ -191,10 +191,10 @@
     async fn run_attempt(&mut self, mut attempt: Attempt) -> ControlFlow<Outcome, Vec<Action>> {
         let mut result = attempt.run(&mut self.relay, &mut self.claim).await;
         while result == AttemptResult::Silent {
-            if self.may_seek_other() {
+            if self.may_seek_other(&attempt.upstream) {
                 return ControlFlow::Continue(self.seek_other(attempt));
             }
-            attempt.be_patient();
+            attempt.restart_silence();
             result = attempt.run(&mut self.relay, &mut self.claim).await;
         }
         self.end_attempt(&attempt, result);
@@ -220,13 +220,14 @@
     }
 
     /// Returns whether the answer of a silent upstream can go on at another one.
-    fn may_seek_other(&self) -> bool {
+    fn may_seek_other(&self, silent: &Name) -> bool {
         // The attempt at the silent upstream is not counted yet.
         let has_attempt = self.attempts + 1 < self.job.admission.route.attempts;
         self.can_fail_over()
             && has_attempt
-            && self.has_upstream_of_its_version()
-            && self.state.try_retry(&self.job.target)
+            && self.state.now() < self.deadline
+            && self.state.may_retry(&self.job.target)
+            && !self.candidates_without(silent).is_empty()
     }
 
     /// Offers tickets to other upstreams, and keeps the attempt at the silent one until
@@ -235,6 +236,7 @@
         let upstream = attempt.upstream.clone();
         self.silent = Some(attempt);
         self.keep_to_version();
+        self.begin_search();
         let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
         self.dispatch.handle_event(Event::NotRun(upstream, refusal))
     }
@@ -267,6 +269,7 @@
         if is_retry_allowed {
             self.state.mark_waiting(self.request);
             self.keep_to_version();
+            self.begin_search();
             return self
                 .dispatch
                 .handle_event(Event::NotRun(upstream.clone(), refusal));
@@ -279,6 +282,12 @@
         actions
     }
 
+    /// Begins a search for an upstream. Late events of the tickets of earlier ones are
+    /// dropped: those tickets are withdrawn, and the same agents may be asked again.
+    fn begin_search(&mut self) {
+        (self.event_tx, self.event_rx) = mpsc::unbounded_channel();
+    }
+
     /// Returns whether an upstream can continue the answer at the version that began it.
     fn has_upstream_of_its_version(&self) -> bool {
         let origin = self.relay.origin();
@@ -294,16 +303,64 @@
         }
     }
 
-    /// Returns the attempt for which `upstream` has granted room. A silent upstream is
-    /// left for it.
-    fn new_attempt(&mut self, upstream: Name, grant: GrantId) -> Result<Attempt, NoTicket> {
+    /// Returns the attempt for which `upstream` has granted room, or the actions with
+    /// which the request goes on if there can be none.
+    async fn new_attempt(
+        &mut self,
+        upstream: Name,
+        grant: GrantId,
+    ) -> Result<Attempt, Vec<Action>> {
         let Some(scheduler) = self.schedulers.remove(&upstream) else {
-            return Err(NoTicket(upstream));
+            let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
+            return Err(self.reschedule(&upstream, refusal, false));
         };
-        if let Some(silent) = self.silent.take() {
-            silent.leave_silent_upstream();
-            self.end_attempt(&silent, AttemptResult::Silent);
+        let attempt = self.granted_attempt(upstream, scheduler, grant);
+        match self.silent.take() {
+            Some(silent) => self.move_to(attempt, silent).await,
+            None => Ok(attempt),
+        }
+    }
+
+    /// Moves the request from a silent upstream to the one of `attempt`, which must be
+    /// reachable first.
+    async fn move_to(
+        &mut self,
+        mut attempt: Attempt,
+        silent: Attempt,
+    ) -> Result<Attempt, Vec<Action>> {
+        if let Err(result) = attempt.connect(&self.relay).await {
+            self.end_attempt(&attempt, result);
+            self.silent = Some(silent);
+            self.sent_to = self.silent.as_ref().map(|s| s.upstream.clone());
+            let refusal = match result {
+                AttemptResult::NotRun(refusal) => refusal,
+                _ => Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER),
+            };
+            let failed = Event::NotRun(attempt.upstream.clone(), refusal);
+            return Err(self.dispatch.handle_event(failed));
         }
+        if !self.state.try_retry(&self.job.target) {
+            self.end_attempt(&attempt, AttemptResult::NotSent);
+            self.sent_to = Some(silent.upstream.clone());
+            return Ok(self.stay_at(silent));
+        }
+        silent.leave_silent_upstream();
+        self.end_attempt(&silent, AttemptResult::Silent);
+        attempt.is_last = self.is_last_attempt();
+        Ok(attempt)
+    }
+
+    fn is_last_attempt(&self) -> bool {
+        self.attempts + 1 >= self.job.admission.route.attempts
+    }
+
+    /// Returns the attempt at `upstream` after the grant of its scheduler was accepted.
+    fn granted_attempt(
+        &mut self,
+        upstream: Name,
+        scheduler: SchedulerHandle,
+        grant: GrantId,
+    ) -> Attempt {
         self.state.links.unregister(&upstream, self.request);
         self.state.mark_sent(self.request);
         let now = self.state.now();
@@ -319,7 +376,7 @@
             "version" => self.state.directory.get(&upstream).and_then(|u| u.version).as_deref(),
             "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
-        Ok(Attempt {
+        Attempt {
             state: Rc::clone(&self.state),
             request: self.request,
             job: Rc::clone(&self.job),
@@ -328,9 +385,10 @@
             deadline: self.deadline,
             timeout_at: self.timeout_at(),
             arrived: self.arrived,
-            is_last: self.attempts + 1 >= self.job.admission.route.attempts,
+            is_last: self.is_last_attempt(),
+            connected: None,
             running: None,
-        })
+        }
     }
 
     /// Returns the time at which an answer to the request is aborted.
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -57,6 +57,7 @@
 async fn next_input<C, A, T>(
     closed: C,
     answered: A,
+    evicted: &mut UnboundedReceiver<Event>,
     events: &mut UnboundedReceiver<Event>,
     timer: T,
 ) -> Input
@@ -69,6 +70,7 @@
         biased;
         () = closed => Input::CallerLeft,
         () = answered => Input::Answered,
+        Some(event) = evicted.recv() => Input::Event(event),
         Some(event) = events.recv() => Input::Event(event),
         () = timer => Input::Timer,
     }
@@ -117,8 +119,8 @@
                         refusal,
                         retry_after,
                     } => {
-                        if let Some(attempt) = self.stay_for_good() {
-                            return WaitResult::Stayed(Box::new(attempt));
+                        if let Some(silent) = self.silent.take() {
+                            return WaitResult::Stayed(Box::new(self.stay_at(silent)));
                         }
                         return WaitResult::Finished(self.give_up(refusal, retry_after).await);
                     }
@@ -134,15 +136,16 @@
             let timer = actix_rt::time::sleep_until(next_timer.into());
             let closed = self.relay.closed();
             let answered = wait_for_bytes(&mut self.silent);
-            match next_input(closed, answered, &mut self.event_rx, timer).await {
+            let evicted = &mut self.evicted_rx;
+            match next_input(closed, answered, evicted, &mut self.event_rx, timer).await {
                 Input::CallerLeft => {
                     // `finish` withdraws the tickets, so the actions are not needed.
                     self.dispatch.abandon();
                     return WaitResult::Finished(Outcome::cancelled);
                 }
                 Input::Answered => {
-                    if let Some(attempt) = self.stay() {
-                        return WaitResult::Stayed(Box::new(attempt));
+                    if let Some(silent) = self.silent.take() {
+                        return WaitResult::Stayed(Box::new(self.stay_at(silent)));
                     }
                 }
                 Input::Event(event) if self.is_current(&event) => {
@@ -152,7 +155,7 @@
                 Input::Timer => {
                     let event = match timers.due(self.state.now(), effective_deadline) {
                         Some(Due::WaitTimedOut) => Event::WaitTimedOut,
-                        Some(Due::Refresh) => Event::Upstreams(self.other_candidates()),
+                        Some(Due::Refresh) => Event::Upstreams(self.candidates()),
                         Some(Due::CollectionTimedOut) => Event::CollectionTimedOut,
                         None => continue,
                     };
@@ -162,33 +165,31 @@
         }
     }
 
-    /// Returns the upstreams that can run the request, without one that is silent.
-    fn other_candidates(&self) -> Vec<Choice> {
+    /// Returns the upstreams that can run the request, without `silent`.
+    pub(super) fn candidates_without(&self, silent: &Name) -> Vec<Choice> {
         let origin = self.relay.origin();
         let mut candidates = self.state.candidates(&self.job, origin);
-        if let Some(silent) = &self.silent {
-            candidates.retain(|c| c.upstream != silent.upstream);
-        }
+        candidates.retain(|choice| choice.upstream != *silent);
         candidates
     }
 
+    fn candidates(&self) -> Vec<Choice> {
+        match &self.silent {
+            Some(silent) => self.candidates_without(&silent.upstream),
+            None => self.state.candidates(&self.job, self.relay.origin()),
+        }
+    }
+
     /// Ends the search for another upstream and returns the attempt at the silent one.
-    fn stay(&mut self) -> Option<Attempt> {
-        let attempt = self.silent.take()?;
-        for action in self.dispatch.stay() {
+    /// Another search can begin after as long a silence again.
+    pub(super) fn stay_at(&mut self, mut silent: Attempt) -> Attempt {
+        for action in self.dispatch.stay(silent.upstream.clone()) {
             if let Action::Withdraw(upstream) = action {
                 self.withdraw(&upstream, WithdrawReason::GivenUp);
             }
         }
-        Some(attempt)
-    }
-
-    /// The same where no other upstream can be found: the attempt waits for the silent
-    /// one for as long as the request may last.
-    fn stay_for_good(&mut self) -> Option<Attempt> {
-        let mut attempt = self.stay()?;
-        attempt.be_patient();
-        Some(attempt)
+        silent.restart_silence();
+        silent
     }
 
     /// Records the arrival for the throttle, once per request.
--- a/src/entry/serve/waiting/tests.rs
+++ b/src/entry/serve/waiting/tests.rs
@@ -1,5 +1,10 @@
 use super::*;
 
+/// Returns a channel on which nothing comes.
+fn never() -> UnboundedReceiver<Event> {
+    tokio::sync::mpsc::unbounded_channel().1
+}
+
 // KNOWN-RED.txt until issue 25, GONE: a busy entry sent requests on whose callers had
 // left, since it handled the grant first.
 #[actix_rt::test]
@@ -11,7 +16,7 @@
     let left = futures::future::ready(());
     let answered = futures::future::ready(());
     let timer = futures::future::ready(());
-    let input = next_input(left, answered, &mut event_rx, timer).await;
+    let input = next_input(left, answered, &mut never(), &mut event_rx, timer).await;
     assert!(matches!(input, Input::CallerLeft), "{input:?}");
 }
 
@@ -24,7 +29,7 @@
     let stays = futures::future::pending();
     let silent = futures::future::pending();
     let timer = futures::future::ready(());
-    let input = next_input(stays, silent, &mut event_rx, timer).await;
+    let input = next_input(stays, silent, &mut never(), &mut event_rx, timer).await;
     assert!(matches!(input, Input::Event(_)), "{input:?}");
 }
 
@@ -38,6 +43,6 @@
     let stays = futures::future::pending();
     let answered = futures::future::ready(());
     let timer = futures::future::ready(());
-    let input = next_input(stays, answered, &mut event_rx, timer).await;
+    let input = next_input(stays, answered, &mut never(), &mut event_rx, timer).await;
     assert!(matches!(input, Input::Answered), "{input:?}");
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -234,6 +234,13 @@
         retry_budget.try_retry(self.now(), service, bounds)
     }
 
+    /// Returns whether the retry budget of `service` would allow another attempt.
+    pub fn may_retry(&self, service: &Name) -> bool {
+        let bounds = self.retry_bounds();
+        let mut retry_budget = self.retry_budget.borrow_mut();
+        retry_budget.may_retry(self.now(), service, bounds)
+    }
+
     fn retry_bounds(&self) -> RetryBounds {
         let limits = &self.active_settings.settings().limits;
         RetryBounds {
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -60,16 +60,22 @@
     /// Returns whether a request for `service` can be retried, and counts the
     /// retry if so.
     pub fn try_retry(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
+        let can_retry = self.may_retry(now, service, bounds);
+        if can_retry {
+            let counts = self.services.entry(service.clone()).or_default();
+            counts.retries.push_back(now);
+        }
+        can_retry
+    }
+
+    /// Returns whether a request for `service` can be retried.
+    pub fn may_retry(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
         let counts = self.services.entry(service.clone()).or_default();
         counts.remove_expired(now, bounds.window);
         let proportional = counts.requests.len() as f64 * bounds.ratio;
         let slack = f64::from(bounds.slack) / bounds.entries.max(1) as f64;
         let max_retries = (proportional + slack) * USED_FRACTION;
-        let can_retry = (counts.retries.len() + 1) as f64 <= max_retries;
-        if can_retry {
-            counts.retries.push_back(now);
-        }
-        can_retry
+        (counts.retries.len() + 1) as f64 <= max_retries
     }
 }
 
