Send a request from where it stopped when an upstream answers meanwhile

What an upstream would have seen: a body of which a part came twice. If a part of the answer's head arrived while the request was being written, the write began again from the first byte. It takes a body longer than the buffers of the connection and a head in pieces. Found in a review.

Test: request_that_is_answered_while_it_is_sent_arrives_unchanged, with a body of 16 MB, fails before and passes now in 3 of 3 runs.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -191,19 +191,17 @@
     upstream_request: &UpstreamRequest,
 ) -> Result<Answer, ExchangeError> {
     let mut codec = ClientCodec::default();
-    let request = encode(&mut codec, upstream_request)?;
+    let mut unsent = encode(&mut codec, upstream_request)?;
     let mut buf = BytesMut::with_capacity(4096);
     let (mut reader, mut writer) = stream.split();
-    let mut is_written = false;
     let head = loop {
         if let Some(head) = decode_head(&mut codec, &mut buf)? {
             break head;
         }
         // An upstream can answer before it has read the whole request body.
         tokio::select! {
-            result = writer.write_all(&request), if !is_written => {
+            result = writer.write_all_buf(&mut unsent), if !unsent.is_empty() => {
                 result.map_err(ExchangeError::Broken)?;
-                is_written = true;
             }
             read = reader.read_buf(&mut buf) => {
                 if read.map_err(ExchangeError::Broken)? == 0 {
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -126,3 +126,41 @@
         let _ = actix_rt::System::new().block_on(exchange(&answer, false));
     }
 }
+
+/// A length that does not fit into the buffers of a connection.
+const LONG_BODY: usize = 16 << 20;
+
+// An upstream that answered while it was reading got the rest of the body from its
+// beginning.
+#[actix_rt::test]
+async fn request_that_is_answered_while_it_is_sent_arrives_unchanged() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let received = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = vec![0; 1024];
+        stream.read_exact(&mut received).await.expect("a request");
+        // Some of the body is on its way now, and the sender waits for room.
+        for part in ["HTTP/1.1 ", "200 OK\r\n", "content-length: 0\r\n"] {
+            stream.write_all(part.as_bytes()).await.expect("it is read");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        let head_end = received.windows(4).position(|w| w == b"\r\n\r\n");
+        let length = head_end.expect("a whole head") + 4 + LONG_BODY;
+        let mut rest = vec![0; length - received.len()];
+        stream.read_exact(&mut rest).await.expect("a body");
+        received.extend(rest);
+        stream.write_all(b"\r\n").await.expect("it is read");
+        received.split_off(length - LONG_BODY)
+    });
+    let body: Vec<u8> = (0..LONG_BODY).map(|i| (i % 251) as u8).collect();
+    let request = UpstreamRequest {
+        method: Name::new("POST"),
+        body: Bytes::from(body.clone()),
+        ..get()
+    };
+    let stream = connect(address).await.expect("a connection");
+    let answer = send(stream, &request).await.expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    assert!(received.await.expect("the upstream ends") == body);
+}
