Log the parts of prompts, and how far an answer was when its exchange failed

The logs could not tell which part of their prompts the requests had in common under which upstreams crashed. A prompt now has the ids of the parts that requests can share: on the platform all of its list but the last, standalone the chained hashes of a few chunks of its prefix. `request sent` gets the first four and their number (`parts`), and `exchange with the upstream failed` says whether nothing, a head or a part of a body had arrived (`answer`). No decision changes.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -12,6 +12,7 @@
 use crate::entry::CallerError;
 use crate::exchange::AnswerHead;
 use crate::name::Name;
+use crate::prompt_parts::PartId;
 use crate::settings::Upstream;
 use crate::ticket::Work;
 use crate::upstream_request::UpstreamRequest;
@@ -29,6 +30,8 @@
     pub max_total_tokens: u64,
     /// Chained hashes of the prompt's chunks.
     pub prefix: Vec<u64>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub parts: Vec<PartId>,
 }
 
 /// Information that is forwarded to the upstream with a request.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -35,6 +35,7 @@
 #[cfg(test)]
 mod tests;
 
+use self::running::AnswerProgress;
 use self::running::RunningAnswer;
 
 /// Retry delay after an upstream has reported that it is full.
@@ -194,7 +195,7 @@
         let upstream = self.active_upstream(relay);
         let upstream = upstream.ok_or_else(|| self.fail_unreachable())?;
         let stream = exchange::connect(upstream.address).await;
-        let stream = stream.map_err(|e| self.fail_exchange(&e))?;
+        let stream = stream.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
         Ok(Connected { upstream, stream })
     }
 
@@ -224,7 +225,7 @@
         self.state.record_prefix(&self.upstream, &self.job.prefix);
         let upstream_request = self.upstream_request(&upstream, relay);
         let answer = exchange::send(stream, &upstream_request).await;
-        let answer = answer.map_err(|e| self.fail_exchange(&e))?;
+        let answer = answer.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
         Ok((answer, upstream))
     }
 
@@ -368,7 +369,7 @@
                     }
                 }
                 Ok(None) => return self.end_answer(running, relay, now).await,
-                Err(e) => return self.fail_exchange(&e),
+                Err(e) => return self.fail_exchange(&e, running.progress()),
             }
         }
     }
@@ -456,10 +457,11 @@
         AttemptResult::Interrupted
     }
 
-    fn fail_exchange(&self, e: &ExchangeError) -> AttemptResult {
+    fn fail_exchange(&self, e: &ExchangeError, progress: AnswerProgress) -> AttemptResult {
         info!(self.state.log, "exchange with the upstream failed";
             "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream,
+            "answer" => progress.name(),
             "error" => %e);
         if e.is_not_sent() {
             return self.fail_unreachable();
--- a/src/entry/attempt/running.rs
+++ b/src/entry/attempt/running.rs
@@ -17,6 +17,25 @@
 /// The next bytes of a body, or `None` at its end.
 type NextBytes = Result<Option<Bytes>, ExchangeError>;
 
+/// How much of an answer had arrived when its exchange failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AnswerProgress {
+    None,
+    Head,
+    Body,
+}
+
+impl AnswerProgress {
+    /// Returns the name in logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Head => "head",
+            Self::Body => "body",
+        }
+    }
+}
+
 /// Answer of which the body is relayed.
 pub(crate) struct RunningAnswer {
     /// The status code of the answer.
@@ -52,6 +71,14 @@
         }
     }
 
+    /// Returns how much of the answer has arrived.
+    pub(super) fn progress(&self) -> AnswerProgress {
+        match self.has_body_started {
+            true => AnswerProgress::Body,
+            false => AnswerProgress::Head,
+        }
+    }
+
     /// Returns the next bytes of the body. Can be cancelled without losing any.
     pub(super) async fn next(&mut self) -> NextBytes {
         match self.pending.take() {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -16,6 +16,7 @@
 use crate::headers::end_to_end;
 use crate::ids::RequestId;
 use crate::name::Name;
+use crate::prompt_parts::PartId;
 use crate::settings::Route;
 use crate::settings::RouteKind;
 use crate::settings::Settings;
@@ -87,6 +88,8 @@
     pub max_total_tokens: u64,
     /// Chained hashes of the prompt's chunks.
     pub prefix: Vec<u64>,
+    /// Parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
     /// Whether the request can safely run more than once.
     pub idempotent: bool,
     /// Whether the work is useless, and is cancelled, once the caller has
@@ -197,6 +200,7 @@
                 work: Work::default(),
                 max_total_tokens: 0,
                 prefix: Vec::new(),
+                parts: Vec::new(),
                 idempotent,
                 cancellable: idempotent,
                 last_event: None,
@@ -220,6 +224,7 @@
             work: prompt.work,
             max_total_tokens: prompt.max_total_tokens,
             prefix: prompt.prefix,
+            parts: prompt.parts,
             idempotent: self.route.resumable || self.route.idempotent.unwrap_or_default(),
             cancellable: true,
             last_event: parse_last_event(head),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -34,7 +34,6 @@
 use crate::settings::Policy;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
-use crate::units::millis;
 
 use self::waiting::WaitResult;
 
@@ -366,16 +365,7 @@
         let now = self.state.now();
         scheduler.mark_sent(now, &upstream, self.request, grant);
         self.sent_to = Some(upstream.clone());
-        info!(self.state.log, "request sent";
-            "request" => %self.job.logged_id(self.request),
-            "upstream" => %upstream,
-            "by_agent" => matches!(scheduler, SchedulerHandle::Agent(_)),
-            "waited_ms" => millis(now.since(self.arrived)),
-            "left_ms" => millis(now.until(self.deadline)),
-            "view_ms" => self.state.directory.age().map(millis),
-            "version" => self.state.directory.get(&upstream).and_then(|u| u.version).as_deref(),
-            "resumes" => self.job.resumes.as_deref(),
-            "last_event" => self.relay.last_event());
+        self.log_sent(&upstream, &scheduler);
         Attempt {
             state: Rc::clone(&self.state),
             request: self.request,
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -1,4 +1,4 @@
-//! The end of a request: its answer to the caller, its log lines and its records.
+//! The log lines of a request, and its end: the answer to the caller and the records.
 
 use std::time::Duration;
 
@@ -8,14 +8,32 @@
 use crate::burn::BurnKey;
 use crate::entry::attempt::AttemptResult;
 use crate::entry::error::CallerError;
+use crate::entry::local_schedulers::SchedulerHandle;
 use crate::exchange::Framing;
 use crate::name::Name;
 use crate::outcome::Outcome;
+use crate::prompt_parts::LoggedParts;
 use crate::ticket::Refusal;
 use crate::ticket::WithdrawReason;
 use crate::units::millis;
 
 impl RequestTask {
+    /// Logs that the request is sent to `upstream`, which `scheduler` has granted.
+    pub(super) fn log_sent(&self, upstream: &Name, scheduler: &SchedulerHandle) {
+        let now = self.state.now();
+        info!(self.state.log, "request sent";
+            "request" => %self.job.logged_id(self.request),
+            "upstream" => %upstream,
+            "parts" => %LoggedParts(&self.job.parts),
+            "by_agent" => matches!(scheduler, SchedulerHandle::Agent(_)),
+            "waited_ms" => millis(now.since(self.arrived)),
+            "left_ms" => millis(now.until(self.deadline)),
+            "view_ms" => self.state.directory.age().map(millis),
+            "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
+            "resumes" => self.job.resumes.as_deref(),
+            "last_event" => self.relay.last_event());
+    }
+
     pub(super) async fn give_up(
         &mut self,
         refusal: Option<Refusal>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod programs;
 pub mod progress;
 pub mod prompt;
+pub mod prompt_parts;
 pub mod queue;
 pub mod quota;
 pub mod registrations;
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -8,6 +8,7 @@
 use crate::name::Name;
 use crate::prefix::chunk_hashes;
 use crate::prefix::estimate_tokens;
+use crate::prompt_parts::prefix_parts;
 use crate::ticket::Work;
 
 /// Expected output tokens of a request that sets no limit.
@@ -46,10 +47,12 @@
         cached: 0,
         output: output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
     };
+    let prefix = chunk_hashes(&body.model, text);
     Ok(Prompt {
         work,
         max_total_tokens: work.prefill + work.output,
-        prefix: chunk_hashes(&body.model, text),
+        parts: prefix_parts(&prefix),
+        prefix,
         model: Some(body.model),
     })
 }
