Add the table that finds parts of prompts that crash upstreams

A state machine without I/O: it takes crashes, successes and the reports of other entries, and says which parts are convicted, who may probe them, and whether a request may be sent again after a crash. Nothing uses it yet.

Property tests over random orders of events at four entries found three faults while it was written, all in merging: the time of the last crash depended on the order of reports; a success was forgotten before the crashes that it retires; a retired crash came back when another entry had seen it later.

--- /dev/null
+++ b/src/crash_suspects/report.rs
@@ -0,0 +1,104 @@
+//! What entries tell each other of suspects.
+
+use std::time::Duration;
+
+use super::Change;
+use super::CrashId;
+use super::CrashSuspects;
+use super::SUCCESS_MEMORY;
+use super::Suspect;
+use crate::clock::Timestamp;
+use crate::prompt_parts::PartId;
+
+/// The maximum number of suspects in a report, so that it fits into a datagram.
+const MAX_ROWS: usize = 32;
+
+/// Added to the age of a reported success. It is longer than reports take, since a success
+/// that is passed on would otherwise grow younger.
+const SUCCESS_MARGIN: Duration = Duration::from_secs(1);
+
+/// The suspects of an entry.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SuspectReport {
+    /// One row for each suspect.
+    pub rows: Vec<SuspectRow>,
+}
+
+/// A suspect in a report. The clocks of the entries differ, so it holds ages.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectRow {
+    /// The part.
+    pub part: PartId,
+    /// The crashes and their ages.
+    pub crashes: Vec<(CrashId, Duration)>,
+    /// The age of the last success, if there was one.
+    pub succeeded: Option<Duration>,
+}
+
+impl CrashSuspects {
+    /// Returns a report on the suspects with most crashes.
+    pub fn report(&self, now: Timestamp) -> SuspectReport {
+        let mut suspects: Vec<(&PartId, &Suspect)> = self.suspects.iter().collect();
+        suspects.sort_by_key(|(part, s)| {
+            let is_convicted = self.convicted.contains(part);
+            std::cmp::Reverse((
+                is_convicted,
+                s.is_suspect(now),
+                s.counted().count(),
+                s.last_crash(),
+            ))
+        });
+        suspects.truncate(MAX_ROWS);
+        let rows = suspects.into_iter().map(|(part, s)| s.row(now, *part));
+        SuspectReport {
+            rows: rows.collect(),
+        }
+    }
+
+    /// Merges the report of another entry. Returns the changes, and whether this entry
+    /// knows a success that the other one should learn of.
+    pub fn merge(&mut self, now: Timestamp, report: &SuspectReport) -> (Vec<Change>, bool) {
+        let mut knows_more = false;
+        for row in &report.rows {
+            let own_success = self.successes.last(row.part);
+            knows_more |= own_success.is_some_and(|at| row.lacks_success(now, at));
+            let suspect = self.suspect(row.part);
+            for (crash, age) in &row.crashes {
+                suspect.record_crash(*crash, before(now, *age));
+            }
+            if let Some(age) = row.succeeded {
+                suspect.record_success(before(now, age));
+            }
+        }
+        (self.review(now), knows_more)
+    }
+}
+
+impl SuspectRow {
+    /// Returns whether the row would say something else with a success at `at`.
+    fn lacks_success(&self, now: Timestamp, at: Timestamp) -> bool {
+        let age = now.since(at);
+        let is_unknown = self.succeeded.is_none_or(|a| a >= SUCCESS_MEMORY / 2);
+        let would_clear = |(_, crash_age): &(CrashId, Duration)| {
+            *crash_age > age + SUCCESS_MARGIN && self.succeeded.is_none_or(|a| a >= *crash_age)
+        };
+        is_unknown && age < SUCCESS_MEMORY / 2 || self.crashes.iter().any(would_clear)
+    }
+}
+
+impl Suspect {
+    fn row(&self, now: Timestamp, part: PartId) -> SuspectRow {
+        let crashes = self.crashes.iter();
+        SuspectRow {
+            part,
+            crashes: crashes.map(|(id, at)| (*id, now.since(*at))).collect(),
+            succeeded: self
+                .last_success
+                .map(|at| now.since(at).saturating_add(SUCCESS_MARGIN)),
+        }
+    }
+}
+
+fn before(now: Timestamp, age: Duration) -> Timestamp {
+    Timestamp::new(now.since(Timestamp::new(age)))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod clock;
 pub mod completeness;
 pub mod config;
+pub mod crash_suspects;
 pub mod daemon;
 pub mod dialect;
 pub mod directory;
