Find the route of a request by its host and path

The routes have an index by host and by path without trailing slashes now. A request looks up its path and each prefix of it that ends at a slash, at most up to the length of the longest path of a route, so that a path of slashes costs no more. Which route is found does not change: a proptest compares the index with the walk that it replaces.

Requests and versions of the settings share the routes instead of copying them. The problems of routes are now reported after those of the limits.

No other test changes. The time of a lookup was not measured.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -87,7 +87,7 @@
         let mut revisions = active_settings.subscribe();
         loop {
             revisions.mark_unchanged();
-            self.set(active_settings.settings().upstreams.clone());
+            self.set((*active_settings.settings().upstreams).clone());
             if revisions.changed().await.is_err() {
                 return;
             }
--- a/src/entry/auth.rs
+++ b/src/entry/auth.rs
@@ -24,7 +24,7 @@
     /// Creates a table of the keys of all organisations in `settings`.
     pub fn new(settings: &Settings) -> Self {
         let mut buckets = vec![Vec::new(); BUCKETS];
-        for (name, organisation) in &settings.organisations {
+        for (name, organisation) in settings.organisations.iter() {
             for key in &organisation.keys {
                 buckets[usize::from(key.0[0])].push((*key, name.clone()));
             }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,5 +1,6 @@
 //! Converts HTTP requests of callers into jobs that can be scheduled.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -54,7 +55,7 @@
     /// public route.
     pub organisation: Name,
     /// The route that matches the host and path.
-    pub route: Route,
+    pub route: Rc<Route>,
     /// The name of the route.
     pub route_name: Name,
     /// How long the caller has been trying: zero at its first attempt.
@@ -121,7 +122,7 @@
         F: FnOnce(u32) -> u32,
     {
         let path = head.uri.path();
-        let matched = find_route(settings, request_host(head), path);
+        let matched = settings.routes.find(request_host(head), path);
         let (route_name, route) = matched.ok_or(CallerError::NoRoute)?;
         let organisation = match route.public {
             true => Name::new(PUBLIC_ORGANISATION),
@@ -143,7 +144,7 @@
         Ok(Self {
             rank: scheduling_rank(settings, &organisation, route, tier_settings.order),
             organisation,
-            route: route.clone(),
+            route: Rc::clone(route),
             route_name: route_name.clone(),
             tried_for: Duration::ZERO,
             tier,
@@ -281,32 +282,6 @@
     keys.find(key.trim()).ok_or(CallerError::UnknownApiKey)
 }
 
-/// Finds the route of a path on a host. A route with exactly this path takes
-/// precedence, then the one with the longest prefix that ends at a slash.
-fn find_route<'a>(
-    settings: &'a Settings,
-    host: Option<&str>,
-    path: &str,
-) -> Option<(&'a Name, &'a Route)> {
-    let matches = |route: &Route| {
-        let is_host = |name: &Name| host.is_some_and(|h| h.eq_ignore_ascii_case(name));
-        route.host.as_ref().is_none_or(is_host) && matches_path(route, path)
-    };
-    settings
-        .routes
-        .iter()
-        .filter(|(_, route)| matches(route))
-        .max_by_key(|(_, route)| (path == route.path.as_str(), route.path.len()))
-}
-
-fn matches_path(route: &Route, path: &str) -> bool {
-    if route.kind == RouteKind::Model && !route.path.ends_with('/') {
-        return path == route.path.as_str();
-    }
-    path.strip_prefix(route.path.trim_end_matches('/'))
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
-
 /// Returns the host name in the `Host` header, without the port.
 fn request_host(head: &RequestHead) -> Option<&str> {
     let host = head.headers.get(header::HOST)?.to_str().ok()?;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,6 +1,7 @@
 //! Decodes and validates merged settings, and reports all problems in one run.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use serde::de::DeserializeOwned;
 use toml::Table;
@@ -11,6 +12,7 @@
 use crate::settings::MergedFiles;
 use crate::settings::Problem;
 use crate::settings::Reason;
+use crate::settings::Route;
 use crate::settings::RouteKind;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
@@ -69,11 +71,15 @@
     fn decode(&mut self) -> Settings {
         let mut table = std::mem::take(&mut self.merged.table);
         let settings = Settings {
-            tiers: self.decode_section(&mut table, "tiers"),
-            organisations: self.decode_section(&mut table, "organisations"),
-            upstreams: self.decode_section(&mut table, "upstreams"),
-            services: self.decode_section(&mut table, "services"),
-            routes: self.decode_section(&mut table, "routes"),
+            tiers: self.decode_section(&mut table, "tiers").into(),
+            organisations: self.decode_section(&mut table, "organisations").into(),
+            upstreams: self.decode_section(&mut table, "upstreams").into(),
+            services: self.decode_section(&mut table, "services").into(),
+            routes: Rc::new(
+                self.decode_section(&mut table, "routes")
+                    .into_iter()
+                    .collect(),
+            ),
             limits: self.decode_limits(&mut table),
         };
         for key in table.keys() {
@@ -148,19 +154,23 @@
     }
 
     fn cross_check(&mut self, settings: &Settings) {
+        self.check_sections(settings);
+        self.check_routes(settings);
+    }
+
+    fn check_sections(&mut self, settings: &Settings) {
         if settings.tiers.is_empty() {
             self.report("tiers".to_owned(), Reason::Empty);
         }
         self.check_tiers(settings);
         self.check_organisations(settings);
         self.check_upstreams(settings);
-        self.check_routes(settings);
         self.check_limits(settings);
     }
 
     fn check_tiers(&mut self, settings: &Settings) {
         let mut orders: BTreeMap<u8, &Name> = BTreeMap::new();
-        for (name, tier) in &settings.tiers {
+        for (name, tier) in settings.tiers.iter() {
             if let Some(other) = orders.insert(tier.order, name) {
                 let reason = Reason::Contradiction(format!("tiers.{other}.order"));
                 self.report(format!("tiers.{name}.order"), reason);
@@ -175,7 +185,7 @@
     fn check_organisations(&mut self, settings: &Settings) {
         let mut keys = BTreeMap::new();
         let mut names_by_lowercase = BTreeMap::new();
-        for (name, organisation) in &settings.organisations {
+        for (name, organisation) in settings.organisations.iter() {
             let path = join("organisations", name);
             if let Some(other) = names_by_lowercase.insert(name.to_lowercase(), name) {
                 self.report(path.clone(), Reason::DuplicateOrganisation(other.clone()));
@@ -203,7 +213,7 @@
 
     fn check_upstreams(&mut self, settings: &Settings) {
         let mut agents = BTreeMap::new();
-        for (name, upstream) in &settings.upstreams {
+        for (name, upstream) in settings.upstreams.iter() {
             let path = join("upstreams", name);
             let agent = upstream.agent;
             if let Some(other) = agent.and_then(|agent| agents.insert(agent, name)) {
@@ -222,28 +232,32 @@
 
     fn check_routes(&mut self, settings: &Settings) {
         let mut paths = BTreeMap::new();
-        for (name, route) in &settings.routes {
-            let path = join("routes", name);
+        for (name, route) in settings.routes.iter() {
             if let Some(other) = paths.insert((&route.host, &route.path), name) {
                 let reason = Reason::Contradiction(format!("routes.{other}.path"));
-                self.report(format!("{path}.path"), reason);
-            }
-            if !route.path.starts_with('/') {
-                let reason = Reason::Value("must begin with a slash".to_owned());
-                self.report(format!("{path}.path"), reason);
-            }
-            if route.attempts == 0 {
-                let reason = Reason::Value("must be at least 1".to_owned());
-                self.report(format!("{path}.attempts"), reason);
+                self.report(format!("{}.path", join("routes", name)), reason);
             }
-            if let Some(tier) = &route.tier {
-                self.check_tier(settings, format!("{path}.tier"), tier);
-            }
-            self.check_service(settings, &path, route);
+            self.check_route(settings, name, route);
+        }
+    }
+
+    fn check_route(&mut self, settings: &Settings, name: &Name, route: &Route) {
+        let path = join("routes", name);
+        if !route.path.starts_with('/') {
+            let reason = Reason::Value("must begin with a slash".to_owned());
+            self.report(format!("{path}.path"), reason);
+        }
+        if route.attempts == 0 {
+            let reason = Reason::Value("must be at least 1".to_owned());
+            self.report(format!("{path}.attempts"), reason);
+        }
+        if let Some(tier) = &route.tier {
+            self.check_tier(settings, format!("{path}.tier"), tier);
         }
+        self.check_service(settings, &path, route);
     }
 
-    fn check_service(&mut self, settings: &Settings, path: &str, route: &super::Route) {
+    fn check_service(&mut self, settings: &Settings, path: &str, route: &Route) {
         let key = format!("{path}.service");
         if route.service.is_some() && !route.split.is_empty() {
             self.report(key, Reason::Contradiction(format!("{path}.split")));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod merge;
 mod model;
+mod routes;
 mod show;
 #[cfg(test)]
 mod tests;
@@ -30,6 +31,7 @@
 pub use model::Tier;
 pub use model::Upstream;
 pub use model::UpstreamKind;
+pub use routes::Routes;
 pub use show::Change;
 pub use show::diff;
 pub use show::show;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -2,30 +2,33 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde_with::serde_as;
 
 use crate::name::Name;
+use crate::settings::Routes;
 use crate::units::BytesText;
 use crate::units::DurationText;
 use crate::units::KeyDigest;
 
 /// Complete, validated set of settings. Every tier and route that it refers to
-/// exists, and so does every service unless upstreams are discovered.
+/// exists, and so does every service unless upstreams are discovered. Versions of the
+/// settings share the sections that don't differ.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Tiers by name. No two tiers have the same order.
-    pub tiers: BTreeMap<Name, Tier>,
+    pub tiers: Rc<BTreeMap<Name, Tier>>,
     /// Organisations by name. No two organisations share a key.
-    pub organisations: BTreeMap<Name, Organisation>,
+    pub organisations: Rc<BTreeMap<Name, Organisation>>,
     /// Upstreams by name. No two upstreams share an agent's address.
-    pub upstreams: BTreeMap<Name, Upstream>,
+    pub upstreams: Rc<BTreeMap<Name, Upstream>>,
     /// Settings common to the discovered upstreams of a service, by service name.
-    pub services: BTreeMap<Name, Service>,
+    pub services: Rc<BTreeMap<Name, Service>>,
     /// Routes by name. No two routes have the same host and path.
-    pub routes: BTreeMap<Name, Route>,
+    pub routes: Rc<Routes>,
     /// Limits on resources and times.
     pub limits: Limits,
 }
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -130,7 +130,7 @@
             }
             if let Some(directory) = &self.directory {
                 let directory = Rc::clone(directory);
-                directory.set(self.active_settings.settings().upstreams.clone());
+                directory.set((*self.active_settings.settings().upstreams).clone());
                 actix_rt::spawn(directory.follow_settings(Rc::clone(&self.active_settings)));
             }
             registry.publish(Name::new(WATCHES_STORE), watches_store)?;
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -172,7 +172,7 @@
 
     fn start_upstreams(&mut self, spec: &SiteSpec, settings: &Settings) {
         let seen = SeenPrefixes::default();
-        for (name, upstream) in &settings.upstreams {
+        for (name, upstream) in settings.upstreams.iter() {
             match upstream.kind {
                 UpstreamKind::Model => {
                     let config = spec.engines.get(name).cloned().unwrap_or_default();
