Adopt settings in pieces, and read only what has changed

An entry with a ninth of a core did nothing else for over a second at each version, even where one limit had changed: it converted, parsed, merged and checked 1,400 to 4,200 routes in one go.

- Settings are built in steps.
A step decodes one file, or merges and checks some hundred routes.
A file whose text is that of the version before is not decoded again, and a section of such files only is shared with it.
A document that is not valid, or in which several files set the same entry, is checked as a whole in one step, as before.
- Between every sixteen pieces the other tasks of the thread run.
The settings before stay active until all is checked; adoptions follow one another in order.
- An agent does the same with an update.
An entry encodes an update once for all agents with the same revision.

The new tests failed without the change: with no yield, another task ran 0 times during an adoption of 102 files, and with nothing kept, a changed limit decoded 130 files instead of 1. A proptest compares settings built after any version with those checked as a whole.

--- a/src/active_settings.rs
+++ b/src/active_settings.rs
@@ -1,20 +1,30 @@
 //! The settings that this process currently applies.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use slog::Logger;
+use slog::info;
 use thiserror::Error;
+use tokio::sync::Mutex;
 use tokio::sync::watch;
 
+use crate::pieces::PiecesDone;
+use crate::pieces::run_in_pieces;
+use crate::settings::BuiltSettings;
 use crate::settings::Delta;
 use crate::settings::Document;
 use crate::settings::Settings;
+use crate::settings::SettingsBuild;
 use crate::settings::SettingsError;
+use crate::units::millis;
 
 #[cfg(test)]
 mod tests;
@@ -71,42 +81,68 @@
     BaseNotActive(Revision),
 }
 
+/// What it took to adopt settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Adoption {
+    /// Number of files that were decoded; the others are those of the version before.
+    pub decoded_files: usize,
+    /// Pieces in which the work was done.
+    pub pieces: PiecesDone,
+}
+
+/// Logs that settings were adopted, and what it took.
+pub fn log_adoption(log: &Logger, revision: Revision, adoption: &Adoption) {
+    info!(log, "settings adopted";
+        "revision" => revision.0,
+        "decoded_files" => adoption.decoded_files,
+        "pieces" => adoption.pieces.count,
+        "work_ms" => millis(adoption.pieces.work),
+        "elapsed_ms" => millis(adoption.pieces.elapsed));
+}
+
 /// Holds the active settings. Their revision never decreases.
 pub struct ActiveSettings {
-    snapshot: RefCell<SettingsSnapshot>,
+    active: RefCell<(Revision, BuiltSettings)>,
     /// Revisions before the active one, oldest first; at most `MAX_HISTORY`.
     history: RefCell<VecDeque<(Revision, Rc<Document>)>>,
+    /// Encoded updates to the active revision, by their base.
+    encoded_updates: RefCell<HashMap<Revision, Bytes>>,
+    /// Held while settings are adopted, so that adoptions follow one another.
+    adoptions: Mutex<()>,
     revisions: watch::Sender<Revision>,
 }
 
 impl ActiveSettings {
     /// Creates the state of a process that has no settings yet.
     pub fn new() -> Self {
-        let snapshot = SettingsSnapshot {
-            revision: Revision::default(),
-            settings: Rc::default(),
-            document: Rc::default(),
-        };
         Self {
-            snapshot: RefCell::new(snapshot),
+            active: RefCell::default(),
             history: RefCell::default(),
+            encoded_updates: RefCell::default(),
+            adoptions: Mutex::default(),
             revisions: watch::Sender::new(Revision::default()),
         }
     }
 
     /// Returns the active settings with their revision and files.
     pub fn get(&self) -> SettingsSnapshot {
-        self.snapshot.borrow().clone()
+        let active = self.active.borrow();
+        let (revision, built) = &*active;
+        SettingsSnapshot {
+            revision: *revision,
+            settings: Rc::clone(&built.settings),
+            document: Rc::clone(&built.document),
+        }
     }
 
     /// Returns the active settings.
     pub fn settings(&self) -> Rc<Settings> {
-        Rc::clone(&self.snapshot.borrow().settings)
+        Rc::clone(&self.active.borrow().1.settings)
     }
 
     /// Returns the active revision.
     pub fn revision(&self) -> Revision {
-        self.snapshot.borrow().revision
+        self.active.borrow().0
     }
 
     /// Returns whether settings have been adopted.
@@ -126,32 +162,57 @@
         first.is_ok_and(|revision| revision.is_ok())
     }
 
-    /// Validates and activates settings if their revision is higher than the
-    /// active one. Returns whether they were activated.
-    pub fn adopt(&self, revision: Revision, document: Document) -> Result<bool, SettingsError> {
+    /// Validates and activates settings if their revision is higher than the active
+    /// one. Returns `None` if it is not.
+    ///
+    /// The work is done in pieces, between which other tasks run; see [`run_in_pieces`].
+    /// Earlier settings stay active until all of it is done. Adoptions run one after the
+    /// other in the order of the calls, and none is given up for a later one, so that a
+    /// series of new versions can't keep a process from adopting any.
+    pub async fn adopt(
+        &self,
+        revision: Revision,
+        document: Document,
+    ) -> Result<Option<Adoption>, SettingsError> {
+        let _adopting = self.adoptions.lock().await;
+        self.build_and_activate(revision, document).await
+    }
+
+    /// Builds and activates settings. The caller holds `adoptions`.
+    async fn build_and_activate(
+        &self,
+        revision: Revision,
+        document: Document,
+    ) -> Result<Option<Adoption>, SettingsError> {
         if revision <= self.revision() {
-            return Ok(false);
+            return Ok(None);
         }
-        let settings = Settings::new(&document)?;
-        let before = self.snapshot.replace(SettingsSnapshot {
-            revision,
-            settings: Rc::new(settings),
-            document: Rc::new(document),
-        });
+        let mut build = SettingsBuild::new(document, self.active.borrow().1.clone());
+        let (built, pieces) = run_in_pieces(|| build.step()).await;
+        self.activate(revision, built?);
+        Ok(Some(Adoption {
+            decoded_files: build.decoded_files(),
+            pieces,
+        }))
+    }
+
+    fn activate(&self, revision: Revision, built: BuiltSettings) {
+        let (before, built_before) = self.active.replace((revision, built));
         let mut history = self.history.borrow_mut();
-        history.push_back((before.revision, before.document));
+        history.push_back((before, built_before.document));
         if history.len() > MAX_HISTORY {
             history.pop_front();
         }
+        self.encoded_updates.borrow_mut().clear();
         self.revisions.send_replace(revision);
-        Ok(true)
     }
 
     /// Returns the update that brings a process from revision `peer_revision` to
     /// the active one: the changes since, or every file if that revision is no
     /// longer in the history.
     pub fn update_since(&self, peer_revision: Revision) -> SettingsUpdate {
-        let snapshot = self.snapshot.borrow();
+        let active = self.active.borrow();
+        let (revision, built) = &*active;
         let history = self.history.borrow();
         let known = history
             .iter()
@@ -163,24 +224,48 @@
         };
         SettingsUpdate {
             base,
-            revision: snapshot.revision,
-            delta: Delta::new(before, &snapshot.document),
+            revision: *revision,
+            delta: Delta::new(before, &built.document),
+        }
+    }
+
+    /// Returns the update of `update_since` as JSON. It is encoded once for all peers
+    /// that have the same revision.
+    pub fn encoded_update_since(
+        &self,
+        peer_revision: Revision,
+    ) -> Result<Bytes, serde_json::Error> {
+        let is_known = |(revision, _): &(Revision, _)| *revision == peer_revision;
+        let base = match self.history.borrow().iter().any(is_known) {
+            true => peer_revision,
+            false => Revision::default(),
+        };
+        if let Some(encoded) = self.encoded_updates.borrow().get(&base) {
+            return Ok(encoded.clone());
         }
+        let encoded = Bytes::from(serde_json::to_vec(&self.update_since(base))?);
+        let mut updates = self.encoded_updates.borrow_mut();
+        updates.insert(base, encoded.clone());
+        Ok(encoded)
     }
 
-    /// Adopts an update from another process if its revision is higher than the
-    /// active one. Returns whether it was adopted.
-    pub fn apply_update(&self, update: &SettingsUpdate) -> Result<bool, AdoptError> {
+    /// Adopts an update from another process like `adopt`. Returns `None` if its
+    /// revision is not higher than the active one.
+    pub async fn apply_update(
+        &self,
+        update: &SettingsUpdate,
+    ) -> Result<Option<Adoption>, AdoptError> {
+        let _adopting = self.adoptions.lock().await;
         let base = update.base;
         let document = match base == Revision::default() {
             true => update.delta.apply(&Document::default()),
             false if base == self.revision() => {
-                let before = Rc::clone(&self.snapshot.borrow().document);
+                let before = Rc::clone(&self.active.borrow().1.document);
                 update.delta.apply(&before)
             }
             false => return Err(AdoptError::BaseNotActive(base)),
         };
-        Ok(self.adopt(update.revision, document)?)
+        Ok(self.build_and_activate(update.revision, document).await?)
     }
 
     /// Returns a receiver of the active revision, which is notified of every
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -205,7 +205,7 @@
         mut results: desk::SettingsResults,
     ) -> Result<(), Error> {
         let known = Revision(params.get()?.get_have());
-        let update = serde_json::to_vec(&self.state.active_settings.update_since(known));
+        let update = self.state.active_settings.encoded_update_since(known);
         let update = update.map_err(|e| Error::failed(e.to_string()))?;
         results.get().set_handover(&update);
         Ok(())
@@ -219,7 +219,7 @@
         let update = serde_json::from_slice::<SettingsUpdate>(params.get()?.get_handover()?);
         let update = update.map_err(|e| Error::failed(e.to_string()))?;
         let active_settings = &self.state.active_settings;
-        match active_settings.apply_update(&update) {
+        match active_settings.apply_update(&update).await {
             // The peer sees from the returned revision that the update did not
             // apply here, and sends a full one.
             Ok(_) | Err(AdoptError::BaseNotActive(_)) => {}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -20,6 +20,7 @@
 
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
+use crate::active_settings::log_adoption;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::kernel::KernelError;
@@ -289,7 +290,7 @@
                 Ok(configuration) => {
                     backoff.record_success();
                     if let Answer::State(configuration) = configuration {
-                        self.adopt_configuration(configuration);
+                        self.adopt_configuration(configuration).await;
                     }
                 }
                 Err(e) => backoff.wait_after_failure(&e).await,
@@ -297,15 +298,15 @@
         }
     }
 
-    fn adopt_configuration(&self, configuration: Configuration) {
+    async fn adopt_configuration(&self, configuration: Configuration) {
         let revision = configuration.revision;
-        match self
-            .state
-            .active_settings
+        let active_settings = &self.state.active_settings;
+        match active_settings
             .adopt(revision, configuration.document)
+            .await
         {
-            Ok(true) => info!(self.log, "settings adopted"; "revision" => revision.0),
-            Ok(false) => {}
+            Ok(Some(adoption)) => log_adoption(&self.log, revision, &adoption),
+            Ok(None) => {}
             Err(e) => warn!(self.log, "settings rejected as invalid";
                 "revision" => revision.0,
                 "error" => %e),
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -332,7 +332,7 @@
             let reply = req.send().promise.await?;
             let update = serde_json::from_slice::<SettingsUpdate>(reply.get()?.get_handover()?);
             let update = update.map_err(|e| capnp::Error::failed(e.to_string()))?;
-            match self.active_settings.apply_update(&update) {
+            match self.active_settings.apply_update(&update).await {
                 // `BaseNotActive`: this entry's revision has changed in the
                 // meantime. The exchange is repeated at the next heartbeat.
                 Ok(_) | Err(AdoptError::BaseNotActive(_)) => {}
@@ -349,7 +349,7 @@
         scheduler: &desk::Client,
         theirs: Revision,
     ) -> Result<Revision, capnp::Error> {
-        let update = serde_json::to_vec(&self.active_settings.update_since(theirs));
+        let update = self.active_settings.encoded_update_since(theirs);
         let update = update.map_err(|e| capnp::Error::failed(e.to_string()))?;
         let mut req = scheduler.adopt_request();
         req.get().set_handover(&update);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,9 +31,9 @@
 //!
 //! Modules outside this path: [`settings`] are merged and checked, stored as
 //! [`stored_settings`] in the [`object_store`], changed by [`apply`], loaded by
-//! [`settings_service`] and active as [`active_settings`]. On a platform,
-//! [`discovery`] fetches settings and upstreams, and [`registrations`] tracks
-//! which upstreams are present. [`membership`] derives the leaving hosts and the
+//! [`settings_service`] and active as [`active_settings`]; long work on them is done in
+//! [`pieces`]. On a platform, [`discovery`] fetches settings and upstreams, and
+//! [`registrations`] tracks which upstreams are present. [`membership`] derives the leaving hosts and the
 //! watchers of the platform from the [`host_list`]. A [`lease`] protects orders to
 //! engines with a fencing number. [`operator`] is the operators' program, with
 //! [`burn_report`] and [`explain`].
@@ -84,6 +84,7 @@
 pub mod outlier;
 pub mod pace;
 pub mod pacer;
+pub mod pieces;
 pub mod prefix;
 pub mod programs;
 pub mod progress;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -47,6 +47,21 @@
         }
         Err(SettingsError::Invalid(checker.problems))
     }
+
+    /// Returns whether the sections other than the routes have no problem.
+    pub(super) fn has_valid_sections(&self) -> bool {
+        let mut checker = Checker::new(MergedFiles::default());
+        checker.check_sections(self);
+        checker.problems.is_empty()
+    }
+
+    /// Returns whether `route` has no problem by itself. Whether another route has its
+    /// host and path is not checked.
+    pub(super) fn is_valid_route(&self, name: &Name, route: &Route) -> bool {
+        let mut checker = Checker::new(MergedFiles::default());
+        checker.check_route(self, name, route);
+        checker.problems.is_empty()
+    }
 }
 
 struct Checker {
--- a/src/settings/delta.rs
+++ b/src/settings/delta.rs
@@ -1,5 +1,6 @@
 //! Differences between two documents, by file.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
@@ -21,9 +22,12 @@
 impl Delta {
     /// Returns the difference that turns `before` into `after`.
     pub fn new(before: &Document, after: &Document) -> Self {
-        let changed = after.files.iter().filter(|f| !before.files.contains(f));
-        let kept = |f: &&File| after.files.iter().any(|other| other.name == f.name);
-        let removed = before.files.iter().filter(|f| !kept(f));
+        let texts_before = texts(before);
+        let texts_after = texts(after);
+        let differs = |f: &&File| texts_before.get(&f.name) != Some(&f.text.as_str());
+        let changed = after.files.iter().filter(differs);
+        let is_gone = |f: &&File| !texts_after.contains_key(&f.name);
+        let removed = before.files.iter().filter(is_gone);
         Self {
             changed: changed.cloned().collect(),
             removed: removed.map(|f| f.name.clone()).collect(),
@@ -32,11 +36,14 @@
 
     /// Applies the difference to `before` and returns the result.
     pub fn apply(&self, before: &Document) -> Document {
-        let replaced = |f: &&File| {
-            let changed = self.changed.iter().any(|c| c.name == f.name);
-            changed || self.removed.contains(&f.name)
-        };
+        let changed: BTreeSet<&Name> = self.changed.iter().map(|f| &f.name).collect();
+        let replaced = |f: &&File| changed.contains(&f.name) || self.removed.contains(&f.name);
         let kept = before.files.iter().filter(|f| !replaced(f));
         Document::new(kept.chain(&self.changed).cloned().collect())
     }
 }
+
+fn texts(document: &Document) -> BTreeMap<&Name, &str> {
+    let files = document.files.iter();
+    files.map(|f| (&f.name, f.text.as_str())).collect()
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,11 @@
 //! Settings of operators: a folder of TOML files, merged in the order of their
 //! names and validated as a whole.
 
+mod build;
 mod check;
 mod delta;
 mod error;
+mod file_sections;
 mod merge;
 mod model;
 mod routes;
@@ -11,6 +13,8 @@
 #[cfg(test)]
 mod tests;
 
+pub use build::BuiltSettings;
+pub use build::SettingsBuild;
 pub use delta::Delta;
 pub use error::Problem;
 pub use error::Reason;
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -8,12 +8,12 @@
 use rand::RngExt;
 use slog::Logger;
 use slog::error;
-use slog::info;
 use slog::warn;
 use tokio::sync::watch;
 
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
+use crate::active_settings::log_adoption;
 use crate::config::SettingsSource;
 use crate::directory::Directory;
 use crate::kernel::KernelError;
@@ -114,7 +114,7 @@
                 SettingsSource::Folder(folder) => {
                     let document = Document::read(folder).map_err(|e| self.failed(e))?;
                     let adopted = self.active_settings.adopt(FOLDER_REVISION, document);
-                    adopted.map_err(|e| self.failed(e))?;
+                    adopted.await.map_err(|e| self.failed(e))?;
                 }
                 SettingsSource::Store => {
                     let store = HttpObjectStore::new(self.store.as_deref().unwrap_or_default());
@@ -170,7 +170,7 @@
                 Ok(object) => {
                     reachable = true;
                     if let Some(object) = object {
-                        adopt(&object, &self.active_settings, &self.log);
+                        adopt(&object, &self.active_settings, &self.log).await;
                         known = Some(object.version);
                     }
                 }
@@ -205,7 +205,7 @@
     }
 }
 
-fn adopt(object: &Object, active_settings: &ActiveSettings, log: &Logger) {
+async fn adopt(object: &Object, active_settings: &ActiveSettings, log: &Logger) {
     let stored = match StoredSettings::parse(&object.value) {
         Ok(stored) => stored,
         Err(e) => {
@@ -214,9 +214,9 @@
         }
     };
     let revision = stored.revision;
-    match active_settings.adopt(revision, stored.document) {
-        Ok(true) => info!(log, "settings adopted"; "revision" => revision.0),
-        Ok(false) => {}
+    match active_settings.adopt(revision, stored.document).await {
+        Ok(Some(adoption)) => log_adoption(log, revision, &adoption),
+        Ok(None) => {}
         Err(e) => error!(log, "stored settings are not valid and were not adopted"; "error" => %e),
     }
 }
