Bound the memory of an event that never ends

What callers saw: nothing yet. An upstream in trouble may write bytes without end, and the entry of a resumable stream kept an event that never ended in its memory until the timeout of the route. An entry that exceeds the memory of its host is killed with all its requests.

Cause: `EventReader` buffers the incomplete event of a stream, because only whole events can be resumed after, and had no limit.

Ruled out by the same tests on the code as it was: heads, informational heads, chunk size lines, extensions, trailers, bodies without a length, and bytes after an answer. None of these looked complete to its caller, grew the entry beyond 37 MB, or kept others from being served; their connections were closed.

Change: an incomplete event above 256 KiB is a failed exchange. The last event id is then that of the events the caller has, so another upstream can continue the stream.

`tests/it/endless.rs`, in the dialect of the product, was run on the changed code only.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -379,8 +379,10 @@
                     if let Some(claim) = claim {
                         claim.record_body(&bytes);
                     }
-                    if relay.push(now, bytes).await {
-                        self.record_origin(relay);
+                    match relay.push(now, bytes).await {
+                        Ok(true) => self.record_origin(relay),
+                        Ok(false) => {}
+                        Err(e) => return self.fail_exchange(&e.into(), running.progress()),
                     }
                 }
                 Ok(None) => return self.end_answer(running, relay, now).await,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -10,6 +10,7 @@
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
 use crate::events::EventReader;
+use crate::events::EventTooLarge;
 use crate::exchange::Framing;
 use crate::headers::Header;
 use crate::ticket::Work;
@@ -141,18 +142,18 @@
     }
 
     /// Relays bytes of the body. Returns whether they contain the first events of a
-    /// stream that can be resumed.
-    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> bool {
+    /// stream that can be resumed. Fails if one of its events is too large to be buffered.
+    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> Result<bool, EventTooLarge> {
         self.usage.push(&bytes);
         if let Some(check) = &mut self.check {
             check.push(&bytes);
         }
         let bytes = match &mut self.events {
-            Some(events) => events.push(&bytes),
+            Some(events) => events.push(&bytes)?,
             None => bytes,
         };
         if bytes.is_empty() {
-            return false;
+            return Ok(false);
         }
         let begins = self.events.is_some() && self.first_byte.is_none();
         if begins {
@@ -160,7 +161,7 @@
         }
         self.first_byte.get_or_insert(now);
         self.send(Reply::Bytes(bytes)).await;
-        begins
+        Ok(begins)
     }
 
     /// Returns whether the answer may lack a part although its content is complete.
--- a/src/events.rs
+++ b/src/events.rs
@@ -7,16 +7,26 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use thiserror::Error;
 
 #[cfg(test)]
 mod tests;
 
+/// Largest incomplete event that is buffered, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Field name of an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Error for a stream with an event that is larger than an entry buffers.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLarge;
+
 /// Splits a stream of bytes into complete events and tracks the last event id.
 #[derive(Debug, Default)]
 pub struct EventReader {
+    /// The incomplete event; at most `MAX_EVENT_BYTES` between two calls.
     partial: BytesMut,
     last_id: Option<u64>,
     /// Whether the last complete event has no id, so that `last_id` is an earlier one's.
@@ -50,15 +60,25 @@
     }
 
     /// Appends bytes and returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the incomplete event is too large. The last event id is that of the events
+    /// returned before.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
         let scanned = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial, scanned) else {
-            return Bytes::new();
-        };
+        let end = last_event_end(&self.partial, scanned).unwrap_or(0);
+        if self.partial.len() - end > MAX_EVENT_BYTES {
+            self.partial = BytesMut::new();
+            return Err(EventTooLarge);
+        }
+        if end == 0 {
+            return Ok(Bytes::new());
+        }
         let complete = self.partial.split_to(end).freeze();
         self.read_ids(&complete);
-        complete
+        Ok(complete)
     }
 
     /// Reads the ids of complete events.
--- a/src/events/tests.rs
+++ b/src/events/tests.rs
@@ -16,7 +16,7 @@
         let mut out = Vec::new();
         let mut at = 0;
         for split in splits.into_iter().chain([STREAM.len()]) {
-            let complete = reader.push(&STREAM[at..split]);
+            let complete = reader.push(&STREAM[at..split]).expect("small events");
             prop_assert!(complete.is_empty() || complete.ends_with(b"\n\n") || complete.ends_with(b"\r\n\r\n"));
             out.extend_from_slice(&complete);
             at = split;
@@ -30,13 +30,13 @@
 #[test]
 fn an_incomplete_event_is_not_returned_and_its_id_is_not_recorded() {
     let mut reader = EventReader::new(Some(7));
-    assert!(reader.push(b"id: 8\nda").is_empty());
+    assert_eq!(reader.push(b"id: 8\nda"), Ok(Bytes::new()));
     assert_eq!(reader.last_id(), Some(7));
     assert!(reader.has_partial());
     reader.drop_partial();
     assert_eq!(
-        &reader.push(b"id: 8\ndata: x\n\n")[..],
-        b"id: 8\ndata: x\n\n"
+        reader.push(b"id: 8\ndata: x\n\n"),
+        Ok(Bytes::from_static(b"id: 8\ndata: x\n\n"))
     );
     assert_eq!(reader.last_id(), Some(8));
 }
@@ -99,10 +99,25 @@
         (b"id: 4\nda", Some(3), false),
     ];
     for (bytes, last_id, can_resume) in cases {
-        reader.push(bytes);
+        reader.push(bytes).expect("small events");
         assert_eq!(
             (reader.last_id(), reader.can_resume()),
             (last_id, can_resume)
         );
     }
 }
+
+// Issue 31: an event without end was buffered until the timeout of its request.
+#[test]
+fn event_that_is_too_large_is_an_error_and_does_not_advance_the_last_id() {
+    let mut reader = EventReader::new(None);
+    let large = vec![b'a'; MAX_EVENT_BYTES];
+    assert_eq!(reader.push(&large), Ok(Bytes::new()));
+    let end = reader.push(b"\n\nid: 1\ndata: a\n\n").expect("an end");
+    assert_eq!(end.len(), MAX_EVENT_BYTES + 2 + 15);
+    assert_eq!(reader.last_id(), Some(1));
+    let next = [b"id: 2\ndata: b\n\n".as_slice(), &large, b"a"].concat();
+    assert_eq!(reader.push(&next), Err(EventTooLarge));
+    assert_eq!(reader.last_id(), Some(1));
+    assert!(!reader.has_partial());
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -37,6 +37,7 @@
 use tokio_util::codec::Encoder;
 
 use crate::event_loop;
+use crate::events::EventTooLarge;
 use crate::headers::Header;
 use crate::headers::end_to_end;
 use crate::upstream_request::UpstreamRequest;
@@ -77,6 +78,9 @@
     /// The answer of the upstream is not valid HTTP.
     #[error("the upstream's answer is not valid HTTP: {0}")]
     InvalidAnswer(String),
+    /// The answer is a stream with an event that is too large to be buffered.
+    #[error("the upstream's answer cannot be buffered: {0}")]
+    EventTooLarge(#[from] EventTooLarge),
 }
 
 impl ExchangeError {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! demo. Each serves its published protocol on its own thread and can inject
 //! faults.
 
+mod endless_upstream;
 mod engine;
 mod load;
 mod paced_upstream;
@@ -14,6 +15,7 @@
 mod service;
 mod site;
 
+pub use endless_upstream::EndlessUpstream;
 pub use engine::Engine;
 pub use engine::EngineConfig;
 pub use engine::EngineOrder;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod checker;
 mod cuts;
 mod end_to_end;
+mod endless;
 mod failures;
 mod fleet;
 mod histories;
