Apply settings updates only to the files that they are changes of

An update holds the changes since a revision, and its receiver took its own files of that revision for those of the sender. Changes then left outdated files at the receiver, which could go on with a route that was dropped, or refuse the result as invalid. Found by reading; no caller is known to have seen it.

An update now says how many files there are after it. If that is not so at the receiver, it is refused, and the sender sends all files. An entry that fetches settings from an agent does the same. Software before this change neither sends nor checks the number, and equal numbers of different files are not noticed.

The new test failed without the check: the update was applied.

--- a/src/active_settings.rs
+++ b/src/active_settings.rs
@@ -68,6 +68,11 @@
     pub revision: Revision,
     /// Changes since `base`.
     pub delta: Delta,
+    /// Number of files after applying the delta; `None` from a process that doesn't
+    /// send it. Processes of different software versions can convert the same revision
+    /// to different files, to which changes don't apply.
+    #[serde(default)]
+    pub files: Option<usize>,
 }
 
 /// Reason for which settings were not adopted.
@@ -79,6 +84,9 @@
     /// The base of the update is not the active revision of this process.
     #[error("the settings update applies to revision {0}, which is not active in this process")]
     BaseNotActive(Revision),
+    /// The sender of the update has other files of the active revision.
+    #[error("the settings update applies to other files of revision {0}")]
+    BaseDiffers(Revision),
 }
 
 /// What it took to adopt settings.
@@ -226,6 +234,7 @@
             base,
             revision: *revision,
             delta: Delta::new(before, &built.document),
+            files: Some(built.document.files.len()),
         }
     }
 
@@ -265,6 +274,9 @@
             }
             false => return Err(AdoptError::BaseNotActive(base)),
         };
+        if update.files.is_some_and(|n| n != document.files.len()) {
+            return Err(AdoptError::BaseDiffers(base));
+        }
         Ok(self.build_and_activate(update.revision, document).await?)
     }
 
--- a/src/active_settings/tests.rs
+++ b/src/active_settings/tests.rs
@@ -80,6 +80,24 @@
     assert_eq!(theirs.revision(), Revision(3));
 }
 
+// A process of another software version can have converted the same revision to other
+// files; changes to the files of one would leave outdated files at the other.
+#[actix_rt::test]
+async fn an_update_for_other_files_of_the_revision_is_refused_and_a_full_one_applies() {
+    let (ours, theirs) = (with_revisions(1..=1).await, ActiveSettings::new());
+    let adopted = theirs.adopt(Revision(1), large_document(3)).await;
+    assert!(adopted.expect("the settings are valid").is_some());
+    let adopted = ours.adopt(Revision(2), document(2)).await;
+    assert!(adopted.expect("the settings are valid").is_some());
+    let applied = theirs.apply_update(&ours.update_since(Revision(1))).await;
+    assert!(matches!(applied, Err(AdoptError::BaseDiffers(Revision(1)))));
+    assert_eq!(theirs.revision(), Revision(1));
+    let full = ours.update_since(Revision::default());
+    let applied = theirs.apply_update(&full).await;
+    assert!(applied.expect("the update applies").is_some());
+    assert_eq!(theirs.get().document, ours.get().document);
+}
+
 #[actix_rt::test]
 async fn waiting_for_settings_ends_at_the_first_adoption_or_the_timeout() {
     let active_settings = ActiveSettings::new();
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -222,7 +222,7 @@
         match active_settings.apply_update(&update).await {
             // The peer sees from the returned revision that the update did not
             // apply here, and sends a full one.
-            Ok(_) | Err(AdoptError::BaseNotActive(_)) => {}
+            Ok(_) | Err(AdoptError::BaseNotActive(_) | AdoptError::BaseDiffers(_)) => {}
             Err(AdoptError::Invalid(e)) => return Err(Error::failed(e.to_string())),
         }
         results.get().set_revision(active_settings.revision().0);
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -326,22 +326,34 @@
             // did not apply. A full update applies to any revision.
             self.send_settings(scheduler, Revision::default()).await?;
         }
-        if theirs > ours {
-            let mut req = scheduler.settings_request();
-            req.get().set_have(ours.0);
-            let reply = req.send().promise.await?;
-            let update = serde_json::from_slice::<SettingsUpdate>(reply.get()?.get_handover()?);
-            let update = update.map_err(|e| capnp::Error::failed(e.to_string()))?;
-            match self.active_settings.apply_update(&update).await {
-                // `BaseNotActive`: this entry's revision has changed in the
-                // meantime. The exchange is repeated at the next heartbeat.
-                Ok(_) | Err(AdoptError::BaseNotActive(_)) => {}
-                Err(AdoptError::Invalid(e)) => return Err(capnp::Error::failed(e.to_string())),
-            }
+        if theirs > ours && !self.fetch_settings(scheduler, ours).await? {
+            // A full update applies to any files.
+            self.fetch_settings(scheduler, Revision::default()).await?;
         }
         Ok(())
     }
 
+    /// Fetches the changes since revision `ours` from an agent and adopts them. Returns
+    /// whether they apply to the files of this entry.
+    async fn fetch_settings(
+        &self,
+        scheduler: &desk::Client,
+        ours: Revision,
+    ) -> Result<bool, capnp::Error> {
+        let mut req = scheduler.settings_request();
+        req.get().set_have(ours.0);
+        let reply = req.send().promise.await?;
+        let update = serde_json::from_slice::<SettingsUpdate>(reply.get()?.get_handover()?);
+        let update = update.map_err(|e| capnp::Error::failed(e.to_string()))?;
+        match self.active_settings.apply_update(&update).await {
+            // `BaseNotActive`: this entry's revision has changed in the meantime. The
+            // exchange is repeated at the next heartbeat.
+            Ok(_) | Err(AdoptError::BaseNotActive(_)) => Ok(true),
+            Err(AdoptError::BaseDiffers(_)) => Ok(false),
+            Err(AdoptError::Invalid(e)) => Err(capnp::Error::failed(e.to_string())),
+        }
+    }
+
     /// Sends the changes since revision `theirs` to an agent and returns the
     /// agent's new revision.
     async fn send_settings(
