Probe a part that crashes upstreams with requests that have no other such part

What callers would see: a sound part that is convicted together with the cause, because all its crashes were the same, could stay refused for long. Requests with both parts came more often and took its probes. Parts that always come together were probed only if one entry was the prober of each.

Change: a request with several convicted parts waits four times as long to be a probe, so that a request with one of them goes first, and its success clears the sound part. The prober is found by the lowest of its convicted parts.

--- a/src/crash_suspects.rs
+++ b/src/crash_suspects.rs
@@ -64,6 +64,10 @@
 /// The longest time between two probes of a part.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1800);
 
+/// How many times longer a request with several convicted parts waits to be a probe. One
+/// with a single part can show which of them is sound.
+const JOINT_PROBE_PATIENCE: u32 = 4;
+
 /// Identifies a crash at all entries.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CrashId(pub u64);
@@ -189,30 +193,39 @@
     where
         F: Fn(PartId) -> bool,
     {
-        let mut verdict = Verdict::Sound;
-        for part in parts.iter().filter(|part| self.convicted.contains(part)) {
-            let Some(suspect) = self.suspects.get(part) else {
-                continue;
-            };
-            let next_probe = suspect.next_probe();
-            if now < next_probe || !is_prober(*part) {
-                let wait = now.until(next_probe).max(MIN_PROBE_INTERVAL);
-                return Verdict::Refused(*part, wait);
-            }
-            verdict = Verdict::Probe(*part);
+        let convicted: BTreeSet<PartId> = self.convicted_among(parts).collect();
+        let Some(first) = convicted.first().copied() else {
+            return Verdict::Sound;
+        };
+        let patience = match convicted.len() {
+            1 => 1,
+            _ => JOINT_PROBE_PATIENCE,
+        };
+        let suspects = convicted.iter().filter_map(|part| self.suspects.get(part));
+        let next_probe = suspects.map(|s| s.next_probe(patience)).max();
+        let next_probe = next_probe.unwrap_or_default();
+        if now >= next_probe && is_prober(first) {
+            return Verdict::Probe(first);
         }
-        verdict
+        let wait = now.until(next_probe).max(MIN_PROBE_INTERVAL);
+        Verdict::Refused(first, wait)
     }
 
     /// Records that a request with these parts is sent as a probe.
     pub fn record_probe(&mut self, now: Timestamp, parts: &[PartId]) {
-        for part in parts.iter().filter(|part| self.convicted.contains(part)) {
-            if let Some(suspect) = self.suspects.get_mut(part) {
+        let convicted: Vec<PartId> = self.convicted_among(parts).collect();
+        for part in convicted {
+            if let Some(suspect) = self.suspects.get_mut(&part) {
                 suspect.last_probe = Some(now);
             }
         }
     }
 
+    fn convicted_among(&self, parts: &[PartId]) -> impl Iterator<Item = PartId> {
+        let parts = parts.iter().copied();
+        parts.filter(|part| self.convicted.contains(part))
+    }
+
     fn suspect(&mut self, part: PartId) -> &mut Suspect {
         let last_success = self.successes.last(part);
         self.suspects.entry(part).or_insert_with(|| Suspect {
@@ -343,14 +356,15 @@
     }
 
     /// Returns when the part may be probed next. The interval grows with the time since
-    /// the first crash, which doubles or more with each probe that fails.
-    fn next_probe(&self) -> Timestamp {
+    /// the first crash, which doubles or more with each probe that fails. It is `patience`
+    /// times as long.
+    fn next_probe(&self, patience: u32) -> Timestamp {
         let last_crash = self.last_crash();
         let first_crash = self.counted().map(|(_, at)| at).min();
         let suspected_for = last_crash.since(first_crash.unwrap_or_default());
         let interval = (suspected_for * 2).clamp(MIN_PROBE_INTERVAL, MAX_PROBE_INTERVAL);
         let last = self.last_probe.unwrap_or_default().max(last_crash);
-        last + interval
+        last + interval * patience
     }
 }
 
--- a/src/crash_suspects/tests.rs
+++ b/src/crash_suspects/tests.rs
@@ -156,6 +156,40 @@
     assert_eq!(probe(70_000), Verdict::Probe(POISON));
 }
 
+// A sound part that is convicted with the cause was never cleared while requests with both
+// came more often: they took its probes.
+#[test]
+fn request_with_one_convicted_part_is_probed_before_one_with_several() {
+    let mut table = CrashSuspects::new();
+    for i in 0..3 {
+        crash(&mut table, i * 200, i, &[POISON, OTHER]);
+    }
+    let probe = |table: &CrashSuspects, millis, parts: &[PartId]| {
+        matches!(
+            table.verdict(at(millis), parts, |_| true),
+            Verdict::Probe(_)
+        )
+    };
+    assert!(!probe(&table, 31_000, &[POISON, OTHER]));
+    assert!(probe(&table, 31_000, &[OTHER]));
+    assert!(probe(&table, 31_000, &[OTHER, OTHER]));
+    table.record_probe(at(31_000), &[OTHER]);
+    table.record_success(at(32_000), &[OTHER]);
+    assert!(refuses(&table, 33_000, POISON));
+    assert!(!refuses(&table, 33_000, OTHER));
+}
+
+// Parts that always come together were never probed.
+#[test]
+fn parts_that_always_come_together_are_probed_by_one_entry() {
+    let mut table = CrashSuspects::new();
+    for i in 0..3 {
+        crash(&mut table, i * 200, i, &[POISON, OTHER]);
+    }
+    let verdict = table.verdict(at(121_000), &[OTHER, POISON], |part| part == POISON);
+    assert_eq!(verdict, Verdict::Probe(POISON));
+}
+
 #[test]
 fn part_is_forgotten_an_hour_after_its_last_crash() {
     let mut table = CrashSuspects::new();
