Limit what an upstream writes around an answer

What callers saw: nothing wrong, but a request stayed with its upstream until the timeout of the route while the upstream wrote informational heads, or the lines around chunks, without end.

Cause: the limit on a head counted what was left after each informational one, and chunk sizes, extensions and trailers were read without a limit.

Change: a head counts together with the informational ones before it, and the lines between two parts of a body have a limit of the same size. Both are errors of their own.

Measured: `heads_are_limited_together_with_the_informational_ones_before_them` and `lines_around_chunks_are_limited` failed before (the answers counted as complete) and pass now.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -59,9 +59,13 @@
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Largest accepted head of an answer, in bytes.
+/// Largest accepted head of an answer with the informational ones before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Largest accepted size of the lines between two parts of a body or after the last one,
+/// in bytes.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
 /// Reason for which a request got no complete answer.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -78,6 +82,12 @@
     /// The answer of the upstream is not valid HTTP.
     #[error("the upstream's answer is not valid HTTP: {0}")]
     InvalidAnswer(String),
+    /// The head of the answer is too large.
+    #[error("the head of the upstream's answer exceeds {MAX_HEAD_BYTES} bytes")]
+    HeadTooLarge,
+    /// The lines around the chunks of the body are too large.
+    #[error("the lines around a chunk of the upstream's answer exceed {MAX_FRAMING_BYTES} bytes")]
+    FramingTooLarge,
     /// The answer is a stream with an event that is too large to be buffered.
     #[error("the upstream's answer cannot be buffered: {0}")]
     EventTooLarge(#[from] EventTooLarge),
@@ -153,6 +163,9 @@
     stream: TcpStream,
     buf: BytesMut,
     body: Body,
+    /// The number of bytes read since the last part of the body; at most
+    /// `MAX_FRAMING_BYTES` between two calls.
+    framing_bytes: usize,
 }
 
 enum Body {
@@ -198,18 +211,23 @@
     let mut unsent = encode(&mut codec, upstream_request)?;
     let mut buf = BytesMut::with_capacity(4096);
     let (mut reader, mut writer) = stream.split();
+    let mut head_bytes = 0;
     let head = loop {
         if let Some(head) = decode_head(&mut codec, &mut buf)? {
             break head;
         }
+        if head_bytes > MAX_HEAD_BYTES {
+            return Err(ExchangeError::HeadTooLarge);
+        }
         // An upstream can answer before it has read the whole request body.
         tokio::select! {
             result = writer.write_all_buf(&mut unsent), if !unsent.is_empty() => {
                 result.map_err(ExchangeError::Broken)?;
             }
             read = reader.read_buf(&mut buf) => {
-                if read.map_err(ExchangeError::Broken)? == 0 {
-                    return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
+                match read.map_err(ExchangeError::Broken)? {
+                    0 => return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into())),
+                    read => head_bytes += read,
                 }
             }
         }
@@ -239,6 +257,7 @@
         stream,
         buf,
         body,
+        framing_bytes: 0,
     })
 }
 
@@ -258,12 +277,19 @@
                 }
                 Body::UntilClose => {}
                 Body::Framed(codec) => {
+                    let unread = self.buf.len();
                     let decoded = codec.decode(&mut self.buf);
                     match decoded.map_err(|e| ExchangeError::InvalidAnswer(e.to_string()))? {
                         Some(Some(bytes)) if bytes.is_empty() => continue,
-                        Some(Some(bytes)) => return Ok(Some(bytes)),
+                        Some(Some(bytes)) => {
+                            self.framing_bytes = 0;
+                            return Ok(Some(bytes));
+                        }
                         Some(None) => self.body = Body::Ended,
-                        None => {}
+                        None => self.framing_bytes += unread - self.buf.len(),
+                    }
+                    if self.framing_bytes > MAX_FRAMING_BYTES {
+                        return Err(ExchangeError::FramingTooLarge);
                     }
                 }
             }
@@ -342,11 +368,6 @@
         match decoded.map_err(|e| ExchangeError::InvalidAnswer(e.to_string()))? {
             Some(head) if head.status.is_informational() => {}
             Some(head) => return Ok(Some(head)),
-            None if buf.len() > MAX_HEAD_BYTES => {
-                return Err(ExchangeError::InvalidAnswer(
-                    "the head is too large".to_owned(),
-                ));
-            }
             None => return Ok(None),
         }
     }
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -82,6 +82,43 @@
     assert!(matches!(e, Err(ExchangeError::InvalidAnswer(_))));
 }
 
+// Issue 31: informational heads without end held a request until its timeout.
+#[actix_rt::test]
+async fn heads_are_limited_together_with_the_informational_ones_before_them() {
+    let informational = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+    let answer = informational.repeat(2 * MAX_HEAD_BYTES / informational.len())
+        + "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    let e = exchange(answer.as_bytes(), false).await;
+    assert!(matches!(e, Err(ExchangeError::HeadTooLarge)), "{e:?}");
+}
+
+// Issue 31: lines around chunks without end held a request until its timeout.
+#[actix_rt::test]
+async fn lines_around_chunks_are_limited() {
+    let long = |text: &str| text.repeat(2 * MAX_FRAMING_BYTES / text.len());
+    let bodies = [
+        format!("{}4\r\nbody\r\n0\r\n\r\n", long("0")),
+        format!("4{}\r\nbody\r\n0\r\n\r\n", long(" ")),
+        format!("4;{}\r\nbody\r\n0\r\n\r\n", long("a")),
+        format!("4\r\nbody\r\n0\r\n{}\r\n", long("x: y\r\n")),
+    ];
+    for body in bodies {
+        let answer = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{body}");
+        let e = exchange(answer.as_bytes(), false).await;
+        assert!(matches!(e, Err(ExchangeError::FramingTooLarge)), "{e:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn many_small_chunks_are_within_the_limits() {
+    let chunk = "1;extension\r\na\r\n";
+    let count = 2 * MAX_FRAMING_BYTES / chunk.len();
+    let body = chunk.repeat(count) + "0\r\n\r\n";
+    let answer = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{body}");
+    let (_, body) = exchange(answer.as_bytes(), false).await.expect("an answer");
+    assert_eq!(body.len(), count);
+}
+
 #[actix_rt::test]
 async fn a_refused_connection_counts_as_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
