Test a part that turns bad beside sound ones; it fails

Found in a review of the table of suspects: a part that has succeeded a second ago is not convicted by crashes for two minutes, although the parts beside it succeed all the time. Listed, not mended: the proptest that parts with a late success are never refused has to be told apart from this first.

--- a/src/crash_suspects/tests.rs
+++ b/src/crash_suspects/tests.rs
@@ -346,3 +346,18 @@
         prop_assert!(refuses(&table, 2000, POISON));
     }
 }
+
+// Issue 31, BUDGET: a part that had just succeeded began to crash upstreams, as with new
+// weights or a new software version. The parts beside it go on succeeding.
+#[test]
+fn part_that_turns_bad_is_convicted_while_its_companions_succeed() {
+    let mut table = CrashSuspects::new();
+    table.record_success(at(0), &[POISON, FIRST]);
+    for crash in 1..=5 {
+        let now = 1000 * crash;
+        table.record_crash(at(now), CrashId(crash), &[POISON, FIRST]);
+        table.record_success(at(now + 500), &[FIRST]);
+    }
+    assert!(table.convicted().contains(&POISON));
+    assert!(!table.convicted().contains(&FIRST));
+}
