--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -144,8 +144,7 @@
     }
 
     /// Ends the search for another upstream, since `upstream`, to which the request was
-    /// sent, may answer after all. Upstreams that have refused a ticket can be offered
-    /// one again in the next search.
+    /// sent, may answer after all. The next search begins with all upstreams.
     pub fn stay(&mut self, upstream: Name) -> Vec<Action> {
         let actions = self.withdraw_all();
         self.state = State::Sent;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -32,10 +32,12 @@
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
+mod result;
 mod running;
 #[cfg(test)]
 mod tests;
 
+pub use self::result::AttemptResult;
 use self::running::AnswerProgress;
 use self::running::RunningAnswer;
 
@@ -53,37 +55,6 @@
 /// Shortest such silence: a sound upstream may say nothing for about a second.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Result of an attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AttemptResult {
-    /// The complete answer was relayed.
-    Completed(Outcome),
-    /// The upstream certainly did not run the request.
-    NotRun(Refusal),
-    /// The exchange failed or the answer is incomplete; the request may have
-    /// run.
-    Interrupted,
-    /// The caller has disconnected and the work is cancelled.
-    CallerDisconnected,
-    /// The caller had disconnected before the request was sent.
-    NotSent,
-    /// The upstream is silent. Another one can be sought meanwhile; the attempt goes on
-    /// with [`Attempt::run`].
-    Silent,
-    /// The timeout of the request has elapsed.
-    TimedOut,
-    /// The request was not sent, since a part of its prompt crashes upstreams; holds the
-    /// time to the next attempt with this part.
-    Quarantined(Duration),
-}
-
-impl AttemptResult {
-    /// Returns whether the upstream certainly did not run the request.
-    pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotRun(_) | Self::NotSent | Self::Quarantined(_))
-    }
-}
-
 /// Attempt to serve a request at one upstream.
 pub struct Attempt {
     /// The state of the entry.
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -31,7 +31,7 @@
 /// Time in which the event loop learns what has arrived before a timer that has elapsed.
 pub const SETTLE_TIME: Duration = Duration::from_millis(5);
 
-/// The time limit of an operation has elapsed.
+/// An operation has not ended before its timeout.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the operation timed out")]
 pub struct Elapsed;
