Log the rate limits that upstreams name

An entry now logs when the limit of an upstream begins, changes and ends, `request sent` has the limit that was believed, and a gauge counts the upstreams with one. No decision uses it yet.

An answer without a limit ends one only if its request was sent after the limit was known: answers arrive out of order, and a stalled entry reads them late.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -108,6 +108,10 @@
     /// Classifies an answer to the request with the caller's `id` by its head.
     fn classify_answer(&self, id: Option<&Name>, answer: &AnswerHead) -> AnswerVerdict;
 
+    /// Returns the header, in lower case, in which an upstream in need names how many
+    /// requests a second it takes from all entries together.
+    fn rate_limit_header(&self) -> &'static str;
+
     /// Returns the format of an answer, which determines how its end and its
     /// token counts are read.
     fn answer_format(
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -89,6 +89,14 @@
     stream: TcpStream,
 }
 
+/// The answer of an upstream, of which the head has arrived.
+struct Answered {
+    answer: Answer,
+    upstream: Upstream,
+    /// When the request was sent.
+    sent_at: Timestamp,
+}
+
 impl Attempt {
     /// Opens the connection on which [`Attempt::run`] will send the request.
     ///
@@ -154,16 +162,15 @@
     ) -> Result<RunningAnswer, AttemptResult> {
         let connected = self.connected.take();
         let until = self.state.instant(self.timeout_at);
-        let answer = tokio::select! {
+        let answered = tokio::select! {
             biased;
             () = relay.closed(), if self.job.cancellable => {
                 return Err(AttemptResult::CallerDisconnected);
             }
-            answer = self.send_request(connected, relay) => answer?,
+            answered = self.send_request(connected, relay) => answered?,
             () = actix_rt::time::sleep_until(until.into()) => return Err(AttemptResult::TimedOut),
         };
-        let (answer, upstream) = answer;
-        self.handle_answer(answer, &upstream, relay, claim).await
+        self.handle_answer(answered, relay, claim).await
     }
 
     /// Returns the upstream, or `None` if it is leaving, was removed or runs another
@@ -189,7 +196,7 @@
         &self,
         connected: Option<Connected>,
         relay: &Relay,
-    ) -> Result<(Answer, Upstream), AttemptResult> {
+    ) -> Result<Answered, AttemptResult> {
         let Connected { upstream, stream } = match connected {
             Some(connected) => connected,
             None => self.open_connection(relay).await?,
@@ -210,9 +217,14 @@
         admitted.map_err(AttemptResult::Quarantined)?;
         self.state.record_prefix(&self.upstream, &self.job.prefix);
         let upstream_request = self.upstream_request(&upstream, relay);
+        let sent_at = self.state.now();
         let answer = exchange::send(stream, &upstream_request).await;
         let answer = answer.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
-        Ok((answer, upstream))
+        Ok(Answered {
+            answer,
+            upstream,
+            sent_at,
+        })
     }
 
     fn upstream_request(&self, upstream: &Upstream, relay: &Relay) -> UpstreamRequest {
@@ -234,13 +246,22 @@
 
     async fn handle_answer(
         &self,
-        mut answer: Answer,
-        upstream: &Upstream,
+        answered: Answered,
         relay: &mut Relay,
         claim: &mut Option<OwnedClaim>,
     ) -> Result<RunningAnswer, AttemptResult> {
+        let Answered {
+            mut answer,
+            upstream,
+            sent_at,
+        } = answered;
         let dialect = &self.state.dialect;
         let verdict = dialect.classify_answer(self.job.caller_id.as_ref(), &answer.head);
+        if matches!(verdict, AnswerVerdict::Answer | AnswerVerdict::Full) {
+            let header = dialect.rate_limit_header();
+            let limits = &self.state.upstream_limits;
+            limits.observe(&self.upstream, &answer.head, header, sent_at);
+        }
         match verdict {
             AnswerVerdict::Answer => {}
             AnswerVerdict::Full => {
@@ -280,17 +301,11 @@
         let headers = std::mem::take(&mut answer.head.headers);
         self.record_claim_head(claim, status, &headers);
         let format = match status < 300 {
-            true => dialect.answer_format(&self.job.upstream_request, upstream),
+            true => dialect.answer_format(&self.job.upstream_request, &upstream),
             false => AnswerFormat::Opaque,
         };
         relay
-            .begin_answer(
-                status,
-                headers,
-                answer.framing,
-                format,
-                upstream.version.clone(),
-            )
+            .begin_answer(status, headers, answer.framing, format, upstream.version)
             .await;
         Ok(RunningAnswer::new(
             answer,
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -61,6 +61,7 @@
     kept_upstreams: Gauge,
     suspected_parts: Gauge,
     quarantined_parts: Gauge,
+    limited_upstreams: Gauge,
 }
 
 impl EntryMetrics {
@@ -81,6 +82,7 @@
             kept_upstreams: Gauge::default(),
             suspected_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             // Replaced at the end, when all metrics are registered.
             registry: Registry::default(),
         };
@@ -142,6 +144,11 @@
             "Parts of prompts with which requests are refused",
             this.quarantined_parts.clone(),
         );
+        r.register(
+            "limited_upstreams",
+            "Upstreams that name a rate limit in their answers",
+            this.limited_upstreams.clone(),
+        );
         Self { registry, ..this }
     }
 
@@ -211,6 +218,11 @@
         self.quarantined_parts.set(convicted as i64);
     }
 
+    /// Sets the gauge of the upstreams that name a rate limit.
+    pub fn record_limited_upstreams(&self, count: usize) {
+        self.limited_upstreams.set(count as i64);
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         metrics::render(&self.registry)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod streams;
 mod suspects;
 mod timers;
+mod upstream_limits;
 mod waiter;
 
 use std::cell::RefCell;
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -13,6 +13,7 @@
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::prompt_parts::LoggedParts;
+use crate::rate_limits::RateLimit;
 use crate::ticket::Refusal;
 use crate::ticket::WithdrawReason;
 use crate::units::millis;
@@ -29,6 +30,7 @@
             "waited_ms" => millis(now.since(self.arrived)),
             "left_ms" => millis(now.until(self.deadline)),
             "view_ms" => self.state.directory.age().map(millis),
+            "limit_per_second" => self.state.upstream_limits.get(upstream).map(RateLimit::per_second),
             "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
             "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -42,6 +42,7 @@
 use crate::entry::request::Job;
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Suspects;
+use crate::entry::upstream_limits::UpstreamLimits;
 use crate::held_requests::HeldRequestBounds;
 use crate::held_requests::HeldRequests;
 use crate::held_requests::HoldResult;
@@ -86,6 +87,8 @@
     pub streams: Rc<Streams>,
     /// The parts of prompts that may crash upstreams.
     pub suspects: Rc<Suspects>,
+    /// The rate limits that upstreams name.
+    pub upstream_limits: Rc<UpstreamLimits>,
     /// Whether this entry is a watcher: it watches the object store on behalf of
     /// other entries.
     pub is_watcher: Rc<watch::Sender<bool>>,
@@ -144,6 +147,7 @@
         Self {
             streams: Rc::new(streams),
             suspects: Rc::new(Suspects::new(clock, log.clone())),
+            upstream_limits: Rc::new(UpstreamLimits::new(clock, log.clone())),
             peers: OnceCell::new(),
             memory: MemoryBudget::new(config.memory),
             config,
@@ -416,6 +420,8 @@
             .record_directory(self.directory.age(), self.directory.kept());
         let (suspects, convicted) = self.suspects.counts();
         self.metrics.record_suspects(suspects, convicted);
+        self.metrics
+            .record_limited_upstreams(self.upstream_limits.count());
         self.metrics.render()
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,8 +24,8 @@
 //!    [`exchange`] and forwards the answer. [`events`] finds the position at which
 //!    an interrupted stream resumes at another upstream, [`completeness`]
 //!    whether an answer was broken off, and [`silence`] whether nothing comes any
-//!    more. [`retry_budget`] limits
-//!    retries, and [`outlier`] excludes upstreams that fail their requests.
+//!    more. [`rate_limits`] holds the limits that upstreams name, [`retry_budget`]
+//!    limits retries, and [`outlier`] excludes upstreams that fail their requests.
 //! 6. The entry reads the [`usage`] from the answer, reports it to the scheduler
 //!    and counts the [`outcome`] in [`metrics`] and [`burn`].
 //!
@@ -92,6 +92,7 @@
 pub mod prompt_parts;
 pub mod queue;
 pub mod quota;
+pub mod rate_limits;
 pub mod registrations;
 pub mod retry_budget;
 pub mod routing;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -29,6 +29,9 @@
 /// brought its first event.
 const RESUMES_HEADER: &str = "x-almondramp-resumes";
 
+/// Header of answers in which an upstream names its rate limit.
+const RATE_LIMIT_HEADER: &str = "x-almondramp-rate-limit";
+
 /// Headers for the entry only, which are not forwarded.
 const STRIPPED_HEADERS: [&str; 4] = [
     "authorization",
@@ -83,6 +86,10 @@
         AnswerVerdict::Answer
     }
 
+    fn rate_limit_header(&self) -> &'static str {
+        RATE_LIMIT_HEADER
+    }
+
     fn answer_format(
         &self,
         upstream_request: &UpstreamRequest,
--- /dev/null
+++ b/src/rate_limits.rs
@@ -0,0 +1,163 @@
+//! Rate limits that upstreams name in their answers.
+//!
+//! An upstream in need names in each answer how many requests a second it takes from all
+//! entries together. The limit lasts until it answers without one. Answers arrive out of
+//! order, and an entry that stalls reads them late: an answer without a limit only ends
+//! one that was known before its request was sent.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+use crate::clock::Timestamp;
+use crate::name::Name;
+
+#[cfg(test)]
+mod tests;
+
+/// Rate limit of an upstream over all entries, in requests per second.
+///
+/// Invariant: finite and not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RateLimit(f64);
+
+/// Text that is no rate limit.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is not a number of requests per second")]
+pub struct InvalidRateLimit(String);
+
+impl RateLimit {
+    /// Creates a limit of this many requests per second.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the number is negative or not finite.
+    pub fn new(per_second: f64) -> Result<Self, InvalidRateLimit> {
+        match per_second.is_finite() && per_second >= 0.0 {
+            true => Ok(Self(per_second)),
+            false => Err(InvalidRateLimit(per_second.to_string())),
+        }
+    }
+
+    /// Parses a decimal number of requests per second.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is no such number.
+    pub fn parse(text: &str) -> Result<Self, InvalidRateLimit> {
+        let invalid = || InvalidRateLimit(text.to_owned());
+        let per_second = text.trim().parse().map_err(|_| invalid())?;
+        Self::new(per_second).map_err(|_| invalid())
+    }
+
+    /// Returns the requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+/// Change of what is believed of an upstream's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// The upstream names a limit.
+    Began(RateLimit),
+    /// The upstream names another limit than before.
+    Changed {
+        /// The limit before.
+        from: RateLimit,
+        /// The limit from now on.
+        to: RateLimit,
+    },
+    /// The upstream names no limit any more.
+    Ended,
+}
+
+/// The limits that upstreams have named.
+#[derive(Debug, Default)]
+pub struct RateLimits {
+    upstreams: BTreeMap<Name, Evidence>,
+}
+
+/// What the answers of one upstream have shown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Evidence {
+    /// The last limit that was named.
+    limit: RateLimit,
+    /// When the answer that named it arrived.
+    named_at: Timestamp,
+    /// When the last request was sent whose answer named no limit.
+    unnamed_at: Option<Timestamp>,
+}
+
+impl RateLimits {
+    /// Creates a table without limits.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the limit that is in force for an upstream.
+    pub fn get(&self, upstream: &Name) -> Option<RateLimit> {
+        self.upstreams.get(upstream)?.in_force()
+    }
+
+    /// Returns the number of upstreams with a limit in force.
+    pub fn len(&self) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|e| e.in_force().is_some()).count()
+    }
+
+    /// Returns whether no upstream has a limit in force.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Records an answer that arrived now and names a limit.
+    pub fn record_named(
+        &mut self,
+        now: Timestamp,
+        upstream: &Name,
+        limit: RateLimit,
+    ) -> Option<Change> {
+        self.update(upstream, |evidence| {
+            let unnamed_at = evidence.and_then(|e| e.unnamed_at);
+            Some(Evidence {
+                limit,
+                named_at: now,
+                unnamed_at,
+            })
+        })
+    }
+
+    /// Records an answer without a limit to a request that was sent at `sent_at`.
+    pub fn record_unnamed(&mut self, sent_at: Timestamp, upstream: &Name) -> Option<Change> {
+        self.update(upstream, |evidence| {
+            let evidence = evidence?;
+            Some(Evidence {
+                unnamed_at: evidence.unnamed_at.max(Some(sent_at)),
+                ..evidence
+            })
+        })
+    }
+
+    fn update<F>(&mut self, upstream: &Name, change: F) -> Option<Change>
+    where
+        F: FnOnce(Option<Evidence>) -> Option<Evidence>,
+    {
+        let before = self.upstreams.get(upstream).copied();
+        let after = change(before)?;
+        self.upstreams.insert(upstream.clone(), after);
+        match (before.and_then(Evidence::in_force), after.in_force()) {
+            (None, Some(limit)) => Some(Change::Began(limit)),
+            (Some(from), Some(to)) if from != to => Some(Change::Changed { from, to }),
+            (Some(_), None) => Some(Change::Ended),
+            _ => None,
+        }
+    }
+}
+
+impl Evidence {
+    fn in_force(self) -> Option<RateLimit> {
+        let has_ended = self.unnamed_at.is_some_and(|at| at > self.named_at);
+        (!has_ended).then_some(self.limit)
+    }
+}
