--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -42,9 +42,13 @@
 use crate::quota::QuotaReport;
 use crate::quota::REPORT_TIMEOUT;
 use crate::site_key::KeyHolder;
-use crate::site_key::SiteKey;
 use crate::wire;
 
+mod datagram;
+
+pub use datagram::DatagramKind;
+use datagram::TAG_SIZE;
+
 /// The shortest interval between two reports. It limits spending beyond a quota
 /// to the demand of a tenth of a second, even for the largest organisations.
 const INTERVAL_MIN: Duration = Duration::from_millis(50);
@@ -58,15 +62,6 @@
 /// `quota::REPORT_TIMEOUT`, after which an entry counts as unreachable.
 const INTERVAL_MAX: Duration = Duration::from_millis(400);
 
-/// The length of a tag, in bytes.
-const TAG_SIZE: usize = 32;
-
-/// Precedes the signed text of messages on streams.
-const STREAM_CONTEXT: &[u8] = b"almondramp streams";
-
-/// Precedes the signed text of messages on parts of prompts that crash upstreams.
-const SUSPECT_CONTEXT: &[u8] = b"almondramp suspects";
-
 /// The size of the largest report, in bytes, bounded by that of a datagram.
 const MAX_REPORT_SIZE: usize = 60 << 10;
 
@@ -164,7 +159,6 @@
     }
 
     async fn send_report(&self) {
-        let key = self.parts.key.wait().await;
         let now = self.parts.clock.now();
         let window = self.parts.active_settings.settings().limits.quota_window;
         let report = self
@@ -174,13 +168,10 @@
             .report(now, window, self.parts.incarnation);
         let mut message = Builder::new_default();
         wire::write_report(&report, message.init_root::<spend_report::Builder<'_>>());
-        let mut datagram = serialize::write_message_to_words(&message);
-        datagram.extend(key.sign(&datagram));
+        let message = serialize::write_message_to_words(&message);
         let peers: Vec<SocketAddr> = self.addresses.borrow().iter().copied().collect();
-        for peer in peers {
-            // The next report makes up for one that can't be sent.
-            let _ = self.socket.send_to(&datagram, peer).await;
-        }
+        // The next report makes up for one that can't be sent.
+        self.send(DatagramKind::Quotas, &message, &peers).await;
     }
 
     /// Sends what is known of parts that crash upstreams, if there is anything to tell.
@@ -188,17 +179,21 @@
         let Some((message, audience)) = self.parts.suspects.next_message() else {
             return;
         };
-        let key = self.parts.key.wait().await;
-        let mut datagram = message;
-        datagram.extend(key.sign(&suspect_text(&datagram)));
         let mut peers = self.reachable();
         if audience == Audience::One {
             let chosen = rand::rng().random_range(0..peers.len().max(1));
             peers = peers.get(chosen).copied().into_iter().collect();
         }
+        // Changes are sent several times.
+        self.send(DatagramKind::Suspects, &message, &peers).await;
+    }
+
+    /// Sends a message to some entries, once the site key is known. It may be lost.
+    pub async fn send(&self, kind: DatagramKind, message: &[u8], peers: &[SocketAddr]) {
+        let key = self.parts.key.wait().await;
+        let datagram = kind.sign(&key, message);
         for peer in peers {
-            // Changes are sent several times.
-            let _ = self.socket.send_to(&datagram, peer).await;
+            let _ = self.socket.send_to(&datagram, *peer).await;
         }
     }
 
@@ -234,15 +229,6 @@
         reachable.copied().collect()
     }
 
-    /// Sends a message on streams, once the site key is known.
-    pub async fn send_stream_message(&self, message: &[u8], peer: SocketAddr) {
-        let key = self.parts.key.wait().await;
-        let mut datagram = message.to_vec();
-        datagram.extend(key.sign(&stream_text(message)));
-        // Records have several copies, and queries are repeated.
-        let _ = self.socket.send_to(&datagram, peer).await;
-    }
-
     async fn receive(&self, datagram: &[u8], peer: SocketAddr) {
         if self.parts.key.get().is_none() {
             return;
@@ -252,20 +238,20 @@
         };
         let kind = Cell::new(None);
         let accepted = self.parts.key.find(|key| {
-            kind.set(MessageKind::signed_by(key, message, tag));
+            kind.set(DatagramKind::signed_by(key, message, tag));
             kind.get().is_some()
         });
         match kind.get().filter(|_| accepted.is_some()) {
             None => {
                 warn!(self.parts.log, "rejected a datagram that is not signed with the site key"; "peer" => %peer);
             }
-            Some(MessageKind::Streams) => {
+            Some(DatagramKind::Streams) => {
                 if let Some(reply) = self.parts.streams.receive(message, peer) {
-                    self.send_stream_message(&reply, peer).await;
+                    self.send(DatagramKind::Streams, &reply, &[peer]).await;
                 }
             }
-            Some(MessageKind::Suspects) => self.parts.suspects.receive(message),
-            Some(MessageKind::Report) => self.receive_report(message, peer),
+            Some(DatagramKind::Suspects) => self.parts.suspects.receive(message),
+            Some(DatagramKind::Quotas) => self.receive_report(message, peer),
         }
     }
 
@@ -290,40 +276,6 @@
     }
 }
 
-/// What a datagram is about, which its tag shows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum MessageKind {
-    Report,
-    Streams,
-    Suspects,
-}
-
-impl MessageKind {
-    /// Returns the kind of a message with this tag; `None` if `key` has not made the tag.
-    fn signed_by(key: &SiteKey, message: &[u8], tag: &[u8]) -> Option<Self> {
-        if key.is_signed(message, tag) {
-            return Some(Self::Report);
-        }
-        if key.is_signed(&stream_text(message), tag) {
-            return Some(Self::Streams);
-        }
-        let is_on_suspects = key.is_signed(&suspect_text(message), tag);
-        is_on_suspects.then_some(Self::Suspects)
-    }
-}
-
-/// Returns the text that is signed for a message on suspects. It can't be the text of
-/// another kind of message.
-fn suspect_text(message: &[u8]) -> Vec<u8> {
-    [SUSPECT_CONTEXT, message].concat()
-}
-
-/// Returns the text that is signed for a message on streams. It can't be the text of a
-/// quota report.
-fn stream_text(message: &[u8]) -> Vec<u8> {
-    [STREAM_CONTEXT, message].concat()
-}
-
 fn decode_report(message: &[u8]) -> Result<QuotaReport, capnp::Error> {
     let mut words = message;
     let reader = serialize::read_message(&mut words, ReaderOptions::new())?;
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::SoftwareVersion;
+use crate::entry::peers::DatagramKind;
 use crate::entry::peers::Peers;
 use crate::name::Name;
 use crate::stream_origins::Origin;
@@ -192,13 +193,13 @@
         };
         let message = encode(&StreamMessage::Query(query));
         for _ in 0..QUERY_ATTEMPTS {
-            let unanswered = self.unanswered(number);
+            let unanswered = Vec::from_iter(self.unanswered(number));
             if unanswered.is_empty() {
                 break;
             }
-            for peer in unanswered {
-                peers.send_stream_message(&message, peer).await;
-            }
+            peers
+                .send(DatagramKind::Streams, &message, &unanswered)
+                .await;
             let all_replied = async {
                 while !self.unanswered(number).is_empty() {
                     replied.notified().await;
@@ -275,7 +276,7 @@
         for (peer, batch) in batches {
             for part in batch.chunks(MAX_BATCH) {
                 let message = encode(&StreamMessage::Began(part.to_vec()));
-                peers.send_stream_message(&message, peer).await;
+                peers.send(DatagramKind::Streams, &message, &[peer]).await;
             }
         }
     }
