--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -47,6 +47,7 @@
         },
         prefix: Vec::new(),
         idempotent: false,
+        interval: None,
     }
 }
 
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -156,6 +156,7 @@
         },
         prefix: vec![sequence; 8],
         idempotent: false,
+        interval: None,
     }
 }
 
--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -19,6 +19,7 @@
   bodyBytes @8 :UInt64;
   objectiveMillis @9 :UInt64;     # until the answer should start
   patienceMillis @10 :UInt64;     # until the ticket expires if it has not been granted
+  intervalMicros @11 :UInt64;     # between two requests to a rate-limited upstream; 0 for no limit
 }
 
 enum RefusalCode {
@@ -175,3 +176,44 @@
   ageMillis @1 :UInt64;       # since its start
   spends @2 :List(Spend);
 }
+
+struct LimitReport {
+  # What an entry knows of the rate limit that an upstream has named.
+  upstream @0 :Text;
+  perSecond @1 :Float64;
+  namedMillis @2 :UInt64;     # the age of the answer that named it
+  unnamed :union {            # the age of the last request whose answer named no limit
+    never @3 :Void;
+    millis @4 :UInt64;
+  }
+}
+
+struct PermitRequest {
+  # Asks the entry that issues the permits of an upstream for one.
+  number @0 :UInt64;          # unique within the incarnation
+  incarnation @1 :UInt64;     # of the entry that asks
+  rank @2 :UInt8;             # 0 is the highest
+  maxWaitMillis @3 :UInt64;
+  limit @4 :LimitReport;      # of the upstream, as the entry knows it
+}
+
+struct PermitReply {
+  number @0 :UInt64;          # of the request
+  limit @1 :LimitReport;      # of the upstream, as the issuing entry knows it
+  otherEntries @2 :UInt32;    # that wait for permits of the upstream
+  union {
+    granted @3 :Void;         # the request may be sent now
+    queued @4 :Void;          # another reply follows, or none in the longest wait
+    denied @5 :UInt64;        # the expected wait in milliseconds, which is too long
+  }
+}
+
+struct LimitMessage {
+  # Sent between entries as datagrams, each followed by a tag made with the site key.
+  union {
+    limits @0 :List(LimitReport);
+    request @1 :PermitRequest;
+    reply @2 :PermitReply;
+    leaving @3 :UInt64;       # the incarnation of the sender, which issues no more permits
+  }
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -21,6 +21,12 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the timestamp that is `age` earlier, or the start of the clock if that is
+    /// later.
+    pub fn before(self, age: Duration) -> Self {
+        Self(self.0.saturating_sub(age))
+    }
+
     /// Returns the time from this timestamp to `later`; zero if `later` is in the
     /// past.
     pub fn until(self, later: Self) -> Duration {
--- a/src/crash_suspects/report.rs
+++ b/src/crash_suspects/report.rs
@@ -72,10 +72,10 @@
             knows_more |= own_success.is_some_and(|at| row.lacks_success(now, at));
             let suspect = self.suspect(row.part);
             for (crash, age) in &row.crashes {
-                suspect.record_crash(*crash, before(now, *age));
+                suspect.record_crash(*crash, now.before(*age));
             }
             if let Some(age) = row.succeeded {
-                suspect.record_success(before(now, age));
+                suspect.record_success(now.before(age));
             }
         }
         (self.review(now), knows_more)
@@ -106,7 +106,3 @@
         }
     }
 }
-
-fn before(now: Timestamp, age: Duration) -> Timestamp {
-    Timestamp::new(now.since(Timestamp::new(age)))
-}
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -89,6 +89,7 @@
         let is_listed = |name: &Name| upstreams.contains_key(name);
         self.local_schedulers.retain(is_listed);
         self.outliers.borrow_mut().retain(is_listed);
+        self.upstream_limits.retain(is_listed);
         self.prefix_indexes
             .borrow_mut()
             .retain(|name, _| is_listed(name));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -198,6 +198,7 @@
             actix_rt::spawn(tick_local_schedulers(Rc::clone(&state)));
             actix_rt::spawn(purge_removed_upstreams(Rc::clone(&state)));
             actix_rt::spawn(Rc::clone(&state.streams).run());
+            actix_rt::spawn(Rc::clone(&state.upstream_limits).run());
             self.start_peers(&state).await?;
             self.start_spending_recorder(&state);
             if let Some(base) = &self.config.host_list {
@@ -237,6 +238,7 @@
             quota: Rc::clone(&state.quota),
             streams: Rc::clone(&state.streams),
             suspects: Rc::clone(&state.suspects),
+            upstream_limits: Rc::clone(&state.upstream_limits),
             active_settings: Rc::clone(&state.active_settings),
             key: self.config.site_key.clone(),
             incarnation: state.incarnation,
@@ -249,6 +251,7 @@
             source: Box::new(e),
         })?;
         state.streams.set_peers(&peers);
+        state.upstream_limits.set_peers(&peers);
         state.set_peers(&peers);
         actix_rt::spawn(Rc::clone(&peers).run());
         actix_rt::spawn(peers.follow_discovered(self.parts.peers.clone()));
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,6 +1,6 @@
 //! Exchange of datagrams between entries: quota reports, messages on where streams began,
-//! which `streams` handles, and on parts of prompts that crash upstreams, which `suspects`
-//! handles.
+//! which `streams` handles, on parts of prompts that crash upstreams, which `suspects`
+//! handles, and on rate limits, which `upstream_limits` handles.
 //!
 //! A report states what organisations have spent at an entry. It is sent as a
 //! datagram, authenticated by a tag that is made with the site key. A lost
@@ -11,7 +11,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,8 +20,6 @@
 use capnp::message::ReaderOptions;
 use capnp::serialize;
 use rand::RngExt;
-use sha2::Digest;
-use sha2::Sha256;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -32,17 +29,20 @@
 use crate::active_settings::ActiveSettings;
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
-use crate::clock::Timestamp;
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Audience;
 use crate::entry::suspects::Suspects;
+use crate::entry::upstream_limits::UpstreamLimits;
 use crate::ids::Incarnation;
+use crate::name::Name;
+use crate::peer_table::PeerTable;
 use crate::prompt_parts::PartId;
 use crate::quota::Quota;
 use crate::quota::QuotaReport;
-use crate::quota::REPORT_TIMEOUT;
 use crate::site_key::KeyHolder;
 use crate::wire;
+use crate::wire::limits;
+use crate::wire::limits::LimitMessage;
 
 mod datagram;
 
@@ -68,9 +68,7 @@
 /// The other entries, and the socket for exchanging reports with them.
 pub struct Peers {
     socket: UdpSocket,
-    addresses: RefCell<BTreeSet<SocketAddr>>,
-    /// When each entry last sent a report, or became known.
-    last_heard: RefCell<HashMap<SocketAddr, Timestamp>>,
+    table: RefCell<PeerTable>,
     parts: PeerParts,
 }
 
@@ -82,6 +80,8 @@
     pub streams: Rc<Streams>,
     /// The parts of prompts that may crash upstreams.
     pub suspects: Rc<Suspects>,
+    /// The rate limits of upstreams.
+    pub upstream_limits: Rc<UpstreamLimits>,
     /// The operators' settings.
     pub active_settings: Rc<ActiveSettings>,
     /// The key that signs datagrams.
@@ -97,10 +97,11 @@
 impl Peers {
     /// Binds a UDP socket to `listen`. Fails if the address can't be bound.
     pub async fn bind(listen: SocketAddr, parts: PeerParts) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(listen).await?;
+        let own = socket.local_addr()?;
         Ok(Rc::new(Self {
-            socket: UdpSocket::bind(listen).await?,
-            addresses: RefCell::default(),
-            last_heard: RefCell::default(),
+            socket,
+            table: RefCell::new(PeerTable::new(own)),
             parts,
         }))
     }
@@ -120,16 +121,12 @@
     }
 
     fn add(&self, peer: SocketAddr) {
-        let own = self.socket.local_addr().ok();
-        if Some(peer) == own || !self.addresses.borrow_mut().insert(peer) {
-            return;
+        let mut table = self.table.borrow_mut();
+        if table.add(self.parts.clock.now(), peer) {
+            let entries = table.entries();
+            self.parts.quota.borrow_mut().set_entries(entries);
+            info!(self.parts.log, "entry discovered"; "peer" => %peer, "entries" => entries);
         }
-        self.last_heard
-            .borrow_mut()
-            .insert(peer, self.parts.clock.now());
-        let entries = self.addresses.borrow().len() + 1;
-        self.parts.quota.borrow_mut().set_entries(entries);
-        info!(self.parts.log, "entry discovered"; "peer" => %peer, "entries" => entries);
     }
 
     /// Sends and receives reports, once the site key is known, until the task is
@@ -150,7 +147,9 @@
             loop {
                 self.send_report().await;
                 self.send_suspects().await;
-                let peers = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
+                self.send_limits().await;
+                let entries = self.table.borrow().entries();
+                let peers = u32::try_from(entries - 1).unwrap_or(u32::MAX);
                 let interval = INTERVAL_PER_PEER * peers;
                 actix_rt::time::sleep(interval.clamp(INTERVAL_MIN, INTERVAL_MAX)).await;
             }
@@ -169,23 +168,44 @@
         let mut message = Builder::new_default();
         wire::write_report(&report, message.init_root::<spend_report::Builder<'_>>());
         let message = serialize::write_message_to_words(&message);
-        let peers: Vec<SocketAddr> = self.addresses.borrow().iter().copied().collect();
+        let peers = self.table.borrow().all();
         // The next report makes up for one that can't be sent.
         self.send(DatagramKind::Quotas, &message, &peers).await;
     }
 
     /// Sends what is known of parts that crash upstreams, if there is anything to tell.
     async fn send_suspects(&self) {
-        let Some((message, audience)) = self.parts.suspects.next_message() else {
-            return;
-        };
-        let mut peers = self.reachable();
-        if audience == Audience::One {
-            let chosen = rand::rng().random_range(0..peers.len().max(1));
-            peers = peers.get(chosen).copied().into_iter().collect();
+        if let Some((message, audience)) = self.parts.suspects.next_message() {
+            let peers = self.audience(audience);
+            self.send(DatagramKind::Suspects, &message, &peers).await;
+        }
+    }
+
+    /// Sends what is known of the rate limits of upstreams, and that this entry is
+    /// stopping.
+    async fn send_limits(&self) {
+        let limits = &self.parts.upstream_limits;
+        if let Some(message) = limits.leaving_message() {
+            let peers = self.reachable();
+            self.send(DatagramKind::Limits, &message, &peers).await;
+        }
+        if let Some((message, audience)) = limits.next_message() {
+            let peers = self.audience(audience);
+            self.send(DatagramKind::Limits, &message, &peers).await;
+        }
+    }
+
+    /// Returns the entries to which a message is to be sent. Those to all are sent several
+    /// times.
+    fn audience(&self, audience: Audience) -> Vec<SocketAddr> {
+        let peers = self.reachable();
+        match audience {
+            Audience::All => peers,
+            Audience::One => {
+                let chosen = rand::rng().random_range(0..peers.len().max(1));
+                peers.get(chosen).copied().into_iter().collect()
+            }
         }
-        // Changes are sent several times.
-        self.send(DatagramKind::Suspects, &message, &peers).await;
     }
 
     /// Sends a message to some entries, once the site key is known. It may be lost.
@@ -197,36 +217,29 @@
         }
     }
 
-    /// Returns whether this entry comes before all others that may be running in the order
-    /// of this part, which is the same at all entries (rendezvous hashing).
+    /// Returns whether this entry is the one of all that probes a part.
     pub fn is_closest(&self, part: PartId) -> bool {
-        let Ok(own) = self.socket.local_addr() else {
-            return false;
-        };
-        let order = |peer: SocketAddr| {
-            Sha256::new()
-                .chain_update(part.0.to_le_bytes())
-                .chain_update(peer.to_string())
-                .finalize()
-        };
-        let own_order = order(own);
-        self.reachable()
-            .into_iter()
-            .all(|peer| own_order < order(peer))
+        let table = self.table.borrow();
+        table.is_closest(self.parts.clock.now(), &part.0.to_le_bytes())
+    }
+
+    /// Returns the entry that issues the permits of an upstream; `None` for this one.
+    pub fn issuer_of(&self, upstream: &Name, is_leaving: bool) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        table.holder(self.parts.clock.now(), upstream.as_bytes(), is_leaving)
+    }
+
+    /// Returns the part of the entries that this one can reach, of those that may be
+    /// running.
+    pub fn reachable_fraction(&self) -> f64 {
+        let table = self.table.borrow();
+        table.reachable_fraction(self.parts.clock.now())
     }
 
     /// Returns the entries that may be running: all that are known, without those whose
     /// reports have stopped.
     pub fn reachable(&self) -> Vec<SocketAddr> {
-        let now = self.parts.clock.now();
-        let last_heard = self.last_heard.borrow();
-        let has_stopped = |peer: &SocketAddr| {
-            let at = last_heard.get(peer);
-            at.is_some_and(|at| now.since(*at) >= REPORT_TIMEOUT)
-        };
-        let addresses = self.addresses.borrow();
-        let reachable = addresses.iter().filter(|peer| !has_stopped(peer));
-        reachable.copied().collect()
+        self.table.borrow().reachable(self.parts.clock.now())
     }
 
     async fn receive(&self, datagram: &[u8], peer: SocketAddr) {
@@ -251,19 +264,37 @@
                 }
             }
             Some(DatagramKind::Suspects) => self.parts.suspects.receive(message),
+            Some(DatagramKind::Limits) => self.receive_limits(message, peer).await,
             Some(DatagramKind::Quotas) => self.receive_report(message, peer),
         }
     }
 
+    async fn receive_limits(&self, message: &[u8], peer: SocketAddr) {
+        match limits::decode(message) {
+            Ok(LimitMessage::Leaving(incarnation)) => {
+                self.table.borrow_mut().record_leaving(peer, incarnation);
+            }
+            Ok(message) => {
+                if let Some(reply) = self.parts.upstream_limits.receive(message, peer) {
+                    self.send(DatagramKind::Limits, &reply, &[peer]).await;
+                }
+            }
+            Err(e) => {
+                warn!(self.parts.log, "could not decode a message on rate limits";
+                    "peer" => %peer,
+                    "error" => %e);
+            }
+        }
+    }
+
     fn receive_report(&self, message: &[u8], peer: SocketAddr) {
         match decode_report(message) {
             Ok(report) => {
                 self.add(peer);
-                self.last_heard
-                    .borrow_mut()
-                    .insert(peer, self.parts.clock.now());
-                let window = self.parts.active_settings.settings().limits.quota_window;
                 let now = self.parts.clock.now();
+                let mut table = self.table.borrow_mut();
+                table.record_report(now, peer, report.from);
+                let window = self.parts.active_settings.settings().limits.quota_window;
                 self.parts
                     .quota
                     .borrow_mut()
--- a/src/entry/peers/datagram.rs
+++ b/src/entry/peers/datagram.rs
@@ -14,10 +14,12 @@
     Streams,
     /// Parts of prompts that crash upstreams.
     Suspects,
+    /// Rate limits of upstreams, and permits under them.
+    Limits,
 }
 
 impl DatagramKind {
-    const ALL: [Self; 3] = [Self::Quotas, Self::Streams, Self::Suspects];
+    const ALL: [Self; 4] = [Self::Quotas, Self::Streams, Self::Suspects, Self::Limits];
 
     /// Returns the bytes that precede the signed text, so that the tag of one kind does
     /// not fit another.
@@ -26,6 +28,7 @@
             Self::Quotas => b"",
             Self::Streams => b"almondramp streams",
             Self::Suspects => b"almondramp suspects",
+            Self::Limits => b"almondramp limits",
         }
     }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -40,6 +40,7 @@
 use self::waiting::WaitResult;
 
 mod endings;
+mod permits;
 mod waiting;
 
 /// Retry delay after an upstream has failed and no other is left.
@@ -322,6 +323,8 @@
             let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
             return Err(self.reschedule(&upstream, refusal, false));
         };
+        self.acquire_permit(&upstream, &scheduler).await?;
+        self.state.record_sent(&self.job);
         let attempt = self.granted_attempt(upstream, scheduler, grant);
         match self.silent.take() {
             Some(silent) => self.move_to(attempt, silent).await,
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -111,7 +111,6 @@
                     }
                     Action::Send(upstream, grant) => {
                         self.record_arrival();
-                        self.state.record_sent(&self.job);
                         self.withdraw_others(&upstream);
                         return WaitResult::Granted(upstream, grant);
                     }
@@ -226,8 +225,12 @@
         // Withdraws a ticket from a lost connection before it is offered again.
         self.withdraw(&upstream, WithdrawReason::GivenUp);
         let now = self.state.now();
-        let ticket = self.ticket();
         let scheduler = self.state.scheduler_for(&upstream);
+        let limits = &self.state.upstream_limits;
+        let ticket = self.ticket(match scheduler {
+            SchedulerHandle::Agent(_) => limits.interval(&upstream),
+            SchedulerHandle::Local(_) => limits.own_interval(&upstream),
+        });
         self.state.add_outstanding(&upstream);
         match &scheduler {
             SchedulerHandle::Agent(link) => {
@@ -246,7 +249,8 @@
         self.schedulers.insert(upstream, scheduler);
     }
 
-    fn ticket(&self) -> Ticket {
+    /// Returns the ticket for an upstream that takes a request per `interval`.
+    fn ticket(&self, interval: Option<Duration>) -> Ticket {
         let admission = &self.job.admission;
         Ticket {
             request: self.request,
@@ -258,6 +262,7 @@
             work: self.job.work,
             prefix: self.job.prefix.clone(),
             idempotent: self.job.idempotent,
+            interval,
         }
     }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -147,7 +147,7 @@
         Self {
             streams: Rc::new(streams),
             suspects: Rc::new(Suspects::new(clock, log.clone())),
-            upstream_limits: Rc::new(UpstreamLimits::new(clock, log.clone())),
+            upstream_limits: Rc::new(UpstreamLimits::new(incarnation, clock, log.clone())),
             peers: OnceCell::new(),
             memory: MemoryBudget::new(config.memory),
             config,
@@ -208,6 +208,7 @@
     /// served.
     pub fn begin_stop(&self) {
         self.stopping.set(true);
+        self.upstream_limits.set_leaving();
     }
 
     /// Returns whether new requests are refused because they could not finish
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 //! 6. The entry reads the [`usage`] from the answer, reports it to the scheduler
 //!    and counts the [`outcome`] in [`metrics`] and [`burn`].
 //!
-//! Modules outside this path: [`settings`] are merged and checked, stored as
+//! Modules outside this path: entries know each other by their [`peer_table`]. [`settings`] are merged and checked, stored as
 //! [`stored_settings`] in the [`object_store`], changed by [`apply`], loaded by
 //! [`settings_service`] and active as [`active_settings`]; long work on them is done in
 //! [`pieces`]. On a platform, [`discovery`] fetches settings and upstreams, and
@@ -84,6 +84,7 @@
 pub mod outlier;
 pub mod pace;
 pub mod pacer;
+pub mod peer_table;
 pub mod pieces;
 pub mod prefix;
 pub mod programs;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -138,6 +138,11 @@
         higher + tier.map_or(0, |t| t.cost_ahead(organisation, weight))
     }
 
+    /// Returns the number of waiting tickets of this rank and of higher ones.
+    pub fn count_ahead(&self, rank: Rank) -> usize {
+        self.tiers.range(..=rank).map(|(_, t)| t.count).sum()
+    }
+
     /// Replaces the expected cost that an organisation was charged with the actual
     /// cost.
     pub fn adjust_charge(&mut self, rank: Rank, organisation: &Name, expected: u64, actual: u64) {
--- a/src/rate_limits.rs
+++ b/src/rate_limits.rs
@@ -6,15 +6,32 @@
 //! one that was known before its request was sent.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use thiserror::Error;
 
 use crate::clock::Timestamp;
 use crate::name::Name;
 
+mod issuer;
+mod pacing;
 #[cfg(test)]
 mod tests;
 
+pub use issuer::PermitAnswer;
+pub use issuer::PermitId;
+pub use issuer::PermitIssuer;
+pub use issuer::PermitRequest;
+pub use pacing::Pacing;
+
+/// The time for which a limit that has ended is kept, so that late reports of it don't
+/// count.
+const ENDED_MEMORY: Duration = Duration::from_secs(60);
+
+/// Added to the reported age of a request whose answer named no limit. A report that is
+/// read late would otherwise end a limit that was named after that request.
+const UNNAMED_MARGIN: Duration = Duration::from_secs(1);
+
 /// Rate limit of an upstream over all entries, in requests per second.
 ///
 /// Invariant: finite and not negative.
@@ -72,6 +89,19 @@
     Ended,
 }
 
+/// What an entry knows of an upstream's limit, as it tells others. Their clocks differ, so
+/// it holds ages.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReport {
+    /// The last limit that was named.
+    pub limit: RateLimit,
+    /// The time since the answer that named it arrived.
+    pub named_age: Duration,
+    /// The time since the last request was sent whose answer named no limit; at least,
+    /// if others have passed it on.
+    pub unnamed_age: Option<Duration>,
+}
+
 /// The limits that upstreams have named.
 #[derive(Debug, Default)]
 pub struct RateLimits {
@@ -139,6 +169,67 @@
         })
     }
 
+    /// Returns the report on an upstream to other entries, if it has named a limit.
+    pub fn report(&self, now: Timestamp, upstream: &Name) -> Option<LimitReport> {
+        self.upstreams.get(upstream).map(|e| e.report(now))
+    }
+
+    /// Returns the reports on `count` upstreams at most: those that follow `after` in the
+    /// order of names, then the first ones.
+    pub fn reports_after(
+        &self,
+        now: Timestamp,
+        after: &Name,
+        count: usize,
+    ) -> Vec<(Name, LimitReport)> {
+        let following = self.upstreams.iter().skip_while(|(name, _)| *name <= after);
+        let first = self.upstreams.iter().take_while(|(name, _)| *name <= after);
+        let upstreams = following.chain(first).take(count);
+        upstreams
+            .map(|(name, e)| (name.clone(), e.report(now)))
+            .collect()
+    }
+
+    /// Merges the report of another entry.
+    pub fn merge(
+        &mut self,
+        now: Timestamp,
+        upstream: &Name,
+        report: &LimitReport,
+    ) -> Option<Change> {
+        let named_at = now.before(report.named_age);
+        let unnamed_at = report.unnamed_age.map(|age| now.before(age));
+        self.update(upstream, |evidence| {
+            let known = evidence.filter(|e| e.named_at >= named_at);
+            let (limit, named_at) = match known {
+                Some(known) => (known.limit, known.named_at),
+                None => (report.limit, named_at),
+            };
+            Some(Evidence {
+                limit,
+                named_at,
+                unnamed_at: evidence.and_then(|e| e.unnamed_at).max(unnamed_at),
+            })
+        })
+    }
+
+    /// Forgets limits that ended long ago. Must be called from time to time.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.upstreams.retain(|_, e| {
+            let has_ended = e.in_force().is_none();
+            let last = e.unnamed_at.unwrap_or(e.named_at);
+            !has_ended || now.since(last) < ENDED_MEMORY
+        });
+    }
+
+    /// Forgets the upstreams for which `keep` returns false.
+    pub fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        self.upstreams.retain(|name, _| keep(name));
+    }
+
     fn update<F>(&mut self, upstream: &Name, change: F) -> Option<Change>
     where
         F: FnOnce(Option<Evidence>) -> Option<Evidence>,
@@ -160,4 +251,13 @@
         let has_ended = self.unnamed_at.is_some_and(|at| at > self.named_at);
         (!has_ended).then_some(self.limit)
     }
+
+    fn report(self, now: Timestamp) -> LimitReport {
+        let unnamed_age = self.unnamed_at.map(|at| now.since(at) + UNNAMED_MARGIN);
+        LimitReport {
+            limit: self.limit,
+            named_age: now.since(self.named_at),
+            unnamed_age,
+        }
+    }
 }
--- a/src/rate_limits/tests.rs
+++ b/src/rate_limits/tests.rs
@@ -8,6 +8,9 @@
 use crate::clock::Timestamp;
 use crate::name::Name;
 
+mod many_entries;
+mod permits;
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::new(Duration::from_millis(millis))
 }
@@ -60,3 +63,78 @@
     assert_eq!(limits.record_unnamed(at(90), &upstream), None);
     assert_eq!(limits.get(&upstream), Some(limit(5.0)));
 }
+
+#[test]
+fn reports_carry_the_latest_limit_to_other_entries() {
+    let (mut a, mut b) = (RateLimits::new(), RateLimits::new());
+    let upstream = Name::new("a");
+    a.record_named(at(10_000), &upstream, limit(5.0));
+    let report = a.report(at(10_100), &upstream).expect("a report");
+    // The clock of the other entry has begun later.
+    assert_eq!(
+        b.merge(at(3_100), &upstream, &report),
+        Some(Change::Began(limit(5.0)))
+    );
+    b.record_named(at(3_200), &upstream, limit(2.0));
+    let older = a.report(at(10_300), &upstream).expect("a report");
+    assert_eq!(b.merge(at(3_300), &upstream, &older), None);
+    assert_eq!(b.get(&upstream), Some(limit(2.0)));
+}
+
+// A report that is read late makes what it says look younger than it is.
+#[test]
+fn late_report_of_an_answer_without_a_limit_ends_no_later_one() {
+    let (mut a, mut b) = (RateLimits::new(), RateLimits::new());
+    let upstream = Name::new("a");
+    for limits in [&mut a, &mut b] {
+        limits.record_named(at(1_000), &upstream, limit(5.0));
+    }
+    a.record_unnamed(at(1_500), &upstream);
+    let report = a.report(at(1_600), &upstream).expect("a report");
+    b.record_named(at(1_700), &upstream, limit(5.0));
+    assert_eq!(b.merge(at(2_300), &upstream, &report), None);
+    assert_eq!(b.get(&upstream), Some(limit(5.0)));
+}
+
+#[test]
+fn end_of_a_limit_reaches_other_entries() {
+    let (mut a, mut b) = (RateLimits::new(), RateLimits::new());
+    let upstream = Name::new("a");
+    for limits in [&mut a, &mut b] {
+        limits.record_named(at(1_000), &upstream, limit(5.0));
+    }
+    a.record_unnamed(at(2_500), &upstream);
+    let report = a.report(at(2_600), &upstream).expect("a report");
+    assert_eq!(b.merge(at(2_700), &upstream, &report), Some(Change::Ended));
+}
+
+#[test]
+fn limit_that_ended_long_ago_is_forgotten() {
+    let mut limits = RateLimits::new();
+    let (ended, lasting) = (Name::new("a"), Name::new("b"));
+    for upstream in [&ended, &lasting] {
+        limits.record_named(at(0), upstream, limit(5.0));
+    }
+    limits.record_unnamed(at(10), &ended);
+    limits.expire(at(59_000));
+    assert!(limits.report(at(59_000), &ended).is_some());
+    limits.expire(at(61_000));
+    assert!(limits.report(at(61_000), &ended).is_none());
+    assert_eq!(limits.get(&lasting), Some(limit(5.0)));
+}
+
+#[test]
+fn reports_rotate_through_all_upstreams() {
+    let mut limits = RateLimits::new();
+    for name in ["a", "b", "c"] {
+        limits.record_named(at(0), &Name::new(name), limit(1.0));
+    }
+    let mut last = Name::new("");
+    let mut seen = Vec::new();
+    for _ in 0..3 {
+        let reports = limits.reports_after(at(1), &last, 2);
+        last = reports.last().expect("a report").0.clone();
+        seen.extend(reports.into_iter().map(|(name, _)| name.to_string()));
+    }
+    assert_eq!(seen.join(""), "abcabc");
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -31,10 +31,12 @@
 
 mod config;
 mod quotes;
+mod rate_gate;
 #[cfg(test)]
 mod tests;
 
 pub use config::SchedulerConfig;
+use rate_gate::RateGate;
 
 /// The shortest retry delay of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -48,6 +50,10 @@
 /// tickets stay queued, so that another upstream can take them.
 const MAX_PREFILL_BACKLOG: Duration = Duration::from_millis(200);
 
+/// The time within which a grant of a rate-limited upstream can be accepted, at least:
+/// its entry may have to wait for the permit to send.
+const LIMITED_GRANT_VALID: Duration = Duration::from_secs(1);
+
 /// One in this many slots is never granted to tickets past their objective.
 const DELAYED_RESERVE_DIVISOR: usize = 3;
 
@@ -82,6 +88,8 @@
     served_share: f64,
     /// The recent load of each tier, from the cost of the sent requests.
     tier_load: TierLoad,
+    /// The rate limit that the upstream names.
+    rate_gate: RateGate,
     last_grant_id: u64,
     draining: bool,
 }
@@ -121,6 +129,7 @@
             pace: Pace::new(),
             served_share: 1.0,
             tier_load: TierLoad::new(),
+            rate_gate: RateGate::default(),
             last_grant_id: 0,
             draining: false,
         }
@@ -138,6 +147,7 @@
     /// Queues, grants or refuses a ticket. Also returns the notices for other
     /// requests that result from it.
     pub fn offer(&mut self, now: Timestamp, mut ticket: Ticket) -> (OfferResult, Vec<Notice>) {
+        self.rate_gate.observe(now, ticket.interval);
         ticket.work.cached = self.cached_tokens(&ticket);
         ticket.rank.overdue = ticket.objective <= now;
         if let Some(refusal) = self.refusal_for(now, &ticket) {
@@ -174,6 +184,7 @@
     /// nonetheless, so it is then counted only through the reports of the
     /// upstream, see [`Scheduler::set_reported_requests`].
     pub fn mark_sent(&mut self, now: Timestamp, request: RequestId, id: GrantId) -> bool {
+        self.rate_gate.record_sent(now);
         let is_live = self.grants.get(&request).is_some_and(|g| g.id == id);
         if !is_live {
             return false;
@@ -292,7 +303,10 @@
     /// Returns when [`Scheduler::tick`] next has to be called.
     pub fn next_tick(&self) -> Option<Timestamp> {
         let grants = self.grants.values().map(|g| g.expires).min();
-        grants.into_iter().chain(self.queue.next_expiry()).min()
+        let opens_at = self.rate_gate.opens_at(self.grants.len());
+        let opens_at = opens_at.filter(|_| !self.queue.is_empty());
+        let times = grants.into_iter().chain(self.queue.next_expiry());
+        times.chain(opens_at).min()
     }
 
     /// Stops accepting tickets and removes the queued ones.
@@ -384,10 +398,16 @@
         unanswered.map(|t| t.work.uncached()).sum()
     }
 
-    /// Returns whether `ticket` can be granted now: a slot is free and the prefill
-    /// backlog is short. An engine processes prompts in order of arrival, so the
-    /// bound on the backlog keeps several long prompts off the same engine.
-    fn has_room_for(&self, ticket: &Ticket) -> bool {
+    /// Returns whether `ticket` can be granted now: there is a slot for it, and the rate
+    /// limit of the upstream leaves room.
+    fn has_room_for(&self, now: Timestamp, ticket: &Ticket) -> bool {
+        self.has_slot_for(ticket) && self.rate_gate.is_open(now, self.grants.len())
+    }
+
+    /// Returns whether a slot is free and the prefill backlog is short. An engine
+    /// processes prompts in order of arrival, so the bound on the backlog keeps several
+    /// long prompts off the same engine.
+    fn has_slot_for(&self, ticket: &Ticket) -> bool {
         let slots = match ticket.rank.delayed {
             true => self.config.slots - self.config.slots / DELAYED_RESERVE_DIVISOR,
             false => self.config.slots,
@@ -403,7 +423,7 @@
     fn grant_waiting(&mut self, now: Timestamp) -> Vec<Notice> {
         let mut notices = Vec::new();
         self.queue.demote_delayed(now);
-        while let Some((ticket, cost)) = self.pop_if_room() {
+        while let Some((ticket, cost)) = self.pop_if_room(now) {
             let request = ticket.request;
             if now + self.pace.service_time(ticket.work) > ticket.deadline {
                 self.refund_charge(&ticket, cost);
@@ -414,7 +434,7 @@
             self.last_grant_id += 1;
             let grant = Grant {
                 id: GrantId(self.last_grant_id),
-                valid_for: self.config.grant_valid,
+                valid_for: self.grant_valid(),
                 quote: self.quote(now, &ticket),
             };
             let granted = OutstandingGrant {
@@ -429,6 +449,13 @@
         notices
     }
 
+    fn grant_valid(&self) -> Duration {
+        match self.rate_gate.is_limited() {
+            true => self.config.grant_valid.max(LIMITED_GRANT_VALID),
+            false => self.config.grant_valid,
+        }
+    }
+
     /// Revokes a grant that was not accepted, if there is one.
     fn revoke_grant(&mut self, request: RequestId) -> bool {
         let Some(granted) = self.grants.remove(&request) else {
@@ -444,9 +471,9 @@
             .adjust_charge(ticket.rank, &ticket.organisation, cost, 0);
     }
 
-    fn pop_if_room(&mut self) -> Option<(Ticket, u64)> {
+    fn pop_if_room(&mut self, now: Timestamp) -> Option<(Ticket, u64)> {
         let next = self.queue.get(self.queue.peek()?)?;
-        match self.has_room_for(next) {
+        match self.has_room_for(now, next) {
             true => self.queue.pop(),
             false => None,
         }
--- a/src/scheduler/quotes.rs
+++ b/src/scheduler/quotes.rs
@@ -15,10 +15,7 @@
     pub(super) fn quote(&self, now: Timestamp, ticket: &Ticket) -> Quote {
         let prefill_delay = self.pace.prefill_time(self.unanswered_prefill());
         Quote {
-            wait: match self.has_room_for(ticket) {
-                true => Duration::ZERO,
-                false => self.wait_for(now, ticket),
-            },
+            wait: self.wait_for(now, ticket),
             cached: ticket.work.cached,
             saving: self.pace.prefill_time(ticket.work.cached),
             answer_start: prefill_delay + self.pace.answer_start_time(ticket.work.uncached()),
@@ -26,12 +23,30 @@
         }
     }
 
-    /// Returns the expected time until a ticket is granted. It is estimated from
+    /// Returns the expected time until a ticket is granted.
+    fn wait_for(&self, now: Timestamp, ticket: &Ticket) -> Duration {
+        let wait_for_slot = match self.has_slot_for(ticket) {
+            true => Duration::ZERO,
+            false => self.wait_for_slot(now, ticket),
+        };
+        wait_for_slot.max(self.wait_for_rate(now, ticket))
+    }
+
+    /// Returns the expected time until the rate limit of the upstream leaves room for a
+    /// ticket behind those that are granted or ahead of it in the queue.
+    fn wait_for_rate(&self, now: Timestamp, ticket: &Ticket) -> Duration {
+        let ahead = self.queue.count_ahead(ticket.rank) as f64;
+        let served_here = (ahead * self.served_share).round() as usize;
+        let opens_at = self.rate_gate.opens_at(self.grants.len() + served_here);
+        opens_at.map_or(Duration::ZERO, |at| now.until(at))
+    }
+
+    /// Returns the expected time until there is a slot for a ticket. It is estimated from
     /// the work ahead and the share of the slots that higher tiers leave, since
     /// their work keeps arriving. It is at least the time that the oldest ticket
     /// ahead has waited: the estimate includes only as much later work of higher
     /// tiers as was sent recently.
-    pub(super) fn wait_for(&self, now: Timestamp, ticket: &Ticket) -> Duration {
+    fn wait_for_slot(&self, now: Timestamp, ticket: &Ticket) -> Duration {
         let weight = self.weight(&ticket.organisation);
         let cost_ahead = self
             .queue
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -27,6 +27,7 @@
         work: Work::default(),
         prefix: Vec::new(),
         idempotent: false,
+        interval: None,
     }
 }
 
@@ -269,3 +270,79 @@
     scheduler.tick(at(200));
     assert_eq!(charged(&scheduler, "small"), 0);
 }
+
+fn limited_ticket(sequence: u64, interval: Option<u64>) -> Ticket {
+    Ticket {
+        interval: interval.map(Duration::from_millis),
+        ..ticket(sequence, 0, at(60_000))
+    }
+}
+
+// Issue 34, LIMIT: an agent granted every free slot of an upstream in need.
+#[test]
+fn grants_keep_to_the_rate_limit_of_the_upstream() {
+    let mut scheduler = scheduler(8);
+    let mut granted = 0;
+    for millis in 0..4_000 {
+        let offered = scheduler
+            .offer(at(millis), limited_ticket(millis, Some(200)))
+            .0;
+        if let OfferResult::Granted(grant) = offered {
+            scheduler.mark_sent(at(millis), request(millis), grant.id);
+            scheduler.finish(at(millis), request(millis), None);
+            granted += 1;
+        } else {
+            scheduler.withdraw(at(millis), request(millis), WithdrawReason::GivenUp);
+        }
+    }
+    assert!((15..=22).contains(&granted), "{granted}");
+}
+
+#[test]
+fn quote_of_a_limited_upstream_counts_the_tickets_ahead() {
+    let mut scheduler = scheduler(8);
+    for (sequence, wait) in [(1, 200), (2, 400), (3, 600)] {
+        let offered = scheduler
+            .offer(at(0), limited_ticket(sequence, Some(200)))
+            .0;
+        let OfferResult::Queued(quote) = offered else {
+            panic!("not queued: {offered:?}");
+        };
+        assert_eq!(quote.wait, Duration::from_millis(wait));
+    }
+}
+
+#[test]
+fn waiting_ticket_is_granted_when_the_rate_limit_leaves_room() {
+    let mut scheduler = scheduler(8);
+    scheduler.offer(at(0), limited_ticket(1, Some(200)));
+    assert_eq!(scheduler.next_tick(), Some(at(200)));
+    assert!(scheduler.tick(at(199)).is_empty());
+    let notices = scheduler.tick(at(200));
+    assert!(matches!(notices[..], [Notice::Granted(r, _)] if r == request(1)));
+}
+
+#[test]
+fn grant_that_is_withdrawn_gives_its_room_to_the_next_ticket() {
+    let mut scheduler = scheduler(8);
+    scheduler.offer(at(0), limited_ticket(1, Some(2_000)));
+    scheduler.offer(at(0), limited_ticket(2, Some(2_000)));
+    assert_eq!(scheduler.tick(at(2_000)).len(), 1);
+    let notices = scheduler.withdraw(at(2_010), request(1), WithdrawReason::GivenUp);
+    assert!(matches!(notices[..], [Notice::Granted(r, _)] if r == request(2)));
+}
+
+// Entries learn of a limit at different times.
+#[test]
+fn limit_outlasts_tickets_that_do_not_tell_of_it_for_a_second() {
+    let mut scheduler = scheduler(8);
+    scheduler.offer(at(0), limited_ticket(1, Some(10_000)));
+    let early = scheduler.offer(at(900), limited_ticket(2, None)).0;
+    assert!(matches!(early, OfferResult::Queued(_)));
+    let late = scheduler.offer(at(1_100), limited_ticket(3, None)).0;
+    assert!(matches!(
+        late,
+        OfferResult::Queued(_) | OfferResult::Granted(_)
+    ));
+    assert_eq!(scheduler.waiting(), 0);
+}
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -62,6 +62,8 @@
     pub prefix: Vec<u64>,
     /// Whether the request can safely run more than once.
     pub idempotent: bool,
+    /// The time between two requests to the upstream, if it names a rate limit.
+    pub interval: Option<Duration>,
 }
 
 /// An amount of work for a model engine. All counts are zero for an upstream
--- a/src/wire/almondramp_capnp.rs
+++ b/src/wire/almondramp_capnp.rs
@@ -348,11 +348,15 @@
         pub fn get_patience_millis(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
+        #[inline]
+        pub fn get_interval_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -514,6 +518,14 @@
         pub fn set_patience_millis(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(6, value);
         }
+        #[inline]
+        pub fn get_interval_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_interval_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -528,101 +540,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 195] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 211] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(107, 155, 195, 13, 153, 105, 48, 163),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
             ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 84, 105, 99, 107, 101, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(161, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(198, 15, 73, 73, 40, 143, 40, 139),
@@ -724,6 +743,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 116, 101, 114, 118, 97, 108),
+            ::capnp::word(77, 105, 99, 114, 111, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -738,6 +766,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -751,9 +780,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,7,9,2,1,5,10,4,6,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,7,11,9,2,1,5,10,4,6,3,0];
         pub(crate) const TYPE_ID: u64 = 0xa330_6999_0dc3_9b6b;
     }
 }
@@ -11118,3 +11147,1613 @@
         pub(crate) const TYPE_ID: u64 = 0xa460_755e_e334_b888;
     }
 }
+
+pub mod limit_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn get_named_millis(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_unnamed(self) -> crate::almondramp_capnp::limit_report::unnamed::Reader<'a> {
+            self.reader.into()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_upstream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_upstream(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(0, value);
+        }
+        #[inline]
+        pub fn get_named_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_named_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_unnamed(self) -> crate::almondramp_capnp::limit_report::unnamed::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_unnamed(self, ) -> crate::almondramp_capnp::limit_report::unnamed::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 0);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.into()
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_unnamed(&self) -> crate::almondramp_capnp::limit_report::unnamed::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 74] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(188, 237, 78, 13, 177, 0, 199, 216),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 76, 105, 109, 105, 116, 82, 101),
+            ::capnp::word(112, 111, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 137, 234, 73, 67, 225, 28, 220),
+            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 97, 109, 101, 100, 77, 105, 108),
+            ::capnp::word(108, 105, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 110, 97, 109, 101, 100, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::almondramp_capnp::limit_report::unnamed::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xd8c7_00b1_0d4e_edbc;
+    }
+
+    pub mod unnamed {
+        pub use self::Which::{Never,Millis};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(8) {
+                    0 => {
+                        ::core::result::Result::Ok(Never(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Millis(
+                            self.reader.get_data_field::<u64>(3)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_never(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(8, 0);
+            }
+            #[inline]
+            pub fn set_millis(&mut self, value: u64)  {
+                self.builder.set_data_field::<u16>(8, 1);
+                self.builder.set_data_field::<u64>(3, value);
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(8) {
+                    0 => {
+                        ::core::result::Result::Ok(Never(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Millis(
+                            self.builder.get_data_field::<u64>(3)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(245, 137, 234, 73, 67, 225, 28, 220),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(188, 237, 78, 13, 177, 0, 199, 216),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 2, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+                ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+                ::capnp::word(58, 76, 105, 109, 105, 116, 82, 101),
+                ::capnp::word(112, 111, 114, 116, 46, 117, 110, 110),
+                ::capnp::word(97, 109, 101, 100, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 101, 118, 101, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xdc1c_e143_49ea_89f5;
+        }
+        pub enum Which {
+            Never(()),
+            Millis(u64),
+        }
+        pub type WhichReader = Which;
+        pub type WhichBuilder = Which;
+    }
+}
+
+pub mod permit_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_rank(self) -> u8 {
+            self.reader.get_data_field::<u8>(16)
+        }
+        #[inline]
+        pub fn get_max_wait_millis(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::almondramp_capnp::limit_report::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_rank(self) -> u8 {
+            self.builder.get_data_field::<u8>(16)
+        }
+        #[inline]
+        pub fn set_rank(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(16, value);
+        }
+        #[inline]
+        pub fn get_max_wait_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_max_wait_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::almondramp_capnp::limit_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: crate::almondramp_capnp::limit_report::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_limit(self, ) -> crate::almondramp_capnp::limit_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_limit(&self) -> crate::almondramp_capnp::limit_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(231, 51, 73, 2, 192, 40, 244, 158),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 80, 101, 114, 109, 105, 116, 82),
+            ::capnp::word(101, 113, 117, 101, 115, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 120, 87, 97, 105, 116, 77),
+            ::capnp::word(105, 108, 108, 105, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 237, 78, 13, 177, 0, 199, 216),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::almondramp_capnp::limit_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,3,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x9ef4_28c0_0249_33e7;
+    }
+}
+
+pub mod permit_reply {
+    pub use self::Which::{Granted,Queued,Denied};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::almondramp_capnp::limit_report::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_other_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(6) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Queued(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Denied(
+                        self.reader.get_data_field::<u64>(2)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::almondramp_capnp::limit_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: crate::almondramp_capnp::limit_report::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_limit(self, ) -> crate::almondramp_capnp::limit_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_other_entries(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_other_entries(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn set_granted(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(6, 0);
+        }
+        #[inline]
+        pub fn set_queued(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(6, 1);
+        }
+        #[inline]
+        pub fn set_denied(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(6, 2);
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(6) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Queued(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Denied(
+                        self.builder.get_data_field::<u64>(2)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_limit(&self) -> crate::almondramp_capnp::limit_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(162, 22, 125, 70, 106, 194, 160, 183),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 80, 101, 114, 109, 105, 116, 82),
+            ::capnp::word(101, 112, 108, 121, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 253, 255, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 237, 78, 13, 177, 0, 199, 216),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 116, 104, 101, 114, 69, 110, 116),
+            ::capnp::word(114, 105, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 110, 105, 101, 100, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::almondramp_capnp::limit_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,3,1,0,2,4];
+        pub(crate) const TYPE_ID: u64 = 0xb7a0_c26a_467d_16a2;
+    }
+    pub enum Which {
+        Granted(()),
+        Queued(()),
+        Denied(u64),
+    }
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
+}
+
+pub mod limit_message {
+    pub use self::Which::{Limits,Request,Reply,Leaving};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Limits(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Request(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Reply(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Leaving(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::almondramp_capnp::limit_report::Owned>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::almondramp_capnp::limit_report::Owned> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_request(&mut self, value: crate::almondramp_capnp::permit_request::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_request(self, ) -> crate::almondramp_capnp::permit_request::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_reply(&mut self, value: crate::almondramp_capnp::permit_reply::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_reply(self, ) -> crate::almondramp_capnp::permit_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(0, 3);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Limits(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Request(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Reply(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Leaving(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(56, 157, 204, 159, 215, 22, 252, 180),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(33, 70, 233, 183, 165, 243, 193, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 108, 109, 111, 110, 100, 114, 97),
+            ::capnp::word(109, 112, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 76, 105, 109, 105, 116, 77, 101),
+            ::capnp::word(115, 115, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 237, 78, 13, 177, 0, 199, 216),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(231, 51, 73, 2, 192, 40, 244, 158),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(162, 22, 125, 70, 106, 194, 160, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::almondramp_capnp::limit_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::almondramp_capnp::permit_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::almondramp_capnp::permit_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xb4fc_16d7_9fcc_9d38;
+    }
+    pub enum Which<A0,A1,A2> {
+        Limits(A0),
+        Request(A1),
+        Reply(A2),
+        Leaving(u64),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::struct_list::Reader<'a,crate::almondramp_capnp::limit_report::Owned>>,::capnp::Result<crate::almondramp_capnp::permit_request::Reader<'a>>,::capnp::Result<crate::almondramp_capnp::permit_reply::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::struct_list::Builder<'a,crate::almondramp_capnp::limit_report::Owned>>,::capnp::Result<crate::almondramp_capnp::permit_request::Builder<'a>>,::capnp::Result<crate::almondramp_capnp::permit_reply::Builder<'a>>>;
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Conversions between the Cap'n Proto messages of the peer protocol and the
 //! crate's own types.
 
+pub mod limits;
 pub mod streams;
 
 use std::time::Duration;
@@ -59,6 +60,8 @@
         },
         prefix: reader.get_prefix_chunks()?.iter().collect(),
         idempotent: reader.get_idempotent(),
+        interval: Some(Duration::from_micros(reader.get_interval_micros()))
+            .filter(|i| !i.is_zero()),
     })
 }
 
@@ -74,6 +77,8 @@
     builder.set_prefill_tokens(ticket.work.prefill);
     builder.set_output_tokens(ticket.work.output);
     builder.set_idempotent(ticket.idempotent);
+    let interval = ticket.interval.map_or(0, |i| i.as_micros());
+    builder.set_interval_micros(u64::try_from(interval).unwrap_or(u64::MAX));
     let mut chunks = builder.init_prefix_chunks(list_len(&ticket.prefix));
     for (i, hash) in (0..).zip(&ticket.prefix) {
         chunks.set(i, *hash);
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -19,6 +19,8 @@
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::header;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use almondramp::prefix::CHUNK_TOKENS;
 use almondramp::prefix::PrefixIndex;
 use almondramp::prefix::chunk_hashes;
@@ -36,6 +38,9 @@
 use crate::server::aborted_response;
 use crate::server::read_body;
 
+/// Header of answers that names the rate limit.
+const RATE_LIMIT_HEADER: &str = "x-almondramp-rate-limit";
+
 /// Tokens generated when the request sets no `max_tokens`.
 const DEFAULT_OUTPUT_TOKENS: u64 = 16;
 
@@ -96,6 +101,8 @@
     pub cancelled: u64,
     /// Load orders in order of arrival.
     pub orders: Vec<EngineOrder>,
+    /// When requests arrived, in order.
+    pub arrivals: Vec<Instant>,
 }
 
 /// An order to load a model.
@@ -116,6 +123,8 @@
     slowdown: Option<f64>,
     /// Whether all requests, waiting ones included, are aborted at the next step.
     failing: bool,
+    /// The requests a second that the engine names in its answers.
+    rate_limit: Option<f64>,
 }
 
 /// A running engine.
@@ -155,6 +164,11 @@
         lock(&self.shared_state).slowdown = Some(factor);
     }
 
+    /// Sets the requests a second that the engine names in its answers.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        lock(&self.shared_state).rate_limit = per_second;
+    }
+
     /// Sets whether every running and later request is aborted.
     pub fn set_failing(&self, failing: bool) {
         lock(&self.shared_state).failing = failing;
@@ -344,6 +358,7 @@
         let cached = total.min(matched as u64 * CHUNK_TOKENS);
         let (tokens, received) = mpsc::unbounded_channel();
         let mut shared_state = lock(&self.shared_state);
+        shared_state.stats.arrivals.push(Instant::now());
         *shared_state
             .stats
             .runs
@@ -389,10 +404,16 @@
             "prompt_tokens_details": { "cached_tokens": cached },
         })
     };
-    match body.stream {
+    let mut response = match body.stream {
         true => streamed_answer(user, tokens, usage),
         false => unstreamed_answer(user, tokens, usage).await,
+    };
+    if let Some(limit) = lock(&batch.shared_state).rate_limit {
+        let value = HeaderValue::from_str(&limit.to_string()).expect("a number is a header value");
+        let name = HeaderName::from_static(RATE_LIMIT_HEADER);
+        response.headers_mut().insert(name, value);
     }
+    response
 }
 
 /// Returns the text of a token. It contains the id of the request, so that an
--- a/standins/src/ports.rs
+++ b/standins/src/ports.rs
@@ -49,6 +49,12 @@
     }
 }
 
+/// Returns an address for datagrams with the number of a reserved port. That port itself is
+/// taken by the socket that reserves it.
+pub fn datagram_address(reserved: SocketAddr) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 0, 0, 2), reserved.port()))
+}
+
 impl Default for Ports {
     fn default() -> Self {
         Self::new()
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -29,6 +29,7 @@
 use crate::engine::SeenPrefixes;
 use crate::platform::Platform;
 use crate::ports::Ports;
+use crate::ports::datagram_address;
 use crate::process::Launcher;
 use crate::process::Process;
 use crate::relay::Relay;
@@ -58,6 +59,8 @@
     pub platform: Option<String>,
     /// Whether entries connect to each agent through a relay.
     pub relays: bool,
+    /// Whether entries know each other.
+    pub peers: bool,
     /// The executable of the daemons.
     pub launcher: Launcher,
 }
@@ -71,6 +74,7 @@
             engines: BTreeMap::new(),
             platform: None,
             relays: false,
+            peers: false,
             launcher,
         }
     }
@@ -93,6 +97,12 @@
         self
     }
 
+    /// Lets entries know each other.
+    pub fn with_peers(mut self) -> Self {
+        self.peers = true;
+        self
+    }
+
     /// Connects entries to agents through relays.
     pub fn with_relays(mut self) -> Self {
         self.relays = true;
@@ -151,8 +161,17 @@
         site.start_upstreams(spec, &settings);
         let overlay = site.start_agents(spec, &settings);
         site.write_settings(&spec.document, overlay);
+        let peers: Vec<SocketAddr> = match spec.peers {
+            true => spec
+                .entry_zones
+                .iter()
+                .map(|_| site.ports.reserve())
+                .collect(),
+            false => Vec::new(),
+        };
+        let peers: Vec<SocketAddr> = peers.into_iter().map(datagram_address).collect();
         for (i, zone) in spec.entry_zones.iter().enumerate() {
-            site.start_entry(i, zone);
+            site.start_entry(i, zone, &peers);
         }
         site
     }
@@ -249,7 +268,7 @@
         self.folder.path().join("site.key")
     }
 
-    fn start_entry(&mut self, number: usize, zone: &Name) {
+    fn start_entry(&mut self, number: usize, zone: &Name, peers: &[SocketAddr]) {
         let (listen, admin) = (self.ports.reserve(), self.ports.reserve());
         let source = match &self.platform {
             Some(url) => {
@@ -257,9 +276,16 @@
             }
             None => "settings.folder = \"settings\"\n".to_owned(),
         };
+        let known_peers = match peers.get(number) {
+            Some(own) => {
+                let known: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+                format!("peer_listen = \"{own}\"\npeers = {known:?}\n")
+            }
+            None => String::new(),
+        };
         let text = format!(
             "name = \"entry-{number}\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
-             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{source}"
+             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{known_peers}{source}"
         );
         let config = self.config_path(&format!("entry-{number}"));
         write(&config, &text);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod histories;
 mod keys;
+mod limits;
 mod operators;
 mod platform;
 mod refusals;
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -363,6 +363,7 @@
             work: work(caller.kind),
             prefix: Vec::new(),
             idempotent: true,
+            interval: None,
         };
         let (offered, notices) = self.schedulers[upstream].offer(self.now, ticket);
         self.reply(request, upstream, offered);
