--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempt to serve a request at one upstream.
 
 use std::cell::Cell;
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -466,6 +467,7 @@
             "request" => %self.job.logged_id(self.request),
             "upstream" => %self.upstream,
             "answer" => progress.name(),
+            "cause" => e.source().map(ToString::to_string),
             "error" => %e);
         if e.is_not_sent() {
             return self.fail_unreachable();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -25,6 +25,7 @@
 use crate::settings::UpstreamKind;
 use crate::stream_origins::StreamId;
 use crate::ticket::Work;
+use crate::upstream_request::RequestDigest;
 use crate::upstream_request::UpstreamRequest;
 
 /// Header by which a caller requests a lower tier than its own.
@@ -91,6 +92,8 @@
     pub prefix: Vec<u64>,
     /// Parts of the prompt that other requests may share.
     pub parts: Vec<PartId>,
+    /// Digest of the whole request.
+    pub digest: RequestDigest,
     /// Whether the request can safely run more than once.
     pub idempotent: bool,
     /// Whether the work is useless, and is cancelled, once the caller has
@@ -189,6 +192,7 @@
         body: Bytes,
     ) -> Result<Job, CallerError> {
         let upstream_request = new_upstream_request(head, dialect, body);
+        let digest = upstream_request.digest(&self.organisation);
         let caller_id = dialect.request_id(head);
         let method = Name::new(head.method.as_str());
         let by_method = self.route.idempotent_methods.contains(&method);
@@ -202,6 +206,7 @@
                 max_total_tokens: 0,
                 prefix: Vec::new(),
                 parts: Vec::new(),
+                digest,
                 idempotent,
                 cancellable: idempotent,
                 last_event: None,
@@ -226,6 +231,7 @@
             max_total_tokens: prompt.max_total_tokens,
             prefix: prompt.prefix,
             parts: prompt.parts,
+            digest,
             idempotent: self.route.resumable || self.route.idempotent.unwrap_or_default(),
             cancellable: true,
             last_event: parse_last_event(head),
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -26,6 +26,7 @@
             "request" => %self.job.logged_id(self.request),
             "upstream" => %upstream,
             "parts" => %LoggedParts(&self.job.parts),
+            "digest" => %self.job.digest,
             "by_agent" => matches!(scheduler, SchedulerHandle::Agent(_)),
             "waited_ms" => millis(now.since(self.arrived)),
             "left_ms" => millis(now.until(self.deadline)),
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -19,6 +19,7 @@
 use crate::crash_suspects::CrashSuspects;
 use crate::crash_suspects::SuspectReport;
 use crate::crash_suspects::Verdict;
+use crate::ids::id_of_digest;
 use crate::name::Name;
 use crate::prompt_parts::PartId;
 
@@ -186,7 +187,5 @@
         .chain_update(period.to_le_bytes())
         .chain_update(name.as_bytes())
         .finalize();
-    let mut id = [0; size_of::<u64>()];
-    id.copy_from_slice(&digest[..size_of::<u64>()]);
-    CrashId(u64::from_le_bytes(id))
+    CrashId(id_of_digest(&digest))
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -48,3 +48,10 @@
 /// Identifies a connection to an agent within the incarnation of an entry.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LinkId(pub u64);
+
+/// Returns the first bytes of a digest as an id. The digest has eight bytes at least.
+pub fn id_of_digest(digest: &[u8]) -> u64 {
+    let mut first = [0; size_of::<u64>()];
+    first.copy_from_slice(&digest[..size_of::<u64>()]);
+    u64::from_le_bytes(first)
+}
--- a/src/peer_table.rs
+++ b/src/peer_table.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Timestamp;
 use crate::ids::Incarnation;
+use crate::ids::id_of_digest;
 use crate::quota::REPORT_TIMEOUT;
 
 #[cfg(test)]
@@ -145,9 +146,7 @@
 
 /// Returns a hash that is the same at all entries.
 fn hash(bytes: &[u8]) -> u64 {
-    let mut first = [0; size_of::<u64>()];
-    first.copy_from_slice(&Sha256::digest(bytes)[..size_of::<u64>()]);
-    u64::from_le_bytes(first)
+    id_of_digest(&Sha256::digest(bytes))
 }
 
 /// Returns the position of an entry in the order of a key (rendezvous hashing). Mixes the
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -17,6 +17,7 @@
 use crate::clock::Timestamp;
 use crate::directory::SoftwareVersion;
 use crate::directory::Upstreams;
+use crate::ids::id_of_digest;
 use crate::name::Name;
 
 #[cfg(test)]
@@ -46,9 +47,7 @@
             .chain_update([0])
             .chain_update(request.as_bytes())
             .finalize();
-        let mut id = [0; size_of::<u64>()];
-        id.copy_from_slice(&digest[..size_of::<u64>()]);
-        Self(u64::from_le_bytes(id))
+        Self(id_of_digest(&digest))
     }
 }
 
