Refuse requests that crash upstreams, whatever they are

Cause: the crashes of upstreams were connected by the parts of prompts only. A request without parts, or one of an engine whose shared parts are sound, was like any other at each attempt, and failover sent it on at once.

Ruled out: that the crash isn't recognised (connections to the crashed upstreams were refused within some milliseconds, and requests with parts left `upstream crashed`).

Change: the whole request is a suspect beside the parts of its prompt, known by a digest. It is convicted after three crashes, unless it has succeeded lately or another suspect explains them. Its successes are kept apart, so that they don't displace those of parts.

`part_is_forgotten_an_hour_after_its_ last_crash` expected that of a convicted part, which then crashed upstreams again; now it expects an hour without a conviction and 26 hours with one.

Evidence: the three tests of platform/tests/crashing_requests.rs fail without the change (48, 24 and 48 arrivals where 3 are allowed) and pass with it, and so do four others of that file: sound requests that come again, share the path or the body, or are taken along by crashes for other reasons, and entries that start later.

--- a/src/crash_suspects/report.rs
+++ b/src/crash_suspects/report.rs
@@ -11,11 +11,14 @@
 use super::CrashId;
 use super::CrashSuspects;
 use super::SUCCESS_MEMORY;
-use super::Suspect;
+use super::SuspectId;
+use super::suspect::Suspect;
 use crate::clock::Timestamp;
 use crate::prompt_parts::PartId;
+use crate::upstream_request::RequestDigest;
 
-/// The maximum number of suspects in a report, so that it fits into a datagram.
+/// The maximum number of parts, and of requests, in a report, so that it fits into a
+/// datagram.
 const MAX_ROWS: usize = 32;
 
 /// Added to the age of a reported success. It is longer than reports take, since a success
@@ -25,16 +28,20 @@
 /// The suspects of an entry.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectReport {
-    /// One row for each suspect.
-    pub rows: Vec<SuspectRow>,
+    /// One row for each part of prompts.
+    pub rows: Vec<SuspectRow<PartId>>,
+    /// One row for each request. Earlier versions report none.
+    #[serde(default)]
+    pub requests: Vec<SuspectRow<RequestDigest>>,
 }
 
 /// A suspect in a report. The clocks of the entries differ, so it holds ages.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SuspectRow {
-    /// The part.
-    pub part: PartId,
+pub struct SuspectRow<I> {
+    /// The part or the request.
+    #[serde(rename = "part")]
+    pub id: I,
     /// The crashes and their ages.
     #[serde_as(as = "Vec<(_, DurationMilliSeconds<u64>)>")]
     pub crashes: Vec<(CrashId, Duration)>,
@@ -46,9 +53,10 @@
 impl CrashSuspects {
     /// Returns a report on the suspects with most crashes.
     pub fn report(&self, now: Timestamp) -> SuspectReport {
-        let mut suspects: Vec<(&PartId, &Suspect)> = self.suspects.iter().collect();
-        suspects.sort_by_key(|(part, s)| {
-            let is_convicted = self.convicted.contains(part);
+        let mut suspects: Vec<(SuspectId, &Suspect)> =
+            self.suspects.iter().map(|(id, s)| (*id, s)).collect();
+        suspects.sort_by_key(|(id, s)| {
+            let is_convicted = self.convicted.contains(id);
             std::cmp::Reverse((
                 is_convicted,
                 s.is_suspect(now),
@@ -56,10 +64,17 @@
                 s.last_crash(),
             ))
         });
-        suspects.truncate(MAX_ROWS);
-        let rows = suspects.into_iter().map(|(part, s)| s.row(now, *part));
+        let parts = suspects.iter().filter_map(|(id, s)| match id {
+            SuspectId::Part(part) => Some(s.row(now, *part)),
+            SuspectId::Request(_) => None,
+        });
+        let requests = suspects.iter().filter_map(|(id, s)| match id {
+            SuspectId::Part(_) => None,
+            SuspectId::Request(digest) => Some(s.row(now, *digest)),
+        });
         SuspectReport {
-            rows: rows.collect(),
+            rows: parts.take(MAX_ROWS).collect(),
+            requests: requests.take(MAX_ROWS).collect(),
         }
     }
 
@@ -68,21 +83,29 @@
     pub fn merge(&mut self, now: Timestamp, report: &SuspectReport) -> (Vec<Change>, bool) {
         let mut knows_more = false;
         for row in &report.rows {
-            let own_success = self.successes.last(row.part);
-            knows_more |= own_success.is_some_and(|at| row.lacks_success(now, at));
-            let suspect = self.suspect(row.part);
-            for (crash, age) in &row.crashes {
-                suspect.record_crash(*crash, now.before(*age));
-            }
-            if let Some(age) = row.succeeded {
-                suspect.record_success(now.before(age));
-            }
+            knows_more |= self.merge_row(now, SuspectId::Part(row.id), row);
+        }
+        for row in &report.requests {
+            knows_more |= self.merge_row(now, SuspectId::Request(row.id), row);
         }
         (self.review(now), knows_more)
     }
+
+    /// Merges a row. Returns whether this entry knows a success that the row lacks.
+    fn merge_row<I>(&mut self, now: Timestamp, id: SuspectId, row: &SuspectRow<I>) -> bool {
+        let own_success = self.successes.last(id);
+        let suspect = self.suspect(id);
+        for (crash, age) in &row.crashes {
+            suspect.record_crash(*crash, now.before(*age));
+        }
+        if let Some(age) = row.succeeded {
+            suspect.record_success(now.before(age));
+        }
+        own_success.is_some_and(|at| row.lacks_success(now, at))
+    }
 }
 
-impl SuspectRow {
+impl<I> SuspectRow<I> {
     /// Returns whether the row would say something else with a success at `at`.
     fn lacks_success(&self, now: Timestamp, at: Timestamp) -> bool {
         let age = now.since(at);
@@ -95,13 +118,13 @@
 }
 
 impl Suspect {
-    fn row(&self, now: Timestamp, part: PartId) -> SuspectRow {
-        let crashes = self.crashes.iter();
+    fn row<I>(&self, now: Timestamp, id: I) -> SuspectRow<I> {
+        let crashes = self.crashes().iter();
         SuspectRow {
-            part,
+            id,
             crashes: crashes.map(|(id, at)| (*id, now.since(*at))).collect(),
             succeeded: self
-                .last_success
+                .last_success()
                 .map(|at| now.since(at).saturating_add(SUCCESS_MARGIN)),
         }
     }
--- a/src/entry/attempt/result.rs
+++ b/src/entry/attempt/result.rs
@@ -24,8 +24,8 @@
     Silent,
     /// The timeout of the request has elapsed.
     TimedOut,
-    /// The request was not sent, since a part of its prompt crashes upstreams; holds the
-    /// time to the next attempt with this part.
+    /// The request was not sent, since it or a part of its prompt crashes upstreams; holds
+    /// the time to the next attempt.
     Quarantined(Duration),
 }
 
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -89,9 +89,9 @@
     /// runs it; holds the retry delay.
     #[error("the stream cannot be resumed at the software version that began it")]
     VersionUnavailable(Duration),
-    /// Requests with a part of this prompt have crashed upstreams; holds the time to the
-    /// next attempt with this part.
-    #[error("requests with a part of this prompt have crashed upstreams")]
+    /// This request, or others with a part of its prompt, have crashed upstreams; holds the
+    /// time to the next attempt.
+    #[error("this request, or others with a part of its prompt, have crashed upstreams")]
     Quarantined(Duration),
     /// The idempotency key was used for another request.
     #[error("the idempotency key was used for another request")]
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -136,12 +136,12 @@
         );
         r.register(
             "suspected_parts",
-            "Parts of prompts that were present at crashes of upstreams",
+            "Requests and parts of prompts that were present at crashes of upstreams",
             this.suspected_parts.clone(),
         );
         r.register(
             "quarantined_parts",
-            "Parts of prompts with which requests are refused",
+            "Requests and parts of prompts that are refused, since they crash upstreams",
             this.quarantined_parts.clone(),
         );
         r.register(
@@ -212,7 +212,7 @@
         self.kept_upstreams.set(kept as i64);
     }
 
-    /// Sets the gauges of the parts of prompts that crash upstreams.
+    /// Sets the gauges of the requests and parts of prompts that crash upstreams.
     pub fn record_suspects(&self, suspects: usize, convicted: usize) {
         self.suspected_parts.set(suspects as i64);
         self.quarantined_parts.set(convicted as i64);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -29,6 +29,7 @@
 use crate::active_settings::ActiveSettings;
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
+use crate::crash_suspects::SuspectId;
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Audience;
 use crate::entry::suspects::Suspects;
@@ -36,7 +37,6 @@
 use crate::ids::Incarnation;
 use crate::name::Name;
 use crate::peer_table::PeerTable;
-use crate::prompt_parts::PartId;
 use crate::quota::Quota;
 use crate::quota::QuotaReport;
 use crate::site_key::KeyHolder;
@@ -217,10 +217,14 @@
         }
     }
 
-    /// Returns whether this entry is the one of all that probes a part.
-    pub fn is_closest(&self, part: PartId) -> bool {
+    /// Returns whether this entry is the one of all that probes a suspect.
+    pub fn is_closest(&self, suspect: SuspectId) -> bool {
+        let key = match suspect {
+            SuspectId::Part(part) => part.0,
+            SuspectId::Request(digest) => digest.0,
+        };
         let table = self.table.borrow();
-        table.is_closest(self.parts.clock.now(), &part.0.to_le_bytes())
+        table.is_closest(self.parts.clock.now(), &key.to_le_bytes())
     }
 
     /// Returns the entry that issues the permits of an upstream; `None` for this one.
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -1,4 +1,4 @@
-//! Keeps requests with parts that crash upstreams from these.
+//! Keeps requests that crash upstreams from these.
 
 use std::rc::Rc;
 use std::rc::Weak;
@@ -6,6 +6,7 @@
 
 use slog::info;
 
+use crate::crash_suspects::SuspectId;
 use crate::crash_suspects::Verdict;
 use crate::entry::attempt::Attempt;
 use crate::entry::attempt::AttemptResult;
@@ -17,19 +18,27 @@
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::prompt_parts::LoggedParts;
-use crate::prompt_parts::PartId;
 
 /// The time within which a crashing upstream has stopped listening after its connections
 /// were closed.
 const CRASH_TIME: Duration = Duration::from_millis(50);
 
+impl Job {
+    /// Returns what this request may have in common with others that crash upstreams: the
+    /// parts of its prompt, and all of it.
+    pub fn suspect_ids(&self) -> Vec<SuspectId> {
+        let parts = self.parts.iter().copied().map(SuspectId::Part);
+        parts.chain([SuspectId::Request(self.digest)]).collect()
+    }
+}
+
 impl EntryState {
     /// Sets the other entries. Later calls have no effect.
     pub fn set_peers(&self, peers: &Rc<Peers>) {
         let _ = self.peers.set(Rc::downgrade(peers));
     }
 
-    /// Fails if requests with a part of this prompt are refused.
+    /// Fails if this request, or others with a part of its prompt, are refused.
     ///
     /// # Errors
     ///
@@ -47,39 +56,43 @@
         match self.quarantine_verdict(job) {
             Verdict::Sound => Ok(()),
             Verdict::Refused(_, wait) => Err(wait),
-            Verdict::Probe(part) => {
-                info!(self.log, "probing a part that crashes upstreams"; "part" => %part);
-                self.suspects.record_probe(&job.parts);
+            Verdict::Probe(suspect) => {
+                info!(self.log, "probing what has crashed upstreams"; "suspect" => %suspect);
+                self.suspects.record_probe(&job.suspect_ids());
                 Ok(())
             }
         }
     }
 
     fn quarantine_verdict(&self, job: &Job) -> Verdict {
-        self.suspects
-            .verdict(&job.parts, |part| self.may_probe(part))
+        if self.suspects.is_empty() {
+            return Verdict::Sound;
+        }
+        let ids = job.suspect_ids();
+        self.suspects.verdict(&ids, |id| self.may_probe(id))
     }
 
-    fn record_crash(&self, name: &Name, parts: &[PartId]) {
+    fn record_crash(&self, name: &Name, job: &Job) {
         info!(self.log, "upstream crashed";
             "upstream" => %name,
-            "parts" => %LoggedParts(parts));
-        self.suspects.record_crash(name, parts);
+            "digest" => %job.digest,
+            "parts" => %LoggedParts(&job.parts));
+        self.suspects.record_crash(name, &job.suspect_ids());
     }
 
-    /// Returns whether this entry is the one of all that probes a part.
-    fn may_probe(&self, part: PartId) -> bool {
+    /// Returns whether this entry is the one of all that probes a suspect.
+    fn may_probe(&self, id: SuspectId) -> bool {
         let peers = self.peers.get().and_then(Weak::upgrade);
-        peers.is_none_or(|peers| peers.is_closest(part))
+        peers.is_none_or(|peers| peers.is_closest(id))
     }
 }
 
-/// Records what the result of an attempt says about the parts of the prompt.
+/// Records what the result of an attempt says about its request.
 pub async fn record_result(attempt: &Attempt, result: AttemptResult) {
     let (state, job) = (&attempt.state, &attempt.job);
     match result {
         AttemptResult::Completed(Outcome::good | Outcome::late) => {
-            state.suspects.record_success(&job.parts);
+            state.suspects.record_success(&job.suspect_ids());
         }
         AttemptResult::Interrupted if attempt.is_broken_off.get() => {
             check_for_crash(state, job, &attempt.upstream).await;
@@ -90,21 +103,23 @@
 
 /// Records a crash if nobody listens any more at an upstream that broke off an exchange,
 /// and that was not about to leave.
-async fn check_for_crash(state: &Rc<EntryState>, job: &Job, name: &Name) {
+async fn check_for_crash(state: &Rc<EntryState>, job: &Rc<Job>, name: &Name) {
     let upstream = state.directory.get(name).filter(|u| !u.leaving);
-    let Some(upstream) = upstream.filter(|_| !job.parts.is_empty()) else {
+    let Some(address) = upstream.map(|u| u.address) else {
         return;
     };
-    if exchange::refuses_connections(upstream.address).await {
-        state.record_crash(name, &job.parts);
+    // The caller waits for the answer. A host that is down does not refuse.
+    let refuses = exchange::refuses_connections(address);
+    if actix_rt::time::timeout(CRASH_TIME, refuses).await == Ok(true) {
+        state.record_crash(name, job);
         return;
     }
     // Connections can close before the upstream stops listening.
-    let (state, name, parts) = (Rc::clone(state), name.clone(), job.parts.clone());
+    let (state, name, job) = (Rc::clone(state), name.clone(), Rc::clone(job));
     actix_rt::spawn(async move {
         actix_rt::time::sleep(CRASH_TIME).await;
-        if exchange::refuses_connections(upstream.address).await {
-            state.record_crash(&name, &parts);
+        if exchange::refuses_connections(address).await {
+            state.record_crash(&name, &job);
         }
     });
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -253,7 +253,7 @@
         self.job.idempotent
             && self.relay.can_fail_over()
             && !self.relay.is_closed()
-            && !self.state.suspects.may_crash_next(&self.job.parts)
+            && !self.state.suspects.may_crash_next(&self.job.suspect_ids())
     }
 
     /// Schedules the request again after an upstream did not serve it, or gives
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -1,5 +1,5 @@
-//! Refuses requests with parts of prompts that crash upstreams, and shares what is known
-//! of these with the other entries.
+//! What is known of requests and parts of prompts that crash upstreams, which the entries
+//! share.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -17,11 +17,11 @@
 use crate::crash_suspects::Change;
 use crate::crash_suspects::CrashId;
 use crate::crash_suspects::CrashSuspects;
+use crate::crash_suspects::SuspectId;
 use crate::crash_suspects::SuspectReport;
 use crate::crash_suspects::Verdict;
 use crate::ids::id_of_digest;
 use crate::name::Name;
-use crate::prompt_parts::PartId;
 
 #[cfg(test)]
 mod tests;
@@ -31,7 +31,7 @@
 
 /// The time before the start of the process in which reported events can lie. It is longer
 /// than the table keeps them.
-const PAST: Duration = Duration::from_secs(2 * 3600);
+const PAST: Duration = Duration::from_secs(48 * 3600);
 
 /// Crashes of one upstream within this period count once: several entries see each of
 /// them. An upstream can be back under the same name after about as long.
@@ -46,7 +46,7 @@
     One,
 }
 
-/// The parts that were present at crashes.
+/// The requests and parts of prompts that were present at crashes.
 pub struct Suspects {
     table: RefCell<CrashSuspects>,
     /// How often the table is still to be sent to all other entries.
@@ -71,49 +71,51 @@
         self.clock.now() + PAST
     }
 
-    /// Records the complete answer to a prompt with these parts.
-    pub fn record_success(&self, parts: &[PartId]) {
-        let changes = self.table.borrow_mut().record_success(self.now(), parts);
+    /// Returns whether nothing was present at a crash.
+    pub fn is_empty(&self) -> bool {
+        self.table.borrow().is_empty()
+    }
+
+    /// Records the complete answer to a request with these ids.
+    pub fn record_success(&self, ids: &[SuspectId]) {
+        let changes = self.table.borrow_mut().record_success(self.now(), ids);
         if !changes.is_empty() {
             self.unsent.set(REPEATS);
         }
         self.log_changes(&changes);
     }
 
-    /// Records that the upstream `name` crashed under a prompt with these parts.
-    pub fn record_crash(&self, name: &Name, parts: &[PartId]) {
-        if parts.is_empty() {
-            return;
-        }
+    /// Records that the upstream `name` crashed under a request with these ids.
+    pub fn record_crash(&self, name: &Name, ids: &[SuspectId]) {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let crash = crash_id(name, since_epoch.unwrap_or_default());
         let mut table = self.table.borrow_mut();
-        let changes = table.record_crash(self.now(), crash, parts);
+        let changes = table.record_crash(self.now(), crash, ids);
         self.unsent.set(REPEATS);
         self.log_changes(&changes);
     }
 
     /// Returns whether a request under which an upstream has crashed must not be sent
     /// again.
-    pub fn may_crash_next(&self, parts: &[PartId]) -> bool {
-        self.table.borrow().may_crash_next(self.now(), parts)
+    pub fn may_crash_next(&self, ids: &[SuspectId]) -> bool {
+        self.table.borrow().may_crash_next(self.now(), ids)
     }
 
-    /// Decides on a request with these parts. `is_prober` returns whether this entry may
-    /// probe a part.
-    pub fn verdict<F>(&self, parts: &[PartId], is_prober: F) -> Verdict
+    /// Decides on a request with these ids. `is_prober` returns whether this entry may
+    /// probe a suspect.
+    pub fn verdict<F>(&self, ids: &[SuspectId], is_prober: F) -> Verdict
     where
-        F: Fn(PartId) -> bool,
+        F: Fn(SuspectId) -> bool,
     {
-        self.table.borrow().verdict(self.now(), parts, is_prober)
+        self.table.borrow().verdict(self.now(), ids, is_prober)
     }
 
-    /// Records that a request with these parts is sent as a probe.
-    pub fn record_probe(&self, parts: &[PartId]) {
-        self.table.borrow_mut().record_probe(self.now(), parts);
+    /// Records that a request with these ids is sent as a probe.
+    pub fn record_probe(&self, ids: &[SuspectId]) {
+        self.table.borrow_mut().record_probe(self.now(), ids);
     }
 
-    /// Returns the numbers of parts in the table and of convicted ones.
+    /// Returns the numbers of suspects and of convicted ones.
     pub fn counts(&self) -> (usize, usize) {
         let table = self.table.borrow();
         (table.len(), table.convicted().len())
@@ -163,16 +165,19 @@
     fn log_changes(&self, changes: &[Change]) {
         for change in changes {
             match change {
-                Change::Suspected(part) => {
-                    info!(self.log, "part of a prompt suspected of a crash"; "part" => %part);
+                // Each crash takes sound requests along, which are suspected once.
+                Change::Suspected(SuspectId::Request(_)) => {}
+                Change::Suspected(suspect) => {
+                    info!(self.log, "part of a prompt suspected of a crash";
+                        "suspect" => %suspect);
                 }
-                Change::Convicted(part) => {
-                    warn!(self.log, "requests with a part that crashes upstreams are refused";
-                        "part" => %part);
+                Change::Convicted(suspect) => {
+                    warn!(self.log, "requests that crash upstreams are refused";
+                        "suspect" => %suspect);
                 }
-                Change::Cleared(part) => {
-                    info!(self.log, "requests with a part are no longer refused";
-                        "part" => %part);
+                Change::Cleared(suspect) => {
+                    info!(self.log, "requests that had crashed upstreams are no longer refused";
+                        "suspect" => %suspect);
                 }
             }
         }
--- a/src/entry/suspects/tests.rs
+++ b/src/entry/suspects/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
+use crate::prompt_parts::PartId;
 
-const PART: PartId = PartId(u64::MAX);
+const PART: SuspectId = SuspectId::Part(PartId(u64::MAX));
 
 fn suspects() -> Suspects {
     let log = Logger::root(slog::Discard, slog::o!());
--- a/src/upstream_request.rs
+++ b/src/upstream_request.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -30,7 +32,7 @@
 
 /// Digest of what an upstream gets of a request, by which a repeated one is recognised at
 /// all entries.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestDigest(pub u64);
 
 impl fmt::Display for RequestDigest {
