Keep what crashes upstreams over a restart of all entries

Cause: the table of suspects lives in the entries' memory. After all of them were killed, a request that was refused before crashed four more upstreams, where three may be reached.

Change: the entry that keeps the quota record stores what is convicted in the object store when that changes, and again after the store was restored from an older copy; each entry reads it at its start. Reading and writing such a record is shared with that of quotas.

--- a/src/claims/claim_store.rs
+++ b/src/claims/claim_store.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use bytes::Bytes;
 use thiserror::Error;
@@ -21,6 +20,7 @@
 use crate::object_store::ObjectStore;
 use crate::object_store::StoreError;
 use crate::object_store::Version;
+use crate::units::since_epoch;
 
 /// Maximum number of attempts to write one batch.
 const MAX_WRITE_ATTEMPTS: u32 = 8;
@@ -278,6 +278,5 @@
 
 /// Returns the time of the host's wall clock.
 pub fn unix_now() -> UnixSeconds {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |d| d.as_secs())
+    since_epoch().as_secs()
 }
--- a/src/crash_suspects/report.rs
+++ b/src/crash_suspects/report.rs
@@ -35,6 +35,35 @@
     pub requests: Vec<SuspectRow<RequestDigest>>,
 }
 
+impl SuspectReport {
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.rows.len() + self.requests.len()
+    }
+
+    /// Returns whether it names no suspect.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns whether both reports name the same suspects and crashes, whatever the ages.
+    pub fn has_same_crashes(&self, other: &Self) -> bool {
+        fn crashes<I>(rows: &[SuspectRow<I>]) -> Vec<(&I, Vec<CrashId>)> {
+            let ids = |row: &SuspectRow<I>| row.crashes.iter().map(|(id, _)| *id).collect();
+            rows.iter().map(|row| (&row.id, ids(row))).collect()
+        }
+        crashes(&self.rows) == crashes(&other.rows)
+            && crashes(&self.requests) == crashes(&other.requests)
+    }
+
+    /// Returns the report with all ages increased.
+    pub fn older_by(mut self, age: Duration) -> Self {
+        self.rows.iter_mut().for_each(|row| row.age(age));
+        self.requests.iter_mut().for_each(|row| row.age(age));
+        self
+    }
+}
+
 /// A suspect in a report. The clocks of the entries differ, so it holds ages.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +80,13 @@
 }
 
 impl CrashSuspects {
+    /// Returns a report on the convicted suspects.
+    pub fn convicted_report(&self, now: Timestamp) -> SuspectReport {
+        let suspects = self.suspects.iter().map(|(id, s)| (*id, s));
+        let convicted = suspects.filter(|(id, _)| self.convicted.contains(id));
+        new_report(now, &convicted.collect::<Vec<_>>())
+    }
+
     /// Returns a report on the suspects with most crashes.
     pub fn report(&self, now: Timestamp) -> SuspectReport {
         let mut suspects: Vec<(SuspectId, &Suspect)> =
@@ -64,18 +100,7 @@
                 s.last_crash(),
             ))
         });
-        let parts = suspects.iter().filter_map(|(id, s)| match id {
-            SuspectId::Part(part) => Some(s.row(now, *part)),
-            SuspectId::Request(_) => None,
-        });
-        let requests = suspects.iter().filter_map(|(id, s)| match id {
-            SuspectId::Part(_) => None,
-            SuspectId::Request(digest) => Some(s.row(now, *digest)),
-        });
-        SuspectReport {
-            rows: parts.take(MAX_ROWS).collect(),
-            requests: requests.take(MAX_ROWS).collect(),
-        }
+        new_report(now, &suspects)
     }
 
     /// Merges the report of another entry. Returns the changes, and whether this entry
@@ -106,6 +131,13 @@
 }
 
 impl<I> SuspectRow<I> {
+    fn age(&mut self, age: Duration) {
+        for (_, crash_age) in &mut self.crashes {
+            *crash_age = crash_age.saturating_add(age);
+        }
+        self.succeeded = self.succeeded.map(|s| s.saturating_add(age));
+    }
+
     /// Returns whether the row would say something else with a success at `at`.
     fn lacks_success(&self, now: Timestamp, at: Timestamp) -> bool {
         let age = now.since(at);
@@ -117,6 +149,22 @@
     }
 }
 
+/// Returns a report on the first of these suspects.
+fn new_report(now: Timestamp, suspects: &[(SuspectId, &Suspect)]) -> SuspectReport {
+    let parts = suspects.iter().filter_map(|(id, s)| match id {
+        SuspectId::Part(part) => Some(s.row(now, *part)),
+        SuspectId::Request(_) => None,
+    });
+    let requests = suspects.iter().filter_map(|(id, s)| match id {
+        SuspectId::Part(_) => None,
+        SuspectId::Request(digest) => Some(s.row(now, *digest)),
+    });
+    SuspectReport {
+        rows: parts.take(MAX_ROWS).collect(),
+        requests: requests.take(MAX_ROWS).collect(),
+    }
+}
+
 impl Suspect {
     fn row<I>(&self, now: Timestamp, id: I) -> SuspectRow<I> {
         let crashes = self.crashes().iter();
--- a/src/crash_suspects/tests.rs
+++ b/src/crash_suspects/tests.rs
@@ -338,6 +338,40 @@
     assert!(!refuses(&table, 6_000, FIRST));
 }
 
+// Issue 34, BUDGET: all entries that had seen the crashes were killed.
+#[test]
+fn stored_report_convicts_again_and_keeps_the_time_of_the_next_probe() {
+    let mut table = CrashSuspects::new();
+    for i in 0..3 {
+        crash(&mut table, 200 * i, i, &[request(1), FIRST]);
+        crash(&mut table, 200 * i, i, &[request(10 + i)]);
+    }
+    table.record_success(at(500), &[FIRST]);
+    let stored = table.convicted_report(at(1_000));
+    assert_eq!(stored.len(), 1);
+    let mut restored = CrashSuspects::new();
+    restored.merge(at(0), &stored.older_by(Duration::from_secs(10)));
+    assert!(refuses(&restored, 0, request(1)));
+    let probe = |millis| restored.verdict(at(millis), &[request(1)], |_| true);
+    // Ten seconds and those since the last crash have passed.
+    assert!(matches!(probe(19_300), Verdict::Refused(..)));
+    assert_eq!(probe(19_400), Verdict::Probe(request(1)));
+}
+
+#[test]
+fn reports_with_other_ages_have_the_same_crashes() {
+    let mut table = CrashSuspects::new();
+    convict(&mut table);
+    let (early, late) = (
+        table.convicted_report(at(1_000)),
+        table.convicted_report(at(2_000)),
+    );
+    assert_ne!(early, late);
+    assert!(early.has_same_crashes(&late));
+    crash(&mut table, 3_000, 9, &[POISON]);
+    assert!(!early.has_same_crashes(&table.convicted_report(at(3_000))));
+}
+
 #[test]
 fn reports_of_versions_without_requests_are_read() {
     let text = r#"{"rows":[{"part":1,"crashes":[[7,100],[8,200],[9,400]],"succeeded":null}]}"#;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,11 +22,13 @@
 mod metrics;
 mod peers;
 mod quarantine;
+mod quarantine_record;
 mod record;
 mod relay;
 mod request;
 mod serve;
 mod state;
+mod stored_record;
 mod streams;
 mod suspects;
 mod timers;
@@ -60,6 +62,7 @@
 use crate::entry::links::Links;
 use crate::entry::peers::PeerParts;
 use crate::entry::peers::Peers;
+use crate::entry::quarantine_record::QuarantineRecorder;
 use crate::entry::record::SpendingRecorder;
 use crate::entry::state::EntryState;
 use crate::health::AdminState;
@@ -111,8 +114,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The peer addresses of the other entries discovered so far.
     pub peers: watch::Receiver<BTreeSet<SocketAddr>>,
-    /// The store for the spending record, which preserves quota use across a
-    /// restart of all entries.
+    /// The store for the records that outlive a restart of all entries: the use of quotas,
+    /// and what crashes upstreams.
     pub store: Option<Rc<dyn ObjectStore>>,
 }
 
@@ -200,7 +203,7 @@
             actix_rt::spawn(Rc::clone(&state.streams).run());
             actix_rt::spawn(Rc::clone(&state.upstream_limits).run());
             self.start_peers(&state).await?;
-            self.start_spending_recorder(&state);
+            self.start_recorders(&state);
             if let Some(base) = &self.config.host_list {
                 let hosts = HttpHostList::new(base);
                 actix_rt::spawn(membership::follow_host_list(Rc::clone(&state), hosts));
@@ -216,7 +219,7 @@
 }
 
 impl StateService {
-    fn start_spending_recorder(&self, state: &Rc<EntryState>) {
+    fn start_recorders(&self, state: &Rc<EntryState>) {
         if let Some(store) = &self.parts.store {
             let recorder = SpendingRecorder {
                 store: Rc::clone(store),
@@ -227,6 +230,15 @@
                 log: self.log.clone(),
             };
             actix_rt::spawn(recorder.run());
+            let recorder = QuarantineRecorder {
+                store: Rc::clone(store),
+                suspects: Rc::clone(&state.suspects),
+                quota: Rc::clone(&state.quota),
+                incarnation: state.incarnation,
+                clock: state.clock(),
+                log: self.log.clone(),
+            };
+            actix_rt::spawn(recorder.run());
         }
     }
 
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -7,8 +7,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use slog::Logger;
@@ -18,22 +16,18 @@
 use crate::active_settings::ActiveSettings;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
+use crate::entry::stored_record::StoredRecord;
 use crate::ids::Incarnation;
-use crate::name::Name;
-use crate::object_store::Expected;
 use crate::object_store::ObjectStore;
-use crate::object_store::StoreError;
-use crate::object_store::Version;
 use crate::quota::Quota;
 use crate::quota::QuotaRecord;
 use crate::quota::RECORD_INTERVAL;
+use crate::units::millis;
+use crate::units::since_epoch;
 
 /// The name of the stored object that holds the record.
 const RECORD_OBJECT: &str = "spending";
 
-/// The delay between two attempts to read the record at the start.
-const READ_RETRY: Duration = Duration::from_millis(100);
-
 /// Reads the spending record at the start, and writes it while this entry is
 /// responsible for it.
 pub struct SpendingRecorder {
@@ -55,20 +49,16 @@
     /// Restores the record and then writes it at intervals, until the task is
     /// aborted.
     pub async fn run(self) {
-        let mut version = self.restore().await;
+        let mut stored = StoredRecord::new(Rc::clone(&self.store), RECORD_OBJECT);
+        self.restore(&mut stored).await;
         let mut failures = 0_u32;
         loop {
             actix_rt::time::sleep(RECORD_INTERVAL).await;
             let Some(record) = self.record_to_write() else {
                 continue;
             };
-            match self.write(record, version.take()).await {
-                Ok(written) => {
-                    version = Some(written);
-                    failures = 0;
-                }
-                // Another entry has written the record, or a reply was lost.
-                // The current version is read before the next write.
+            match stored.write(record).await {
+                Ok(()) => failures = 0,
                 Err(e) => {
                     if failures == 0 {
                         warn!(self.log, "could not write the spending record"; "error" => %e);
@@ -79,31 +69,27 @@
         }
     }
 
-    /// Restores the quotas from the stored record and returns its version. Retries
-    /// until the store answers or the record would have expired.
-    async fn restore(&self) -> Option<Version> {
-        let object = loop {
-            match self.store.get(Name::new(RECORD_OBJECT)).await {
-                Ok(object) => break object?,
-                // Timestamps count from the start of the entry's clock: a whole window has
-                // passed, so all recorded spending has left the quota window by now.
-                Err(_) if self.clock.now() >= Timestamp::new(self.window()) => return None,
-                Err(_) => actix_rt::time::sleep(READ_RETRY).await,
-            }
+    /// Restores the quotas from the stored record, unless it has expired before the store
+    /// answers.
+    async fn restore(&self, stored: &mut StoredRecord) {
+        // Timestamps count from the start of the entry's clock: after a whole window, all
+        // recorded spending has left the quota window.
+        let is_needed = || self.clock.now() < Timestamp::new(self.window());
+        let Some(value) = stored.read(is_needed).await else {
+            return;
         };
-        match serde_json::from_slice::<QuotaRecord>(&object.value) {
+        match serde_json::from_slice::<QuotaRecord>(&value) {
             Ok(record) => {
                 let (now, window) = (self.clock.now(), self.window());
                 // Whether the record is recent enough to be used.
-                let recent = self
-                    .quota
-                    .borrow_mut()
-                    .restore(now, window, unix_millis(), record);
+                let recent =
+                    self.quota
+                        .borrow_mut()
+                        .restore(now, window, millis(since_epoch()), record);
                 info!(self.log, "spending record read"; "recent" => recent);
             }
             Err(e) => warn!(self.log, "could not decode the spending record"; "error" => %e),
         }
-        Some(object.version)
     }
 
     /// Returns the encoded record if this entry is responsible for writing it and
@@ -114,7 +100,7 @@
         if !quota.is_record_writer(now, self.incarnation) {
             return None;
         }
-        let record = quota.make_record(now, self.window(), unix_millis())?;
+        let record = quota.make_record(now, self.window(), millis(since_epoch()))?;
         match serde_json::to_vec(&record) {
             Ok(value) => Some(Bytes::from(value)),
             Err(e) => {
@@ -124,23 +110,7 @@
         }
     }
 
-    /// Writes the record over `version`, or over the current version if `None`.
-    async fn write(&self, record: Bytes, version: Option<Version>) -> Result<Version, StoreError> {
-        let name = Name::new(RECORD_OBJECT);
-        let version = match version {
-            Some(version) => Some(version),
-            None => self.store.get(name.clone()).await?.map(|o| o.version),
-        };
-        let expected = version.map_or(Expected::Absent, Expected::Version);
-        self.store.put(name, record, expected).await
-    }
-
     fn window(&self) -> Duration {
         self.active_settings.settings().limits.quota_window
     }
 }
-
-fn unix_millis() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    elapsed.map_or(0, |e| u64::try_from(e.as_millis()).unwrap_or(u64::MAX))
-}
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -4,7 +4,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use sha2::Digest;
 use sha2::Sha256;
@@ -22,6 +21,7 @@
 use crate::crash_suspects::Verdict;
 use crate::ids::id_of_digest;
 use crate::name::Name;
+use crate::units::since_epoch;
 
 #[cfg(test)]
 mod tests;
@@ -87,8 +87,7 @@
 
     /// Records that the upstream `name` crashed under a request with these ids.
     pub fn record_crash(&self, name: &Name, ids: &[SuspectId]) {
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let crash = crash_id(name, since_epoch.unwrap_or_default());
+        let crash = crash_id(name, since_epoch());
         let mut table = self.table.borrow_mut();
         let changes = table.record_crash(self.now(), crash, ids);
         self.unsent.set(REPEATS);
@@ -162,6 +161,17 @@
         self.log_changes(&changes);
     }
 
+    /// Returns a report on what is convicted.
+    pub fn convicted(&self) -> SuspectReport {
+        self.table.borrow().convicted_report(self.now())
+    }
+
+    /// Restores what was convicted before this entry started.
+    pub fn restore(&self, convicted: &SuspectReport) {
+        let (changes, _) = self.table.borrow_mut().merge(self.now(), convicted);
+        self.log_changes(&changes);
+    }
+
     fn log_changes(&self, changes: &[Change]) {
         for change in changes {
             match change {
--- a/src/units.rs
+++ b/src/units.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use serde::Deserialize;
 use serde::Deserializer;
@@ -20,6 +21,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the time of day, as the time since the Unix epoch.
+pub fn since_epoch() -> Duration {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    elapsed.unwrap_or_default()
+}
+
 /// Error in the text of a size or of a key digest.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum UnitError {
