Convict a part that has turned bad after a success

Cause: a success within two minutes was taken for proof that a part is sound, also where the part went on crashing upstreams while its companions succeeded.

Change: what was present at five crashes a second apart since its success is a suspect if something else that was present at each of them has succeeded since.

Two tests show that a wave of crashes and an outage convict no part that has just succeeded. The property that no part with a late success is refused now holds before the fifth crash since; before, it held for two minutes.

--- a/src/crash_suspects.rs
+++ b/src/crash_suspects.rs
@@ -4,7 +4,8 @@
 //! prompts, are present at each crash as well. They differ from the cause by their
 //! successes: what has succeeded lately is no suspect. Among the suspects, the one that is
 //! present at most crashes explains these; others are convicted only by crashes that are
-//! left unexplained.
+//! left unexplained. What has succeeded lately and goes on crashing upstreams, while others
+//! that were present at the crashes succeed, is a suspect too.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -97,7 +98,8 @@
 /// The requests and parts of prompts that were present at crashes.
 ///
 /// Invariants: there are at most [`MAX_SUSPECTS`] of them; all convicted ones are among
-/// them, and none of these has succeeded within [`SUCCESS_MEMORY`].
+/// them, and none of these has succeeded within [`SUCCESS_MEMORY`], unless it has turned bad
+/// since.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     suspects: BTreeMap<SuspectId, Suspect>,
@@ -171,7 +173,9 @@
     pub fn may_crash_next(&self, now: Timestamp, ids: &[SuspectId]) -> bool {
         ids.iter().any(|id| {
             let suspect = self.suspects.get(id);
-            suspect.is_some_and(|s| s.is_suspect(now) && s.counted().count() >= SUSPICIOUS_CRASHES)
+            suspect.is_some_and(|s| {
+                self.is_suspect(now, *id, s) && s.counted().count() >= SUSPICIOUS_CRASHES
+            })
         })
     }
 
@@ -220,6 +224,15 @@
         suspect.or_insert_with(|| Suspect::new(last_success))
     }
 
+    /// Returns whether `suspect` has not succeeded lately, or has turned bad since.
+    fn is_suspect(&self, now: Timestamp, id: SuspectId, suspect: &Suspect) -> bool {
+        let others_succeeded = |crash: CrashId, at: Timestamp| {
+            let mut others = self.suspects.iter().filter(|(other, _)| **other != id);
+            others.any(|(_, s)| s.crashes().contains_key(&crash) && s.last_success() > Some(at))
+        };
+        suspect.has_no_late_success(now) || suspect.has_turned_bad(others_succeeded)
+    }
+
     fn has_succeeded_lately(&self, now: Timestamp, id: SuspectId) -> bool {
         let last = self.successes.last(id);
         last.is_some_and(|at| now.since(at) < SUCCESS_MEMORY)
@@ -242,7 +255,7 @@
         while self.suspects.len() > MAX_SUSPECTS {
             let weight = |(id, s): &(&SuspectId, &Suspect)| {
                 let crashes = s.counted().count();
-                (s.is_suspect(now), crashes, s.last_crash(), **id)
+                (self.is_suspect(now, **id, s), crashes, s.last_crash(), **id)
             };
             let Some((id, _)) = self.suspects.iter().min_by_key(weight) else {
                 return;
@@ -255,7 +268,8 @@
     /// Returns what the crashes convict. Each time, the suspects that are present at most
     /// of the unexplained crashes explain these.
     fn convict(&self, now: Timestamp) -> BTreeSet<SuspectId> {
-        let suspects = self.suspects.iter().filter(|(_, s)| s.is_suspect(now));
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|(id, s)| self.is_suspect(now, **id, s));
         let mut candidates: Vec<(SuspectId, BTreeMap<CrashId, Timestamp>)> = suspects
             .filter(|(id, s)| s.is_convicted_alone(**id))
             .map(|(id, s)| (*id, s.counted().collect()))
--- a/src/crash_suspects/report.rs
+++ b/src/crash_suspects/report.rs
@@ -95,7 +95,7 @@
             let is_convicted = self.convicted.contains(id);
             std::cmp::Reverse((
                 is_convicted,
-                s.is_suspect(now),
+                self.is_suspect(now, *id, s),
                 s.counted().count(),
                 s.last_crash(),
             ))
--- a/src/crash_suspects/suspect.rs
+++ b/src/crash_suspects/suspect.rs
@@ -23,6 +23,11 @@
 /// ones run several times at once.
 const CONVICTING_REQUEST_CRASHES: usize = 3;
 
+/// The number of moments with a crash, and the least time between two of them, from which
+/// a suspect that has succeeded lately is one nevertheless.
+const TURNING_MOMENTS: usize = 5;
+const TURNING_GAP: Duration = Duration::from_secs(1);
+
 /// The maximum number of crashes kept since the last success: as many of the first ones
 /// and of the last ones.
 const MAX_FIRST_CRASHES: usize = 8;
@@ -134,11 +139,31 @@
     }
 
     /// Returns whether there was no success lately.
-    pub(super) fn is_suspect(&self, now: Timestamp) -> bool {
+    pub(super) fn has_no_late_success(&self, now: Timestamp) -> bool {
         self.last_success
             .is_none_or(|at| now.since(at) >= SUCCESS_MEMORY)
     }
 
+    /// Returns whether the suspect has turned bad since its last success, as with a new
+    /// software version: it was present at several crashes at some distance, and others
+    /// that were present have succeeded since. `others_succeeded` says so of a crash.
+    pub(super) fn has_turned_bad<F>(&self, others_succeeded: F) -> bool
+    where
+        F: Fn(CrashId, Timestamp) -> bool,
+    {
+        if moments(&self.counted_times(), TURNING_GAP) < TURNING_MOMENTS {
+            return false;
+        }
+        let mut counted: Vec<(Timestamp, CrashId)> =
+            self.counted().map(|(id, at)| (at, id)).collect();
+        counted.sort_unstable();
+        let turning = counted
+            .into_iter()
+            .filter(|(at, id)| others_succeeded(*id, *at));
+        let times: Vec<Timestamp> = turning.map(|(at, _)| at).collect();
+        moments(&times, TURNING_GAP) >= TURNING_MOMENTS
+    }
+
     /// Returns whether the crashes would convict the suspect `id` if none were explained.
     pub(super) fn is_convicted_alone(&self, id: SuspectId) -> bool {
         let times = self.counted_times();
@@ -146,7 +171,7 @@
             SuspectId::Part(_) => CONVICTING_CRASHES,
             SuspectId::Request(_) => CONVICTING_REQUEST_CRASHES,
         };
-        times.len() >= convicting_crashes || moments(&times) >= CONVICTING_MOMENTS
+        times.len() >= convicting_crashes || moments(&times, MOMENT) >= CONVICTING_MOMENTS
     }
 
     /// Returns the time of the last of the crashes that are kept.
@@ -182,12 +207,13 @@
     }
 }
 
-/// Returns the number of moments with crashes at these times, which are in order.
-fn moments(times: &[Timestamp]) -> usize {
+/// Returns the number of moments with crashes at these times, which are in order. Moments
+/// are `gap` apart at least.
+fn moments(times: &[Timestamp], gap: Duration) -> usize {
     let mut count = 0;
     let mut last_begin = None;
     for at in times {
-        if last_begin.is_none_or(|begin| at.since(begin) >= MOMENT) {
+        if last_begin.is_none_or(|begin| at.since(begin) >= gap) {
             last_begin = Some(*at);
             count += 1;
         }
--- a/src/crash_suspects/tests.rs
+++ b/src/crash_suspects/tests.rs
@@ -428,13 +428,27 @@
     (now, successes)
 }
 
+/// Returns the number of crashes in `steps` at which a suspect was present after the last
+/// success of it at any entry.
+fn crashes_since_success(steps: &[Step], id: SuspectId) -> usize {
+    let is_success = |step: &Step| matches!(step, Step::Success(_, ids) if ids.contains(&id));
+    let last = steps.iter().rposition(is_success).unwrap_or_default();
+    let crashes = steps[last..].iter().filter_map(|step| match step {
+        Step::Crash(_, crash, ids) if ids.contains(&id) => Some(*crash),
+        _ => None,
+    });
+    crashes.collect::<BTreeSet<u64>>().len()
+}
+
 proptest! {
     #[test]
-    fn no_part_that_has_succeeded_lately_is_refused(steps in vec(step(), 0..120)) {
+    fn no_part_that_has_succeeded_lately_is_refused_before_five_crashes(
+        steps in vec(step(), 0..120),
+    ) {
         let mut tables: [CrashSuspects; ENTRIES] = Default::default();
         let (now, successes) = play(&mut tables, &steps);
         for (time, entry, part) in successes {
-            if now - time < 120_000 {
+            if now - time < 120_000 && crashes_since_success(&steps, part) < 5 {
                 prop_assert!(!refuses(&tables[entry], now, part));
             }
         }
@@ -506,3 +520,26 @@
     assert!(table.convicted().contains(&POISON));
     assert!(!table.convicted().contains(&FIRST));
 }
+
+// A wave of crashes takes sound parts along before any of their requests can succeed.
+#[test]
+fn wave_of_crashes_does_not_convict_a_part_that_has_just_succeeded() {
+    let mut table = CrashSuspects::new();
+    table.record_success(at(0), &[OTHER, FIRST]);
+    for i in 0..16 {
+        crash(&mut table, 1_000 + 200 * i, i, &[OTHER, FIRST]);
+    }
+    table.record_success(at(5_000), &[FIRST]);
+    assert!(table.convicted().is_empty());
+}
+
+// In an outage of all upstreams nothing succeeds.
+#[test]
+fn outage_does_not_convict_parts_that_have_just_succeeded() {
+    let mut table = CrashSuspects::new();
+    table.record_success(at(0), &[OTHER, FIRST]);
+    for i in 0..16 {
+        crash(&mut table, 1_000 + 2_000 * i, i, &[OTHER, FIRST]);
+    }
+    assert!(table.convicted().is_empty());
+}
