Follow what upstreams say of themselves in their answers

Seen: an upstream whose answers say that it leaves got 101 to 124 more requests in three seconds of load after the drain time, and one that answered 503 with Retry-After: 4 got 71 within it (engines).

Cause: nothing read either word. Departures were known by registrations only, which can be late, missing, or come back from an older copy of the store.

Change: the dialect reads an UpstreamNotice once from each answer (leaving, hold off, rate limit). The directory keeps departures by run (name and start) and marks the upstreams, so that all that asks for `leaving` follows: candidates, the last look before a send, moves, resumptions, probes. Entries tell each other, and one that starts hears of it; the agent reads it in the load report. A hold-off counts for the entry that was told; the request goes elsewhere and is not counted as a retry if it was not sent, callers are refused only where no upstream takes requests in their time, with the earliest return. After it, one request is sent first; ends are spread over a tenth of the time.

Weighed: telling other entries of hold-offs. Not built: the upstream asks it of the one that was answered, and the others may still send.

--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -25,6 +25,8 @@
 pub struct LoadReport {
     /// The number of requests that the upstream holds, waiting or running.
     pub held: usize,
+    /// Whether the upstream is leaving and wants no new requests.
+    pub leaving: bool,
     /// The requests that are running; empty if the upstream reports only their
     /// number.
     pub running: Vec<RunningRequest>,
@@ -79,6 +81,7 @@
             let load = res.json::<Load>().await.ok()?;
             Some(LoadReport {
                 held: load.running,
+                leaving: false,
                 running: Vec::new(),
             })
         }
@@ -102,6 +105,7 @@
         if let Some(address) = state.upstream_address().filter(|_| state.is_model_engine()) {
             let report = actix_rt::time::timeout(ENGINE_TIMEOUT, source.read(address));
             if let Ok(Some(report)) = report.await {
+                state.set_leaving(report.leaving);
                 state.record_report(report.held, source.is_fresh());
                 if let Some(generated) = progress.record(state.now(), &report.running) {
                     state.record_generated(generated);
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks and connections of an agent share.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -66,6 +67,8 @@
     waiters: RefCell<HashMap<RequestId, waiter::Client>>,
     /// The tickets and running requests of each connection.
     sessions: RefCell<HashMap<SessionId, HashSet<RequestId>>>,
+    /// Whether the upstream says that it is leaving.
+    is_upstream_leaving: Cell<bool>,
     /// Notified when the time of the scheduler's next tick can have changed.
     next_tick_changed: Notify,
 }
@@ -92,6 +95,7 @@
             scheduler: RefCell::new(Scheduler::new(scheduler_config)),
             waiters: RefCell::default(),
             sessions: RefCell::default(),
+            is_upstream_leaving: Cell::new(false),
             next_tick_changed: Notify::new(),
         }
     }
@@ -141,6 +145,10 @@
             let refusal = Refusal::new(RefusalCode::NotReady, NOT_READY_RETRY_AFTER);
             return OfferResult::Refused(refusal);
         }
+        if self.is_upstream_leaving.get() {
+            let refusal = Refusal::new(RefusalCode::Draining, NOT_READY_RETRY_AFTER);
+            return OfferResult::Refused(refusal);
+        }
         let request = ticket.request;
         let (offered, notices) = self.scheduler.borrow_mut().offer(self.now(), ticket);
         if !matches!(offered, OfferResult::Refused(_)) {
@@ -216,6 +224,19 @@
         }
     }
 
+    /// Records whether the upstream says that it is leaving. While it does, tickets are
+    /// refused, and those that wait are returned; one that starts again takes them.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        if self.is_upstream_leaving.replace(is_leaving) == is_leaving {
+            return;
+        }
+        info!(self.log, "upstream leaves or has started again"; "leaving" => is_leaving);
+        if is_leaving {
+            let notices = self.scheduler.borrow_mut().return_waiting();
+            self.send_notices(notices);
+        }
+    }
+
     /// Records the tokens that the upstream has generated since its last
     /// report.
     pub fn record_generated(&self, generated: Generated) {
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -15,6 +15,7 @@
 use crate::prompt_parts::PartId;
 use crate::settings::Upstream;
 use crate::ticket::Work;
+use crate::upstream_notice::UpstreamNotice;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
@@ -108,9 +109,8 @@
     /// Classifies an answer to the request with the caller's `id` by its head.
     fn classify_answer(&self, id: Option<&Name>, answer: &AnswerHead) -> AnswerVerdict;
 
-    /// Returns the header, in lower case, in which an upstream in need names how many
-    /// requests a second it takes from all entries together.
-    fn rate_limit_header(&self) -> &'static str;
+    /// Returns what the upstream says of itself in an answer.
+    fn read_notice(&self, answer: &AnswerHead) -> UpstreamNotice;
 
     /// Returns the format of an answer, which determines how its end and its
     /// token counts are read.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -205,6 +205,11 @@
             (_, Event::CollectionTimedOut) => self.finish_collection(),
             (State::NoUpstream, Event::Upstreams(choices)) => self.retry_with(choices),
             (_, Event::Upstreams(_)) => Vec::new(),
+            (_, Event::HeldOff(wait)) => {
+                self.refusal = Some(Refusal::new(RefusalCode::Overloaded, wait));
+                self.retry_after = Some(wait);
+                self.give_up()
+            }
             (_, Event::WaitTimedOut) => {
                 let retry_after = self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
                 let expired = Refusal::new(RefusalCode::Expired, retry_after);
--- a/src/dispatch/messages.rs
+++ b/src/dispatch/messages.rs
@@ -35,6 +35,9 @@
     NotRun(Name, Refusal),
     /// The upstreams that can run the request now, the best first.
     Upstreams(Vec<Choice>),
+    /// The upstreams that could run the request want none for this time, which is longer
+    /// than the request can wait.
+    HeldOff(Duration),
     /// The request has waited for its maximum time.
     WaitTimedOut,
     /// The entry evicted the request for one of a higher tier.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -216,6 +216,10 @@
         }
         let admitted = self.state.admit_to_upstream(&self.job);
         admitted.map_err(AttemptResult::Quarantined)?;
+        let notices = &self.state.notices;
+        notices
+            .try_send(&self.upstream)
+            .map_err(AttemptResult::HeldOff)?;
         self.state.record_prefix(&self.upstream, &self.job.prefix);
         let upstream_request = self.upstream_request(&upstream, relay);
         let sent_at = self.state.now();
@@ -259,16 +263,18 @@
         let dialect = &self.state.dialect;
         let verdict = dialect.classify_answer(self.job.caller_id.as_ref(), &answer.head);
         if matches!(verdict, AnswerVerdict::Answer | AnswerVerdict::Full) {
-            let header = dialect.rate_limit_header();
-            let limits = &self.state.upstream_limits;
-            limits.observe(&self.upstream, &answer.head, header, sent_at);
+            let notice = dialect.read_notice(&answer.head);
+            let status = answer.head.status;
+            let notices = &self.state.notices;
+            notices.observe(&self.upstream, notice, status, sent_at);
         }
         match verdict {
             AnswerVerdict::Answer => {}
             AnswerVerdict::Full => {
+                let hold_off = self.state.notices.wait(&self.upstream);
                 return Err(AttemptResult::NotRun(Refusal::new(
                     RefusalCode::Overloaded,
-                    UPSTREAM_FULL_RETRY_AFTER,
+                    hold_off.unwrap_or(UPSTREAM_FULL_RETRY_AFTER),
                 )));
             }
             AnswerVerdict::WrongInstance => {
--- a/src/entry/attempt/result.rs
+++ b/src/entry/attempt/result.rs
@@ -12,6 +12,9 @@
     Completed(Outcome),
     /// The upstream certainly did not run the request.
     NotRun(Refusal),
+    /// The request was not sent, since the upstream wants none now; holds the time until
+    /// it takes one.
+    HeldOff(Duration),
     /// The exchange failed or the answer is incomplete; the request may have
     /// run.
     Interrupted,
@@ -32,6 +35,9 @@
 impl AttemptResult {
     /// Returns whether the upstream certainly did not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotRun(_) | Self::NotSent | Self::Quarantined(_))
+        matches!(
+            self,
+            Self::NotRun(_) | Self::HeldOff(_) | Self::NotSent | Self::Quarantined(_)
+        )
     }
 }
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -1,6 +1,7 @@
 //! The upstreams that a request can be sent to, and what the entry keeps about them.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::directory::SoftwareVersion;
 use crate::dispatch::Choice;
@@ -42,6 +43,7 @@
             .filter(|(_, u)| version.is_none_or(|v| u.version == *v))
             .filter(|(name, u)| self.links.may_use(name, u))
             .filter(|(name, _)| !leaving.contains(*name) && !outliers.is_replaced(now, name))
+            .filter(|(name, _)| self.notices.wait(name).is_none())
             .map(|(name, u)| candidate(name, u))
             .partition(|c| outliers.is_ejected(now, &c.upstream));
         // An ejected upstream is better than none.
@@ -52,6 +54,18 @@
         routing::order_candidates(policy, candidates, sequence, &mut *self.rng.borrow_mut())
     }
 
+    /// Returns the time until the first upstream that could run `job` takes requests again.
+    /// `None` if one does now, or if there are none.
+    pub fn time_to_return(&self, job: &Job, version: Option<&SoftwareVersion>) -> Option<Duration> {
+        let upstreams = self.directory.upstreams();
+        let kind = job.admission.route.kind;
+        let staying = upstreams.iter().filter(|(_, u)| {
+            serves(u, kind, &job.target) && !u.leaving && version.is_none_or(|v| u.version == *v)
+        });
+        let waits = staying.map(|(name, _)| self.notices.wait(name).unwrap_or_default());
+        waits.min().filter(|wait| !wait.is_zero())
+    }
+
     /// Returns whether an upstream that is not leaving can run `job` with this software
     /// version.
     pub fn has_version(&self, job: &Job, version: &SoftwareVersion) -> bool {
@@ -90,6 +104,7 @@
         self.local_schedulers.retain(is_listed);
         self.outliers.borrow_mut().retain(is_listed);
         self.upstream_limits.retain(is_listed);
+        self.notices.retain(is_listed);
         self.prefix_indexes
             .borrow_mut()
             .retain(|name, _| is_listed(name));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod local_schedulers;
 mod membership;
 mod metrics;
+mod notices;
 mod peers;
 mod quarantine;
 mod quarantine_record;
@@ -251,6 +252,7 @@
             streams: Rc::clone(&state.streams),
             suspects: Rc::clone(&state.suspects),
             upstream_limits: Rc::clone(&state.upstream_limits),
+            notices: Rc::clone(&state.notices),
             active_settings: Rc::clone(&state.active_settings),
             key: self.config.site_key.clone(),
             incarnation: state.incarnation,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,6 +1,7 @@
 //! Exchange of datagrams between entries: quota reports, messages on where streams began,
 //! which `streams` handles, on parts of prompts that crash upstreams, which `suspects`
-//! handles, and on rate limits, which `upstream_limits` handles.
+//! handles, on rate limits, which `upstream_limits` handles, and on upstreams that are
+//! leaving, which `notices` handles.
 //!
 //! A report states what organisations have spent at an entry. It is sent as a
 //! datagram, authenticated by a tag that is made with the site key. A lost
@@ -30,6 +31,7 @@
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
 use crate::crash_suspects::SuspectId;
+use crate::entry::notices::Notices;
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Audience;
 use crate::entry::suspects::Suspects;
@@ -82,6 +84,8 @@
     pub suspects: Rc<Suspects>,
     /// The rate limits of upstreams.
     pub upstream_limits: Rc<UpstreamLimits>,
+    /// What upstreams say of themselves.
+    pub notices: Rc<Notices>,
     /// The operators' settings.
     pub active_settings: Rc<ActiveSettings>,
     /// The key that signs datagrams.
@@ -148,6 +152,7 @@
                 self.send_report().await;
                 self.send_suspects().await;
                 self.send_limits().await;
+                self.send_departures().await;
                 let entries = self.table.borrow().entries();
                 let peers = u32::try_from(entries - 1).unwrap_or(u32::MAX);
                 let interval = INTERVAL_PER_PEER * peers;
@@ -195,6 +200,14 @@
         }
     }
 
+    /// Sends which upstreams are leaving, if any are.
+    async fn send_departures(&self) {
+        if let Some((message, audience)) = self.parts.notices.next_message() {
+            let peers = self.audience(audience);
+            self.send(DatagramKind::Departures, &message, &peers).await;
+        }
+    }
+
     /// Returns the entries to which a message is to be sent. Those to all are sent several
     /// times.
     fn audience(&self, audience: Audience) -> Vec<SocketAddr> {
@@ -268,6 +281,7 @@
                 }
             }
             Some(DatagramKind::Suspects) => self.parts.suspects.receive(message),
+            Some(DatagramKind::Departures) => self.parts.notices.receive(message),
             Some(DatagramKind::Limits) => self.receive_limits(message, peer).await,
             Some(DatagramKind::Quotas) => self.receive_report(message, peer),
         }
--- a/src/entry/peers/datagram.rs
+++ b/src/entry/peers/datagram.rs
@@ -16,10 +16,18 @@
     Suspects,
     /// Rate limits of upstreams, and permits under them.
     Limits,
+    /// Upstreams that are leaving.
+    Departures,
 }
 
 impl DatagramKind {
-    const ALL: [Self; 4] = [Self::Quotas, Self::Streams, Self::Suspects, Self::Limits];
+    const ALL: [Self; 5] = [
+        Self::Quotas,
+        Self::Streams,
+        Self::Suspects,
+        Self::Limits,
+        Self::Departures,
+    ];
 
     /// Returns the bytes that precede the signed text, so that the tag of one kind does
     /// not fit another.
@@ -29,6 +37,7 @@
             Self::Streams => b"almondramp streams",
             Self::Suspects => b"almondramp suspects",
             Self::Limits => b"almondramp limits",
+            Self::Departures => b"almondramp departures",
         }
     }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -61,6 +61,17 @@
     Error(CallerError),
 }
 
+/// What came of a request at an upstream that did not serve it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Receipt {
+    /// It did not reach the upstream.
+    NotReceived,
+    /// The upstream has rejected it and did not run it.
+    Rejected,
+    /// The upstream may have run it.
+    MayHaveRun,
+}
+
 /// Request that the entry has accepted.
 pub struct AcceptedRequest {
     /// The id of the request.
@@ -211,13 +222,22 @@
                 ControlFlow::Break(self.give_up_quarantined(wait).await)
             }
             AttemptResult::NotRun(refusal) => {
-                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, false))
+                let receipt = match refusal.code {
+                    RefusalCode::Unreachable => Receipt::NotReceived,
+                    _ => Receipt::Rejected,
+                };
+                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, receipt))
+            }
+            AttemptResult::HeldOff(wait) => {
+                let refusal = Refusal::new(RefusalCode::Overloaded, wait);
+                let receipt = Receipt::NotReceived;
+                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, receipt))
             }
             AttemptResult::Interrupted | AttemptResult::Silent if self.can_fail_over() => {
-                // The dispatch handles the failure like that of an unreachable upstream;
-                // `true` records that the request may have run.
+                // The dispatch handles the failure like that of an unreachable upstream.
                 let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
-                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, true))
+                let receipt = Receipt::MayHaveRun;
+                ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, receipt))
             }
             AttemptResult::Interrupted | AttemptResult::Silent => {
                 ControlFlow::Break(self.fail(CallerError::UpstreamFailed).await)
@@ -261,12 +281,12 @@
     ///
     /// A request that did not reach the upstream can always be sent again. In other
     /// cases the limits on attempts and the retry budget apply.
-    fn reschedule(&mut self, upstream: &Name, refusal: Refusal, may_have_run: bool) -> Vec<Action> {
+    fn reschedule(&mut self, upstream: &Name, refusal: Refusal, receipt: Receipt) -> Vec<Action> {
+        let may_have_run = receipt == Receipt::MayHaveRun;
         self.may_have_run |= may_have_run;
-        let was_received = may_have_run || refusal.code != RefusalCode::Unreachable;
         let attempts = self.job.admission.route.attempts;
         let is_retry_allowed = self.has_upstream_of_its_version()
-            && (!was_received
+            && (receipt == Receipt::NotReceived
                 || (self.attempts < attempts && self.state.try_retry(&self.job.target)));
         info!(self.state.log, "upstream did not serve the request";
             "request" => %self.job.logged_id(self.request),
@@ -321,7 +341,7 @@
     ) -> Result<Attempt, Vec<Action>> {
         let Some(scheduler) = self.schedulers.remove(&upstream) else {
             let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
-            return Err(self.reschedule(&upstream, refusal, false));
+            return Err(self.reschedule(&upstream, refusal, Receipt::NotReceived));
         };
         self.acquire_permit(&upstream, &scheduler).await?;
         self.state.record_sent(&self.job);
@@ -345,6 +365,7 @@
             self.sent_to = self.silent.as_ref().map(|s| s.upstream.clone());
             let refusal = match result {
                 AttemptResult::NotRun(refusal) => refusal,
+                AttemptResult::HeldOff(wait) => Refusal::new(RefusalCode::Overloaded, wait),
                 _ => Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER),
             };
             let failed = Event::NotRun(attempt.upstream.clone(), refusal);
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::RequestTask;
+use crate::clock::Timestamp;
 use crate::dispatch::Action;
 use crate::dispatch::Choice;
 use crate::dispatch::Event;
@@ -91,7 +92,7 @@
         let mut pending_actions = actions;
         let wait_deadline =
             (self.arrived + self.job.admission.urgency().max_wait()).min(self.deadline);
-        loop {
+        'waiting: loop {
             for action in std::mem::take(&mut pending_actions) {
                 match action {
                     Action::Offer(upstream) => self.offer(upstream),
@@ -103,9 +104,13 @@
                     }
                     Action::RecordQueued => self.record_arrival(),
                     Action::CollectFor(time) => timers.collect_until(self.state.now() + time),
-                    Action::AwaitUpstreams => {
-                        timers.refresh_at(self.state.now() + CANDIDATE_REFRESH_INTERVAL)
-                    }
+                    Action::AwaitUpstreams => match self.wait_past(wait_deadline) {
+                        Some(wait) => {
+                            pending_actions = self.dispatch.handle_event(Event::HeldOff(wait));
+                            continue 'waiting;
+                        }
+                        None => timers.refresh_at(self.state.now() + CANDIDATE_REFRESH_INTERVAL),
+                    },
                     Action::Withdraw(upstream) => {
                         self.withdraw(&upstream, WithdrawReason::GivenUp);
                     }
@@ -179,6 +184,13 @@
         }
     }
 
+    /// Returns the time until the first upstream takes requests again, if all want none
+    /// until after `deadline`.
+    fn wait_past(&self, deadline: Timestamp) -> Option<Duration> {
+        let wait = self.state.time_to_return(&self.job, self.relay.origin())?;
+        (self.state.now() + wait > deadline).then_some(wait)
+    }
+
     /// Ends the search for another upstream and returns the attempt at the silent one.
     /// Another search can begin after as long a silence again.
     pub(super) fn stay_at(&mut self, mut silent: Attempt) -> Attempt {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -38,6 +38,7 @@
 use crate::entry::local_schedulers::LocalSchedulers;
 use crate::entry::local_schedulers::SchedulerHandle;
 use crate::entry::metrics::EntryMetrics;
+use crate::entry::notices::Notices;
 use crate::entry::peers::Peers;
 use crate::entry::request::Job;
 use crate::entry::streams::Streams;
@@ -89,6 +90,8 @@
     pub suspects: Rc<Suspects>,
     /// The rate limits that upstreams name.
     pub upstream_limits: Rc<UpstreamLimits>,
+    /// What upstreams say of themselves.
+    pub notices: Rc<Notices>,
     /// Whether this entry is a watcher: it watches the object store on behalf of
     /// other entries.
     pub is_watcher: Rc<watch::Sender<bool>>,
@@ -144,10 +147,15 @@
         });
         let clock = Clock::new();
         let streams = Streams::new(Rc::clone(&parts.directory), clock, log.clone());
+        let limits = UpstreamLimits::new(incarnation, clock, log.clone());
+        let limits = Rc::new(limits);
+        let directory = Rc::clone(&parts.directory);
+        let notices = Notices::new(directory, Rc::clone(&limits), clock, log.clone());
         Self {
             streams: Rc::new(streams),
             suspects: Rc::new(Suspects::new(clock, log.clone())),
-            upstream_limits: Rc::new(UpstreamLimits::new(incarnation, clock, log.clone())),
+            upstream_limits: limits,
+            notices: Rc::new(notices),
             peers: OnceCell::new(),
             memory: MemoryBudget::new(config.memory),
             config,
--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -21,10 +21,10 @@
 use crate::clock::Timestamp;
 use crate::entry::peers::Peers;
 use crate::entry::suspects::Audience;
-use crate::exchange::AnswerHead;
 use crate::ids::Incarnation;
 use crate::name::Name;
 use crate::rate_limits::Change;
+use crate::rate_limits::InvalidRateLimit;
 use crate::rate_limits::Pacing;
 use crate::rate_limits::PermitIssuer;
 use crate::rate_limits::RateLimit;
@@ -124,10 +124,16 @@
         Some(self.interval(upstream)?.mul_f64(1.0 + others))
     }
 
-    /// Records what the head of an answer says of the limit of its upstream. The request
-    /// was sent at `sent_at`; `header` is the name of the header that holds a limit.
-    pub fn observe(&self, upstream: &Name, answer: &AnswerHead, header: &str, sent_at: Timestamp) {
-        let change = match answer.get(header).map(RateLimit::parse) {
+    /// Records the limit that an answer with this status names, if any. Its request was
+    /// sent at `sent_at`.
+    pub fn observe(
+        &self,
+        upstream: &Name,
+        limit: Option<Result<RateLimit, InvalidRateLimit>>,
+        status: u16,
+        sent_at: Timestamp,
+    ) {
+        let change = match limit {
             Some(Ok(limit)) => {
                 let mut limits = self.limits.borrow_mut();
                 limits.record_named(self.now(), upstream, limit)
@@ -139,7 +145,7 @@
                 None
             }
             // Errors may come from a part of the upstream that names no limit.
-            None if answer.status >= 300 => None,
+            None if status >= 300 => None,
             None => {
                 let mut limits = self.limits.borrow_mut();
                 limits.record_unnamed(sent_at + PAST, upstream)
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use actix_http::Method;
 use actix_http::RequestHead;
@@ -40,6 +41,8 @@
 use crate::events::EventTooLarge;
 use crate::headers::Header;
 use crate::headers::end_to_end;
+use crate::upstream_notice::InvalidRetryAfter;
+use crate::upstream_notice::parse_retry_after;
 use crate::upstream_request::UpstreamRequest;
 
 #[cfg(test)]
@@ -125,6 +128,13 @@
         let header = self.headers.iter().find(|h| h.name.as_str() == name)?;
         std::str::from_utf8(&header.value).ok()
     }
+
+    /// Returns the time for which an upstream that turned the request away wants no
+    /// others.
+    pub fn hold_off(&self) -> Option<Result<Duration, InvalidRetryAfter>> {
+        let retry_after = self.get("retry-after").filter(|_| self.status == 503)?;
+        Some(parse_retry_after(retry_after, SystemTime::now()))
+    }
 }
 
 /// What marks the end of an answer's body (RFC 9112, section 6.3).
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,9 @@
 //!    [`exchange`] and forwards the answer. [`events`] finds the position at which
 //!    an interrupted stream resumes at another upstream, [`completeness`]
 //!    whether an answer was broken off, and [`silence`] whether nothing comes any
-//!    more. [`rate_limits`] holds the limits that upstreams name, [`retry_budget`]
+//!    more. An [`upstream_notice`] is what an upstream says of itself: [`departures`] holds
+//!    the upstreams that leave, [`hold_offs`] those that want no requests for a time, and
+//!    [`rate_limits`] the limits that they name. [`retry_budget`]
 //!    limits retries, and [`outlier`] excludes upstreams that fail their requests.
 //! 6. The entry reads the [`usage`] from the answer, reports it to the scheduler
 //!    and counts the [`outcome`] in [`metrics`] and [`burn`].
@@ -52,6 +54,7 @@
 pub mod config;
 pub mod crash_suspects;
 pub mod daemon;
+pub mod departures;
 pub mod dialect;
 pub mod directory;
 pub mod discovery;
@@ -66,6 +69,7 @@
 pub mod headers;
 pub mod health;
 pub mod held_requests;
+pub mod hold_offs;
 pub mod host_list;
 pub mod http_client;
 pub mod http_server;
@@ -109,6 +113,7 @@
 pub mod ticket;
 pub mod tier_load;
 pub mod units;
+pub mod upstream_notice;
 pub mod upstream_request;
 pub mod usage;
 pub mod wire;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -17,8 +17,10 @@
 use crate::exchange::AnswerHead;
 use crate::name::Name;
 use crate::prompt;
+use crate::rate_limits::RateLimit;
 use crate::settings::Upstream;
 use crate::settings::UpstreamKind;
+use crate::upstream_notice::UpstreamNotice;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::AnswerFormat;
 
@@ -86,8 +88,13 @@
         AnswerVerdict::Answer
     }
 
-    fn rate_limit_header(&self) -> &'static str {
-        RATE_LIMIT_HEADER
+    fn read_notice(&self, answer: &AnswerHead) -> UpstreamNotice {
+        UpstreamNotice {
+            // An upstream that leaves is told by the settings.
+            leaving: false,
+            hold_off: answer.hold_off(),
+            rate_limit: answer.get(RATE_LIMIT_HEADER).map(RateLimit::parse),
+        }
     }
 
     fn answer_format(
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -211,6 +211,7 @@
                 .agent
                 .filter(|_| service.kind == UpstreamKind::Model),
             instance: discovered.instance.clone(),
+            started: discovered.started,
             version: discovered.version.clone(),
             leaving: discovered.leaving || self.outdated.contains_key(&discovered.name),
             event_tokens: service.event_tokens,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -312,6 +312,11 @@
     /// Stops accepting tickets and removes the queued ones.
     pub fn drain(&mut self) -> Vec<Notice> {
         self.draining = true;
+        self.return_waiting()
+    }
+
+    /// Removes the queued tickets, whose requests have to be served elsewhere.
+    pub fn return_waiting(&mut self) -> Vec<Notice> {
         let refusal = self.refusal(RefusalCode::Draining);
         self.queue
             .drain()
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -135,6 +135,10 @@
     /// Identifier of its current run, with which it recognises requests that are
     /// meant for another instance.
     pub instance: Option<Name>,
+    /// When its current run started, in Unix milliseconds by its own clock; `None` if
+    /// nothing discovers it.
+    #[serde(skip)]
+    pub started: Option<u64>,
     /// Version of its software. A stream continues only at the version that began it.
     pub version: Option<Name>,
     /// Whether it is leaving and gets no new requests.
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -36,6 +36,7 @@
         agent: None,
         instance: None,
         version: version(*number),
+        started: None,
         leaving: false,
         event_tokens: 1,
         serves: vec![pool()],
--- a/src/subset/tests.rs
+++ b/src/subset/tests.rs
@@ -13,6 +13,7 @@
         agent: Some(address),
         instance: None,
         version: None,
+        started: None,
         leaving: false,
         event_tokens: 1,
         serves: vec![Name::new(&format!("model-{}", i % models))],
