Borrow quota from one entry where the own credit is smaller than a prompt

Ruled out: that the organisations exceed their quotas.

Change: an entry without credit asks the one that lends the organisation's units, found by rendezvous hashing, with a signed datagram. The lender lends three tenths of what remains until a report of the borrower includes the loan; credits are two tenths instead of five, so that two reports' credits and two lenders at the same time stay within the whole. An entry that has just started doesn't lend for a second. Messages are sent only in need.

Result: pattern test at 1, 5, 30 and 103 entries, organisations of unlike size at nine tenths of their quotas, reports 60 ms late and 3% lost: under 1 in 200 refused; without loans 96 of 1,851 at 5 entries. A burst of six times the usual stays within the tolerance. 1,300 entries: not run. 333 tests of the library pass.

--- a/src/entry/charges.rs
+++ b/src/entry/charges.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 
 use crate::entry::error::CallerError;
+use crate::entry::loans::quota_of;
 use crate::entry::request::Job;
 use crate::entry::state::EntryState;
 use crate::name::Name;
-use crate::quota::QuotaBounds;
+use crate::quota::SpendError;
 use crate::settings::QuotaUnit;
 
 impl EntryState {
@@ -40,22 +41,15 @@
         }
     }
 
-    /// Charges the units of `job` to its organisation's quota. Fails with
+    /// Charges the units of `job` to its organisation's quota, and borrows them from
+    /// another entry if this one has no credit for them. Fails with
     /// `CallerError::OverQuota` if the quota is used up.
-    pub fn charge_quota(self: &Rc<Self>, job: &Job) -> Result<QuotaCharge, CallerError> {
+    pub async fn charge_quota(self: &Rc<Self>, job: &Job) -> Result<QuotaCharge, CallerError> {
         let settings = self.active_settings.settings();
         let organisation = &job.admission.organisation;
-        let configured = settings.organisations.get(organisation);
-        let Some(rate) = configured.and_then(|o| o.quota) else {
+        let Some((rate, bounds)) = quota_of(&settings, organisation) else {
             return Ok(QuotaCharge::none(self));
         };
-        // `over` and `slack` are the tolerated use beyond the quota, as a fraction
-        // of it and in tokens.
-        let bounds = QuotaBounds {
-            window: settings.limits.quota_window,
-            over: settings.limits.quota_over,
-            slack: settings.limits.quota_slack,
-        };
         let units = match (rate.unit, job.max_total_tokens) {
             (QuotaUnit::Requests, _) => 1.0,
             // A request without a token count is charged the configured `plain` units.
@@ -63,10 +57,15 @@
             (QuotaUnit::Tokens, tokens) => tokens as f64,
         };
         let now = self.now();
-        let charged = self
+        let spent = self
             .quota
             .borrow_mut()
             .spend(now, organisation, rate, bounds, units);
+        let charged = match spent {
+            Ok(()) => Ok(()),
+            Err(SpendError::Exhausted(retry_after)) => Err(retry_after),
+            Err(SpendError::NoCredit) => self.loans.borrow(organisation, units).await,
+        };
         charged.map_err(CallerError::OverQuota)?;
         Ok(QuotaCharge {
             state: Rc::clone(self),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -234,7 +234,7 @@
         return Err(refused);
     }
     let origin = find_origin(state, &job).await.map_err(&refuse)?;
-    let quota_charge = state.charge_quota(&job).map_err(&refuse)?;
+    let quota_charge = state.charge_quota(&job).await.map_err(&refuse)?;
     let claim = match claim_if_needed(state, req.head(), &job)
         .await
         .map_err(&refuse)?
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod http;
 mod idempotency;
 mod links;
+mod loans;
 mod local_schedulers;
 mod membership;
 mod metrics;
@@ -253,6 +254,7 @@
             suspects: Rc::clone(&state.suspects),
             upstream_limits: Rc::clone(&state.upstream_limits),
             notices: Rc::clone(&state.notices),
+            loans: Rc::clone(&state.loans),
             active_settings: Rc::clone(&state.active_settings),
             key: self.config.site_key.clone(),
             incarnation: state.incarnation,
@@ -266,6 +268,7 @@
         })?;
         state.streams.set_peers(&peers);
         state.upstream_limits.set_peers(&peers);
+        state.loans.set_peers(&peers);
         state.set_peers(&peers);
         actix_rt::spawn(Rc::clone(&peers).run());
         actix_rt::spawn(peers.follow_discovered(self.parts.peers.clone()));
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -31,6 +31,7 @@
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
 use crate::crash_suspects::SuspectId;
+use crate::entry::loans::Loans;
 use crate::entry::notices::Notices;
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Audience;
@@ -86,6 +87,8 @@
     pub upstream_limits: Rc<UpstreamLimits>,
     /// What upstreams say of themselves.
     pub notices: Rc<Notices>,
+    /// The loans of quota.
+    pub loans: Rc<Loans>,
     /// The operators' settings.
     pub active_settings: Rc<ActiveSettings>,
     /// The key that signs datagrams.
@@ -246,6 +249,14 @@
         table.holder(self.parts.clock.now(), upstream.as_bytes(), is_leaving)
     }
 
+    /// Returns the entry that lends the units of an organisation's quota; `None` for this
+    /// one.
+    pub fn lender_of(&self, organisation: &Name, is_leaving: bool) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        let now = self.parts.clock.now();
+        table.holder(now, organisation.as_bytes(), is_leaving)
+    }
+
     /// Returns the part of the entries that this one can reach, of those that may be
     /// running.
     pub fn reachable_fraction(&self) -> f64 {
@@ -282,6 +293,11 @@
             }
             Some(DatagramKind::Suspects) => self.parts.suspects.receive(message),
             Some(DatagramKind::Departures) => self.parts.notices.receive(message),
+            Some(DatagramKind::Loans) => {
+                if let Some(reply) = self.parts.loans.receive(message, peer) {
+                    self.send(DatagramKind::Loans, &reply, &[peer]).await;
+                }
+            }
             Some(DatagramKind::Limits) => self.receive_limits(message, peer).await,
             Some(DatagramKind::Quotas) => self.receive_report(message, peer),
         }
--- a/src/entry/peers/datagram.rs
+++ b/src/entry/peers/datagram.rs
@@ -18,15 +18,18 @@
     Limits,
     /// Upstreams that are leaving.
     Departures,
+    /// Loans of quota.
+    Loans,
 }
 
 impl DatagramKind {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Quotas,
         Self::Streams,
         Self::Suspects,
         Self::Limits,
         Self::Departures,
+        Self::Loans,
     ];
 
     /// Returns the bytes that precede the signed text, so that the tag of one kind does
@@ -38,6 +41,7 @@
             Self::Suspects => b"almondramp suspects",
             Self::Limits => b"almondramp limits",
             Self::Departures => b"almondramp departures",
+            Self::Loans => b"almondramp loans",
         }
     }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -35,6 +35,7 @@
 use crate::entry::EntryParts;
 use crate::entry::auth::KeyTable;
 use crate::entry::links::Links;
+use crate::entry::loans::Loans;
 use crate::entry::local_schedulers::LocalSchedulers;
 use crate::entry::local_schedulers::SchedulerHandle;
 use crate::entry::metrics::EntryMetrics;
@@ -84,6 +85,8 @@
     pub local_schedulers: Rc<LocalSchedulers>,
     /// The organisations' quotas.
     pub quota: Rc<RefCell<Quota>>,
+    /// Loans of quota between entries.
+    pub loans: Rc<Loans>,
     /// The streams of this entry, and those that others have reported.
     pub streams: Rc<Streams>,
     /// The parts of prompts that may crash upstreams.
@@ -146,6 +149,9 @@
             Rc::new(ClaimStore::new(store))
         });
         let clock = Clock::new();
+        let quota = Rc::new(RefCell::new(Quota::new(clock.now())));
+        let settings = Rc::clone(&parts.active_settings);
+        let loans = Loans::new(Rc::clone(&quota), settings, incarnation, clock, log.clone());
         let streams = Streams::new(Rc::clone(&parts.directory), clock, log.clone());
         let limits = UpstreamLimits::new(incarnation, clock, log.clone());
         let limits = Rc::new(limits);
@@ -168,7 +174,8 @@
             dialect: Rc::clone(&parts.dialect),
             directory: Rc::clone(&parts.directory),
             local_schedulers: Rc::default(),
-            quota: Rc::new(RefCell::new(Quota::new(clock.now()))),
+            quota,
+            loans: Rc::new(loans),
             metrics: EntryMetrics::new(),
             log,
             clock,
@@ -217,6 +224,7 @@
     pub fn begin_stop(&self) {
         self.stopping.set(true);
         self.upstream_limits.set_leaving();
+        self.loans.set_leaving();
     }
 
     /// Returns whether new requests are refused because they could not finish
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -15,7 +15,8 @@
 //! Between two of its reports, an entry spends only a part of what remained of a
 //! quota at the first one, in proportion to its part of the recent spending. So
 //! entries that spend at the same time, before they hear of each other, do not
-//! spend what remains several times.
+//! spend what remains several times. What is larger than an entry's part is borrowed from
+//! the one that lends the units of the organisation.
 //!
 //! When a quota is lowered, earlier spending counts as the same fraction of
 //! the new quota as it was of the old one, so that an organisation within its
@@ -39,10 +40,13 @@
 use self::record::RestoredRecord;
 
 mod account;
+mod loans;
 mod record;
 #[cfg(test)]
 mod tests;
 
+pub use loans::Borrower;
+pub use loans::SpendError;
 pub use record::QuotaRecord;
 pub use record::RECORD_INTERVAL;
 
@@ -171,6 +175,11 @@
         self.entries = entries.max(1);
     }
 
+    /// Returns the time since this entry started.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.since(self.started)
+    }
+
     /// Returns the number of running entries, including this one.
     pub fn entries(&self) -> usize {
         self.entries
@@ -180,7 +189,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which to retry if the quota is exhausted.
+    /// Fails if the quota is used up, or if the units must be borrowed first.
     pub fn spend(
         &mut self,
         now: Timestamp,
@@ -188,16 +197,13 @@
         rate: QuotaRate,
         bounds: QuotaBounds,
         units: f64,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), SpendError> {
         let reachable_fraction = self.reachable_fraction(now);
         let allowed = bounds.allowed(rate);
         let unobserved_fraction = self.unobserved_fraction(now, bounds.window);
-        if !self.organisations.contains_key(organisation) {
-            let account = self.new_account(now, organisation, bounds.window);
-            self.organisations.insert(organisation.clone(), account);
-        }
-        let Some(account) = self.organisations.get_mut(organisation) else {
-            return Err(MAX_RETRY_AFTER);
+        let entries = self.entries;
+        let Some(account) = self.account(now, organisation, bounds.window) else {
+            return Err(SpendError::Exhausted(MAX_RETRY_AFTER));
         };
         account.remove_expired(now);
         account.set_allowed(allowed);
@@ -205,20 +211,34 @@
         let available = allowed * (1.0 - account.assumed_fraction * unobserved_fraction);
         let remaining = available * reachable_fraction - account.sum;
         if remaining < units && (account.sum > 0.0 || unobserved_fraction > 0.0) {
-            return Err(account.retry_after(now, units - remaining));
+            let retry_after = account.retry_after(now, units - remaining);
+            return Err(SpendError::Exhausted(retry_after));
         }
         account.largest_request = account.largest_request.max(units);
-        let entries = self.entries as f64;
-        let first_credit = (remaining * account::CREDIT_FRACTION / entries).max(units);
+        let first_credit = (remaining * account::CREDIT_FRACTION / entries as f64).max(units);
         let credit = *account.credit.get_or_insert(first_credit);
-        if self.entries > 1 && credit < units {
-            return Err(CREDIT_RETRY_AFTER);
+        if entries > 1 && credit < units {
+            return Err(SpendError::NoCredit);
         }
         account.add(now + bounds.window, units);
         account.spend_own(units);
         Ok(())
     }
 
+    /// Returns the account of an organisation, which is created if absent.
+    fn account(
+        &mut self,
+        now: Timestamp,
+        organisation: &Name,
+        window: Duration,
+    ) -> Option<&mut Account> {
+        if !self.organisations.contains_key(organisation) {
+            let account = self.new_account(now, organisation, window);
+            self.organisations.insert(organisation.clone(), account);
+        }
+        self.organisations.get_mut(organisation)
+    }
+
     /// Refunds the units of a request that was not run.
     pub fn refund(&mut self, organisation: &Name, units: f64) {
         if let Some(account) = self.organisations.get_mut(organisation) {
@@ -229,6 +249,7 @@
 
     /// Merges the report of another entry into the accounts.
     pub fn merge_report(&mut self, now: Timestamp, window: Duration, report: &QuotaReport) {
+        self.settle_loans(report.from, report.age);
         let is_older = report.age > now.since(self.started);
         let known = self.peers.get(&report.from);
         let silence = known.map_or(Duration::ZERO, |peer| now.since(peer.last_report));
@@ -282,6 +303,7 @@
 
     /// Returns this entry's report to the other entries.
     pub fn report(&mut self, now: Timestamp, window: Duration, from: Incarnation) -> QuotaReport {
+        self.settle_loans(from, now.since(self.started));
         let unobserved_fraction = self.unobserved_fraction(now, window);
         let reachable_fraction = self.reachable_fraction(now);
         let entries = self.entries as f64;
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -6,12 +6,13 @@
 use super::MAX_RETRY_AFTER;
 use super::MIN_RETRY_AFTER;
 use super::WINDOW_PARTS;
+use super::loans::Loan;
 use crate::clock::Timestamp;
 
 /// Fraction of what remains of a quota that all entries together spend between two
-/// reports. A report can arrive as late as the next one is sent, so two such
-/// fractions must not exceed the whole.
-pub(super) const CREDIT_FRACTION: f64 = 0.5;
+/// reports, without loans. A report can arrive as late as the next one is sent, so two
+/// such fractions, and two of [`super::loans::LOAN_FRACTION`], must not exceed the whole.
+pub(super) const CREDIT_FRACTION: f64 = 0.2;
 
 /// Fraction of the credits that is divided equally among the entries; the rest is
 /// divided in proportion to their recent spending.
@@ -44,6 +45,9 @@
     /// report.
     pub(super) own_recent: f64,
     pub(super) recent: f64,
+    /// The units that were lent to entries and may not be reported yet, in the order of
+    /// lending.
+    pub(super) loans: VecDeque<Loan>,
     /// Fraction of `allowed` that all entries together are assumed to have spent
     /// in the window before this one started.
     pub(super) assumed_fraction: f64,
@@ -85,6 +89,7 @@
             largest_request: 0.0,
             own_recent: 0.0,
             recent: 0.0,
+            loans: VecDeque::new(),
             assumed_fraction: 0.0,
         }
     }
@@ -111,13 +116,18 @@
     }
 
     pub(super) fn spend_own(&mut self, units: f64) {
-        self.own_spent += units;
-        self.own_recent = (self.own_recent + units).max(0.0);
+        self.spend_lent(units);
         if let Some(credit) = &mut self.credit {
             *credit -= units;
         }
     }
 
+    /// Records units that were spent without using credit.
+    pub(super) fn spend_lent(&mut self, units: f64) {
+        self.own_spent += units;
+        self.own_recent = (self.own_recent + units).max(0.0);
+    }
+
     /// Adds the credit of the time until the next report, given the units that
     /// remain of the quota. Unused credit is kept for the next request only.
     pub(super) fn add_credit(&mut self, remaining: f64, entries: f64) {
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 
+mod loans;
 mod many_entries;
 mod reconnects;
 mod restarts;
@@ -43,7 +44,8 @@
 const FULL_WINDOW: u64 = WINDOW;
 
 fn spend(quota: &mut Quota, now: u64, units: f64) -> Result<(), Duration> {
-    quota.spend(at(now), &organisation(), RATE, BOUNDS, units)
+    let spent = quota.spend(at(now), &organisation(), RATE, BOUNDS, units);
+    spent.map_err(SpendError::retry_after)
 }
 
 #[test]
--- a/src/quota/tests/many_entries.rs
+++ b/src/quota/tests/many_entries.rs
@@ -89,19 +89,35 @@
         for _ in 0..count {
             let skewed = self.rng.random_range(0.0..1.0_f64).powi(2);
             let entry = (skewed * self.entries.len() as f64) as usize;
-            let spent = self.entries[entry].spend(
-                at(now),
-                &organisation(),
-                LARGE_RATE,
-                LARGE_BOUNDS,
-                LARGE_REQUEST,
-            );
-            if spent.is_ok() {
+            if self.spend(now, entry) {
                 self.spent.push((now, LARGE_REQUEST));
             }
         }
     }
 
+    /// Spends the units of a request, which are borrowed if the credit of the entry does
+    /// not suffice. The first entry lends. Returns whether they were spent.
+    fn spend(&mut self, now: u64, entry: usize) -> bool {
+        let (now, organisation) = (at(now), organisation());
+        let quota = &mut self.entries[entry];
+        match quota.spend(now, &organisation, LARGE_RATE, LARGE_BOUNDS, LARGE_REQUEST) {
+            Ok(()) => return true,
+            Err(SpendError::Exhausted(_)) => return false,
+            Err(SpendError::NoCredit) => {}
+        }
+        let lender = &mut self.entries[0];
+        let borrower = Borrower {
+            entry: Incarnation(entry as u64),
+            reports_from: now.since(at(0)),
+        };
+        let (rate, bounds) = (LARGE_RATE, LARGE_BOUNDS);
+        let lent = lender.lend(now, &organisation, rate, bounds, LARGE_REQUEST, borrower);
+        if lent.is_ok() {
+            self.entries[entry].spend_lent(now, &organisation, LARGE_BOUNDS, LARGE_REQUEST);
+        }
+        lent.is_ok()
+    }
+
     fn window_sum(&self, end: u64) -> f64 {
         let within = self
             .spent
