Pass on news of suspects and departures to a few entries, not to all

Cause, by reading and by a simulation: while upstreams crash, each entry has news of suspects nearly all the time (new crashes, successes that others lack) and sends its whole table, some 3.4 kB, to all others in each interval of 400 ms, and what they know more comes back the same way. At 103 entries that is up to 255 reports a second at each.

Change: news go to four random entries, three times; what is new to these, a crash of the last seconds or a success that a report lacks, they pass on. Departures are told likewise. Limits, which change seldom, still go to all.

--- a/src/crash_suspects.rs
+++ b/src/crash_suspects.rs
@@ -43,6 +43,10 @@
 /// The maximum number of suspects. Those with the fewest crashes go first.
 pub const MAX_SUSPECTS: usize = 256;
 
+/// The number of other entries to which news of suspects are sent at a time. These pass
+/// them on, so that the messages of an entry don't grow with the number of entries.
+pub const NEWS_FANOUT: usize = 4;
+
 /// The shortest time that is given to the next probe.
 const MIN_PROBE_WAIT: Duration = Duration::from_secs(30);
 
--- a/src/crash_suspects/report.rs
+++ b/src/crash_suspects/report.rs
@@ -21,6 +21,10 @@
 /// datagram.
 const MAX_ROWS: usize = 32;
 
+/// The age up to which a crash is passed on at once. A table keeps some of the crashes only
+/// and would take those that it has dropped for new ones.
+const NEWS_AGE: Duration = Duration::from_secs(5);
+
 /// Added to the age of a reported success. It is longer than reports take, since a success
 /// that is passed on would otherwise grow younger.
 const SUCCESS_MARGIN: Duration = Duration::from_secs(1);
@@ -103,30 +107,34 @@
         new_report(now, &suspects)
     }
 
-    /// Merges the report of another entry. Returns the changes, and whether this entry
-    /// knows a success that the other one should learn of.
+    /// Merges the report of another entry. Returns the changes, and whether others should
+    /// learn of something: a crash that was not known here, or a success that the report
+    /// lacks.
     pub fn merge(&mut self, now: Timestamp, report: &SuspectReport) -> (Vec<Change>, bool) {
-        let mut knows_more = false;
+        let mut has_news = false;
         for row in &report.rows {
-            knows_more |= self.merge_row(now, SuspectId::Part(row.id), row);
+            has_news |= self.merge_row(now, SuspectId::Part(row.id), row);
         }
         for row in &report.requests {
-            knows_more |= self.merge_row(now, SuspectId::Request(row.id), row);
+            has_news |= self.merge_row(now, SuspectId::Request(row.id), row);
         }
-        (self.review(now), knows_more)
+        (self.review(now), has_news)
     }
 
-    /// Merges a row. Returns whether this entry knows a success that the row lacks.
+    /// Merges a row. Returns whether others should learn of something.
     fn merge_row<I>(&mut self, now: Timestamp, id: SuspectId, row: &SuspectRow<I>) -> bool {
         let own_success = self.successes.last(id);
         let suspect = self.suspect(id);
+        let mut has_news = false;
         for (crash, age) in &row.crashes {
+            let was_known = suspect.crashes().contains_key(crash);
             suspect.record_crash(*crash, now.before(*age));
+            has_news |= !was_known && *age < NEWS_AGE;
         }
         if let Some(age) = row.succeeded {
             suspect.record_success(now.before(age));
         }
-        own_success.is_some_and(|at| row.lacks_success(now, at))
+        has_news || own_success.is_some_and(|at| row.lacks_success(now, at))
     }
 }
 
--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -25,7 +25,7 @@
 use crate::upstream_notice::InvalidRetryAfter;
 use crate::upstream_notice::UpstreamNotice;
 
-/// The number of times that a departure is sent to all other entries, against losses.
+/// The number of times that a departure that is new to this entry is sent to a few others.
 const REPEATS: u32 = 3;
 
 /// The maximum number of departures in one message.
@@ -39,8 +39,8 @@
     hold_offs: RefCell<HoldOffs>,
     /// The upstreams whose notices could not be read, which is logged once.
     invalid: RefCell<BTreeSet<Name>>,
-    /// The departures that this entry has heard of first, and how often each is still to
-    /// be sent to all other entries.
+    /// The departures that are new to this entry, and how often each is still to be sent
+    /// to a few others.
     news: RefCell<BTreeMap<UpstreamRun, u32>>,
     /// The last departure that was sent to another entry.
     last_sent: RefCell<Option<UpstreamRun>>,
@@ -150,11 +150,11 @@
     }
 
     /// Returns the next message on departures, and to whom; `None` if there is nothing to
-    /// tell. News are sent to all; others are sent to one other entry, which may have
+    /// tell. News are sent to a few, which pass them on; others are sent to one other entry, which may have
     /// started or missed messages.
     pub fn next_message(&self) -> Option<(Vec<u8>, Audience)> {
         let (reports, audience) = match self.next_news() {
-            news if !news.is_empty() => (news, Audience::All),
+            news if !news.is_empty() => (news, Audience::Few),
             _ => (self.next_reports(), Audience::One),
         };
         if reports.is_empty() {
@@ -205,6 +205,7 @@
                     "upstream" => %report.run.upstream,
                     "started" => report.run.started,
                     "age_ms" => millis(report.age));
+                self.news.borrow_mut().insert(report.run, REPEATS);
             }
         }
     }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -21,6 +21,7 @@
 use capnp::message::ReaderOptions;
 use capnp::serialize;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -30,6 +31,7 @@
 use crate::active_settings::ActiveSettings;
 use crate::almondramp_capnp::spend_report;
 use crate::clock::Clock;
+use crate::crash_suspects::NEWS_FANOUT;
 use crate::crash_suspects::SuspectId;
 use crate::entry::loans::Loans;
 use crate::entry::notices::Notices;
@@ -217,6 +219,10 @@
         let peers = self.reachable();
         match audience {
             Audience::All => peers,
+            Audience::Few => peers
+                .sample(&mut rand::rng(), NEWS_FANOUT)
+                .copied()
+                .collect(),
             Audience::One => {
                 let chosen = rand::rng().random_range(0..peers.len().max(1));
                 peers.get(chosen).copied().into_iter().collect()
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -26,7 +26,8 @@
 #[cfg(test)]
 mod tests;
 
-/// The number of times that a changed table is sent to all other entries, against losses.
+/// The number of times that a changed table is sent to a few other entries, which tell
+/// others.
 const REPEATS: u32 = 3;
 
 /// The time before the start of the process in which reported events can lie. It is longer
@@ -42,6 +43,8 @@
 pub enum Audience {
     /// All other entries, since the table has changed.
     All,
+    /// A few other entries, which pass on what is new to them.
+    Few,
     /// One other entry, which may have started or missed reports.
     One,
 }
@@ -49,7 +52,7 @@
 /// The requests and parts of prompts that were present at crashes.
 pub struct Suspects {
     table: RefCell<CrashSuspects>,
-    /// How often the table is still to be sent to all other entries.
+    /// How often the table is still to be sent to a few other entries.
     unsent: Cell<u32>,
     clock: Clock,
     log: Logger,
@@ -133,7 +136,7 @@
             0 => Audience::One,
             unsent => {
                 self.unsent.set(unsent - 1);
-                Audience::All
+                Audience::Few
             }
         };
         match serde_json::to_vec(&table.report(now)) {
@@ -154,9 +157,9 @@
                 return;
             }
         };
-        let (changes, knows_more) = self.table.borrow_mut().merge(self.now(), &report);
-        if knows_more {
-            self.unsent.set(self.unsent.get().max(1));
+        let (changes, has_news) = self.table.borrow_mut().merge(self.now(), &report);
+        if has_news {
+            self.unsent.set(REPEATS);
         }
         self.log_changes(&changes);
     }
