--- a/src/quota.rs
+++ b/src/quota.rs
@@ -59,6 +59,16 @@
 /// peer can still report what it spent in the meantime.
 const PEER_RETENTION: Duration = Duration::from_secs(300);
 
+/// The number of reports that repeat a total which has changed, against losses.
+const CHANGED_REPORTS: u32 = 3;
+
+/// One in so many reports holds all totals, whether they have changed or not.
+const FULL_REPORT_INTERVAL: u32 = 10;
+
+/// Time for which all reports are full after an entry has become known, which needs the
+/// totals of all organisations.
+const FULL_REPORT_TIME: Duration = Duration::from_secs(2);
+
 /// Fraction of the tolerance relative to the quota (`over`) that callers can
 /// use.
 const USABLE_OVER: f64 = 0.4;
@@ -145,6 +155,10 @@
     restored: Option<RestoredRecord>,
     /// Number of running entries, including this one.
     entries: usize,
+    /// Number of reports so far.
+    reports: u32,
+    /// Time until which all reports are full.
+    full_until: Timestamp,
 }
 
 /// The latest reports of another entry.
@@ -167,6 +181,8 @@
             peers: HashMap::new(),
             restored: None,
             entries: 1,
+            reports: 0,
+            full_until: now + FULL_REPORT_TIME,
         }
     }
 
@@ -255,6 +271,9 @@
         let silence = known.map_or(Duration::ZERO, |peer| now.since(peer.last_report));
         let undated_span = self.undated_span(now, window);
         let is_observer = self.is_observer(report.age, window);
+        if known.is_none() {
+            self.full_until = now + FULL_REPORT_TIME;
+        }
         let peer = self.peers.entry(report.from).or_insert_with(|| Peer {
             last_report: now,
             age: report.age,
@@ -301,12 +320,15 @@
             .retain(|_, peer| now.since(peer.last_report) < PEER_RETENTION);
     }
 
-    /// Returns this entry's report to the other entries.
+    /// Returns this entry's report to the other entries. Most reports hold only the totals
+    /// that have changed lately.
     pub fn report(&mut self, now: Timestamp, window: Duration, from: Incarnation) -> QuotaReport {
         self.settle_loans(from, now.since(self.started));
         let unobserved_fraction = self.unobserved_fraction(now, window);
         let reachable_fraction = self.reachable_fraction(now);
         let entries = self.entries as f64;
+        let is_full = now < self.full_until || self.reports.is_multiple_of(FULL_REPORT_INTERVAL);
+        self.reports = self.reports.wrapping_add(1);
         let spend = |(organisation, account): (&Name, &mut Account)| {
             account.remove_expired(now);
             if !account.is_in_use() {
@@ -315,6 +337,9 @@
             let available = account.allowed * reachable_fraction;
             let remaining = available - account.window_sum(unobserved_fraction);
             account.add_credit(remaining.max(0.0), entries);
+            if !account.take_unreported() && !is_full {
+                return None;
+            }
             Some(SpendTotals {
                 organisation: organisation.clone(),
                 spent: account.own_spent,
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::CHANGED_REPORTS;
 use super::MAX_RETRY_AFTER;
 use super::MIN_RETRY_AFTER;
 use super::WINDOW_PARTS;
@@ -36,6 +37,8 @@
     pub(super) sum: f64,
     /// Units spent through this entry since it started.
     pub(super) own_spent: f64,
+    /// Number of reports that are still to repeat the total.
+    unreported: u32,
     /// Units that this entry can spend before its next report; `None` before the
     /// first request.
     pub(super) credit: Option<f64>,
@@ -85,6 +88,7 @@
             spendings: VecDeque::new(),
             sum: 0.0,
             own_spent: 0.0,
+            unreported: 0,
             credit: None,
             largest_request: 0.0,
             own_recent: 0.0,
@@ -125,9 +129,17 @@
     /// Records units that were spent without using credit.
     pub(super) fn spend_lent(&mut self, units: f64) {
         self.own_spent += units;
+        self.unreported = CHANGED_REPORTS;
         self.own_recent = (self.own_recent + units).max(0.0);
     }
 
+    /// Returns whether the next report has to hold the total, and counts that report.
+    pub(super) fn take_unreported(&mut self) -> bool {
+        let is_unreported = self.unreported > 0;
+        self.unreported = self.unreported.saturating_sub(1);
+        is_unreported
+    }
+
     /// Adds the credit of the time until the next report, given the units that
     /// remain of the quota. Unused credit is kept for the next request only.
     pub(super) fn add_credit(&mut self, remaining: f64, entries: f64) {
--- a/src/quota/tests/loans.rs
+++ b/src/quota/tests/loans.rs
@@ -51,6 +51,8 @@
     entries: Vec<Quota>,
     in_flight: VecDeque<(u64, usize, QuotaReport)>,
     senders: Vec<Sender>,
+    /// When the entries last started, in milliseconds.
+    started: u64,
     rng: SmallRng,
     /// Share of the organisations' quotas that they send.
     load: f64,
@@ -84,6 +86,7 @@
             entries: (0..entries).map(start).collect(),
             in_flight: VecDeque::new(),
             senders: (0..senders).map(sender).collect(),
+            started: 0,
             rng: SmallRng::seed_from_u64(seed),
             load,
         }
@@ -93,7 +96,7 @@
         let count = self.entries.len() as u64;
         for entry in 0..self.entries.len() {
             if now % REPORT_INTERVAL == entry as u64 * REPORT_INTERVAL / count {
-                let from = Incarnation(entry as u64);
+                let from = Incarnation(self.started * 1_000 + entry as u64);
                 let report = self.entries[entry].report(at(now), TOLERANCE.window, from);
                 self.in_flight
                     .push_back((now + REPORT_DELAY, entry, report));
@@ -141,7 +144,10 @@
             Err(SpendError::NoCredit) => {}
         }
         let lender = sender % self.entries.len();
-        let borrower = borrower(entry as u64, now);
+        let borrower = Borrower {
+            entry: Incarnation(self.started * 1_000 + entry as u64),
+            reports_from: now.since(at(self.started)),
+        };
         let lent = self.entries[lender]
             .lend(now, name, *rate, TOLERANCE, units, borrower)
             .is_ok();
@@ -151,6 +157,18 @@
         lent
     }
 
+    /// Starts all entries again, with what one of them has recorded.
+    fn restart(&mut self, now: u64, record: &QuotaRecord) {
+        let count = self.entries.len();
+        for quota in &mut self.entries {
+            *quota = Quota::new(at(now));
+            quota.restore(at(now), TOLERANCE.window, now, record.clone());
+            quota.set_entries(count);
+        }
+        self.started = now;
+        self.in_flight.clear();
+    }
+
     /// Returns the numbers of requests that were refused and sent.
     fn refused(&self) -> (usize, usize) {
         let refused = self.senders.iter().map(|s| s.refused).sum();
@@ -222,6 +240,27 @@
     }
 }
 
+/// Pattern: all entries die and start again while organisations send ten times their
+/// usual. Each of many entries let one request of each organisation pass unasked.
+#[test]
+fn restart_of_all_entries_in_a_burst_stays_within_the_tolerance() {
+    for (entries, seed) in [(5, 1), (30, 2), (103, 3)] {
+        let mut site = Site::new(entries, 4, 0.6, seed);
+        for now in 0..26_000 {
+            site.exchange(now);
+            if now == 13_000 {
+                let record = site.entries[0].make_record(at(12_800), TOLERANCE.window, 12_800);
+                site.restart(14_000, &record.expect("a record"));
+            }
+            if now >= WINDOW && !(13_000..14_000).contains(&now) {
+                let is_burst = (9_000..18_000).contains(&now);
+                site.send(now, if is_burst { 10.0 } else { 1.0 });
+            }
+        }
+        site.check_tolerance();
+    }
+}
+
 fn lend(quota: &mut Quota, now: u64, units: f64) -> Result<(), Duration> {
     let borrower = borrower(7, at(now));
     quota.lend(at(now), &organisation(), RATE, BOUNDS, units, borrower)
--- a/src/quota/tests/many_entries.rs
+++ b/src/quota/tests/many_entries.rs
@@ -167,3 +167,38 @@
     let spent: f64 = many.spent.iter().map(|(_, units)| units).sum();
     assert!(spent >= 0.97 * offered, "{spent} of {offered}");
 }
+
+/// Pattern: most organisations are idle at most entries. Reports hold the totals that have
+/// changed; an entry that becomes known gets all.
+#[test]
+fn reports_hold_the_totals_that_have_changed() {
+    let mut quota = single_entry();
+    quota.set_entries(2);
+    let spend_of = |quota: &mut Quota, name: &str, now| {
+        let spent = quota.spend(at(now), &Name::new(name), RATE, BOUNDS, 1.0);
+        assert_eq!(spent, Ok(()));
+    };
+    for i in 0..20 {
+        spend_of(&mut quota, &format!("o{i}"), FULL_WINDOW);
+    }
+    let report = |quota: &mut Quota, now| {
+        let report = quota.report(at(now), BOUNDS.window, Incarnation(1));
+        report.totals.len()
+    };
+    for i in 0..30 {
+        report(&mut quota, FULL_WINDOW + i);
+    }
+    spend_of(&mut quota, "o3", FULL_WINDOW + 40);
+    let sizes: Vec<usize> = (0..10)
+        .map(|i| report(&mut quota, FULL_WINDOW + 41 + i))
+        .collect();
+    assert_eq!(sizes.iter().filter(|size| **size == 20).count(), 1);
+    assert!(sizes.iter().sum::<usize>() <= 20 + 3, "{sizes:?}");
+    let other = QuotaReport {
+        from: Incarnation(2),
+        age: Duration::ZERO,
+        totals: Vec::new(),
+    };
+    quota.merge_report(at(FULL_WINDOW + 60), BOUNDS.window, &other);
+    assert_eq!(report(&mut quota, FULL_WINDOW + 61), 20);
+}
