--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -5,6 +5,7 @@
 mod choked_entries;
 mod engine;
 mod hot_organisation;
+mod many_entries;
 mod model;
 mod parameters;
 mod report;
