Look at the caller's connection once more right before a request is sent

Cause: of two ways that were found, one was left. The end of a connection that arrives within the turn in which the request is sent is not read before.

Change: requests carry a CallerPresence, a weak handle of their connection that peeks at the socket, and the last look before a send asks it. Only an end or a reset counts as a departure; bytes that arrived before hide it.

Result: a test closes the connection inside the handler, so that the event loop can't read it, and sees the departure; the flag that was used before is set only by a read.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -211,7 +211,7 @@
         if current.is_none_or(|u| u.version != upstream.version) {
             return Err(self.fail_unreachable());
         }
-        if relay.is_closed() {
+        if relay.has_caller_left() {
             return Err(AttemptResult::NotSent);
         }
         let admitted = self.state.admit_to_upstream(&self.job);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::ConnectionType;
+use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::RequestHead;
 use actix_http::Response;
@@ -43,6 +44,7 @@
 use crate::headers::Header;
 use crate::health::liveness;
 use crate::health::readiness;
+use crate::http_server::CallerPresence;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
@@ -252,6 +254,7 @@
         job,
         arrived,
         origin,
+        presence: req.extensions().get::<CallerPresence>().cloned(),
         claim,
         concurrency_permit,
         quota_charge,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -13,6 +13,7 @@
 use crate::events::EventTooLarge;
 use crate::exchange::Framing;
 use crate::headers::Header;
+use crate::http_server::CallerPresence;
 use crate::ticket::Work;
 use crate::usage::AnswerFormat;
 use crate::usage::UsageReader;
@@ -23,6 +24,8 @@
 /// stream that another upstream can continue is sent in complete events.
 pub struct Relay {
     reply_tx: Sender<Reply>,
+    /// Tells whether the caller is still there.
+    presence: Option<CallerPresence>,
     /// The status sent to the caller.
     status: Option<u16>,
     /// Splits a stream that another upstream can continue into events.
@@ -45,6 +48,7 @@
         let resumable = job.admission.route.resumable;
         Self {
             reply_tx,
+            presence: None,
             status: None,
             events: resumable.then(|| EventReader::new(job.last_event)),
             check: None,
@@ -62,6 +66,12 @@
         self
     }
 
+    /// Sets what tells whether the caller is still there.
+    pub fn with_presence(mut self, presence: Option<CallerPresence>) -> Self {
+        self.presence = presence;
+        self
+    }
+
     /// Returns whether the head of an answer was sent.
     pub fn has_sent_head(&self) -> bool {
         self.status.is_some()
@@ -103,7 +113,12 @@
             .and_then(CompletenessCheck::partial_bytes)
     }
 
-    /// Returns whether the caller has disconnected.
+    /// Returns whether the caller has disconnected, also if that has not been read yet.
+    pub fn has_caller_left(&self) -> bool {
+        self.is_closed() || self.presence.as_ref().is_some_and(CallerPresence::has_left)
+    }
+
+    /// Returns whether the caller is known to have disconnected.
     pub fn is_closed(&self) -> bool {
         self.reply_tx.is_closed()
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -29,6 +29,7 @@
 use crate::entry::request::Job;
 use crate::entry::state::EntryState;
 use crate::headers::Header;
+use crate::http_server::CallerPresence;
 use crate::ids::GrantId;
 use crate::ids::RequestId;
 use crate::name::Name;
@@ -83,6 +84,8 @@
     /// The software version that began the stream which the request resumes, if it
     /// does.
     pub origin: Option<SoftwareVersion>,
+    /// Tells whether the caller is still there.
+    pub presence: Option<CallerPresence>,
     /// The claim on the idempotency key, where the request needs one.
     pub claim: Option<OwnedClaim>,
     /// The count towards the concurrency limit of the organisation.
@@ -136,6 +139,7 @@
             job,
             arrived,
             origin,
+            presence,
             claim,
             concurrency_permit,
             quota_charge,
@@ -160,7 +164,9 @@
             arrived,
             deadline: arrived + admission.deadline,
             dispatch,
-            relay: Relay::new(reply_tx, &job).with_origin(origin),
+            relay: Relay::new(reply_tx, &job)
+                .with_origin(origin)
+                .with_presence(presence),
             job: Rc::new(job),
             schedulers: BTreeMap::new(),
             sent_to: None,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_http::ConnectionType;
+use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::Request;
 use actix_http::Response;
@@ -26,11 +27,15 @@
 use tokio_io_timeout::TimeoutStream;
 
 use self::caller_stream::CallerStream;
+use self::shared_stream::SharedStream;
 
 mod caller_stream;
+mod shared_stream;
 #[cfg(test)]
 mod tests;
 
+pub use shared_stream::CallerPresence;
+
 /// The pause after a failed `accept`, for example if no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -80,7 +85,8 @@
 
 impl HttpServer {
     /// Binds to `address` and serves each request with `handler`. `bounds` is
-    /// called for each connection.
+    /// called for each connection. Requests have a [`CallerPresence`] among their
+    /// extensions.
     pub async fn bind<B, F, Fut>(address: SocketAddr, bounds: B, handler: F) -> io::Result<Self>
     where
         B: Fn() -> HttpBounds + 'static,
@@ -139,8 +145,13 @@
         let peer = stream.peer_addr().ok();
         // Without it, answers are only delayed.
         let _ = stream.set_nodelay(true);
-        let connection =
-            serve_connection(stream, peer, bounds(), handler.clone(), Rc::clone(&state));
+        let stream = SharedStream::new(stream);
+        let (presence, handler) = (stream.presence(), handler.clone());
+        let handler = move |req: Request| {
+            req.extensions_mut().insert(presence.clone());
+            handler(req)
+        };
+        let connection = serve_connection(stream, peer, bounds(), handler, Rc::clone(&state));
         actix_rt::spawn(async move {
             let _guard = guard;
             connection.await;
--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -73,3 +73,46 @@
     }
     assert!(polls.get() <= BUSY_TASKS, "{}", polls.get());
 }
+
+/// Runs a server whose handler drops `caller` and counts the departure if it can be seen
+/// in the same turn of the event loop.
+async fn sees_departure(caller_leaves: bool) -> bool {
+    let caller: Rc<Cell<Option<std::net::TcpStream>>> = Rc::default();
+    let seen = Rc::new(Cell::new(None));
+    let (connection, result) = (Rc::clone(&caller), Rc::clone(&seen));
+    let handler = move |req: Request| {
+        let presence = req.extensions().get::<CallerPresence>().cloned();
+        let presence = presence.expect("a presence");
+        assert!(!presence.has_left());
+        let left = connection.take().filter(|_| !caller_leaves);
+        // The event loop runs nothing of this connection meanwhile.
+        let until = std::time::Instant::now() + Duration::from_secs(1);
+        while !presence.has_left() && std::time::Instant::now() < until && caller_leaves {}
+        result.set(Some(presence.has_left()));
+        drop(left);
+        async { Response::ok().map_into_boxed_body() }
+    };
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind(any_port, || BOUNDS, handler).await;
+    let address = server.expect("a listening server").address();
+    let stream = std::net::TcpStream::connect(address).expect("a connection");
+    let mut writer = stream.try_clone().expect("another handle");
+    caller.set(Some(stream));
+    std::io::Write::write_all(&mut writer, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .expect("connection is open");
+    drop(writer);
+    loop {
+        if let Some(seen) = seen.get() {
+            return seen;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+// Issue 37, GONE: a choked entry sent a request in the turn in which the end of its
+// caller's connection had arrived but was not read yet.
+#[actix_rt::test]
+async fn departure_of_a_caller_is_seen_before_it_is_read() {
+    assert!(sees_departure(true).await);
+    assert!(!sees_departure(false).await);
+}
