Forget requests for loans that are dropped, and reject invalid ones

Found on reading the change again: a caller that leaves while its entry asks for a loan left an entry in the table of pending requests if the reply was lost; a signed request for negative units would have added to what can be lent.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -345,7 +345,7 @@
         self.tickets.insert(upstream.clone(), TicketState::Closed);
         self.refusal = Some(match self.refusal {
             // Overload is more useful to the caller than the other reasons.
-            Some(old) if refusal_priority(old.code) > refusal_priority(refusal.code) => old,
+            Some(old) if old.code.priority() > refusal.code.priority() => old,
             _ => refusal,
         });
         let retry_after = refusal.retry_after;
@@ -408,7 +408,7 @@
     /// has to retry. Otherwise, as after a restart of the entry or of the
     /// agents, the request waits for upstreams.
     fn handle_no_upstreams(&mut self) -> Vec<Action> {
-        let busy = self.refusal.is_some_and(|r| refusal_priority(r.code) > 0);
+        let busy = self.refusal.is_some_and(|r| r.code.priority() > 0);
         if busy {
             return self.give_up();
         }
@@ -488,18 +488,3 @@
     let matches = choices.iter().map(|c| (c.upstream.clone(), c.same_zone));
     matches.collect()
 }
-
-/// Returns the priority of a refusal among those of one request. The highest is
-/// reported. Codes of priority zero do not show that the upstream is busy.
-fn refusal_priority(code: RefusalCode) -> u8 {
-    match code {
-        RefusalCode::Overloaded | RefusalCode::Evicted => 3,
-        RefusalCode::Late => 2,
-        RefusalCode::Expired => 1,
-        RefusalCode::Draining
-        | RefusalCode::Stale
-        | RefusalCode::Unreachable
-        | RefusalCode::Duplicate
-        | RefusalCode::NotReady => 0,
-    }
-}
--- a/src/entry/loans.rs
+++ b/src/entry/loans.rs
@@ -33,6 +33,9 @@
 use crate::settings::Settings;
 use crate::units::millis;
 
+#[cfg(test)]
+mod tests;
+
 /// The time after which a request for a loan is repeated.
 const REQUEST_RETRY: Duration = Duration::from_millis(60);
 
@@ -145,13 +148,10 @@
         let Some(lender) = peers.lender_of(organisation, self.is_leaving.get()) else {
             return self.lend(organisation, units, self.as_borrower());
         };
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
-        let (answer_tx, answer_rx) = oneshot::channel();
-        self.pending.borrow_mut().insert(number, answer_tx);
+        let (pending, answer_rx) = self.begin();
         let borrower = self.as_borrower();
         let ask = LoanMessage::Ask {
-            number,
+            number: pending.number,
             organisation: organisation.clone(),
             units,
             entry: borrower.entry.0,
@@ -161,10 +161,22 @@
             peers.send(DatagramKind::Loans, &message, &[lender]).await;
         }
         let answer = actix_rt::time::timeout(REQUEST_RETRY, answer_rx).await;
-        self.pending.borrow_mut().remove(&number);
         answer.ok()?.ok()
     }
 
+    /// Registers a request that waits for its reply until the result is dropped.
+    fn begin(&self) -> (PendingAsk<'_>, oneshot::Receiver<LoanAnswer>) {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let (answer_tx, answer_rx) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, answer_tx);
+        let pending = PendingAsk {
+            loans: self,
+            number,
+        };
+        (pending, answer_rx)
+    }
+
     /// Returns this entry as it asks for a loan, which it spends or gives up within
     /// [`REQUEST_RETRY`].
     fn as_borrower(&self) -> Borrower {
@@ -204,6 +216,12 @@
                 entry,
                 reports_from_millis,
             }) => {
+                if !units.is_finite() || units < 0.0 {
+                    warn!(self.log, "request for an invalid loan ignored";
+                        "peer" => %peer,
+                        "units" => units);
+                    return None;
+                }
                 let peers = self.peers.get().and_then(Weak::upgrade)?;
                 // Entries can disagree for a moment on who lends.
                 if peers
@@ -244,6 +262,18 @@
     }
 }
 
+/// A request for a loan, which is forgotten on drop: its caller may leave meanwhile.
+struct PendingAsk<'a> {
+    loans: &'a Loans,
+    number: u64,
+}
+
+impl Drop for PendingAsk<'_> {
+    fn drop(&mut self) {
+        self.loans.pending.borrow_mut().remove(&self.number);
+    }
+}
+
 /// Returns the quota of an organisation and the bounds that apply to it; `None` without
 /// one.
 pub fn quota_of(settings: &Settings, organisation: &Name) -> Option<(QuotaRate, QuotaBounds)> {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -30,6 +30,7 @@
 use crate::tier_load::TierLoad;
 
 mod config;
+mod draining;
 mod quotes;
 mod rate_gate;
 #[cfg(test)]
@@ -309,27 +310,6 @@
         times.chain(opens_at).min()
     }
 
-    /// Stops accepting tickets and removes the queued ones.
-    pub fn drain(&mut self) -> Vec<Notice> {
-        self.draining = true;
-        self.return_waiting()
-    }
-
-    /// Removes the queued tickets, whose requests have to be served elsewhere.
-    pub fn return_waiting(&mut self) -> Vec<Notice> {
-        let refusal = self.refusal(RefusalCode::Draining);
-        self.queue
-            .drain()
-            .into_iter()
-            .map(|t| Notice::Returned(t.request, refusal))
-            .collect()
-    }
-
-    /// Returns whether the scheduler has stopped accepting tickets.
-    pub fn is_draining(&self) -> bool {
-        self.draining
-    }
-
     /// Returns the number of waiting tickets.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -137,6 +137,21 @@
     NotReady,
 }
 
+impl RefusalCode {
+    /// Returns the priority among the refusals of one request. The highest is reported.
+    /// Codes of priority zero do not show that the upstream is busy.
+    pub fn priority(self) -> u8 {
+        match self {
+            Self::Overloaded | Self::Evicted => 3,
+            Self::Late => 2,
+            Self::Expired => 1,
+            Self::Draining | Self::Stale | Self::Unreachable | Self::Duplicate | Self::NotReady => {
+                0
+            }
+        }
+    }
+}
+
 /// A guarantee that work was not run, with the reason.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
