Handle what has arrived on a caller's connection before its end

Cause: the connection that can be peeked at read on after a read that had left room in its buffer, and so found the half-closed end of the connection in the same turn; the request was dropped instead of answered. The TCP stream of the runtime waits for an event after such a read.

Change: so does the shared one.

--- a/src/http_server/shared_stream.rs
+++ b/src/http_server/shared_stream.rs
@@ -15,6 +15,7 @@
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::Interest;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
@@ -61,9 +62,14 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            let unfilled = buf.initialize_unfilled();
+            let room = unfilled.len();
+            match self.0.try_read(unfilled) {
                 Ok(count) => {
                     buf.advance(count);
+                    if 0 < count && count < room {
+                        self.clear_readable();
+                    }
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -74,6 +80,13 @@
 }
 
 impl SharedStream {
+    /// Lets the next read wait for an event, as after each read that leaves room in its
+    /// buffer. What has arrived is handled before the end of the connection is read.
+    fn clear_readable(&self) {
+        let blocked = || Err::<(), _>(io::Error::from(ErrorKind::WouldBlock));
+        let _ = self.0.try_io(Interest::READABLE, blocked);
+    }
+
     fn poll_write_with<F>(&self, cx: &mut Context<'_>, write: F) -> Poll<io::Result<usize>>
     where
         F: Fn(&TcpStream) -> io::Result<usize>,
