--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -67,7 +67,6 @@
 use crate::entry::quarantine_record::QuarantineRecorder;
 use crate::entry::record::SpendingRecorder;
 use crate::entry::state::EntryState;
-use crate::event_loop;
 use crate::health::AdminState;
 use crate::health::HealthService;
 use crate::host_list::HttpHostList;
@@ -203,7 +202,6 @@
             let state = Rc::new(state);
             actix_rt::spawn(tick_local_schedulers(Rc::clone(&state)));
             actix_rt::spawn(purge_removed_upstreams(Rc::clone(&state)));
-            actix_rt::spawn(measure_loop_delay(Rc::clone(&state)));
             actix_rt::spawn(Rc::clone(&state.streams).run());
             actix_rt::spawn(Rc::clone(&state.upstream_limits).run());
             self.start_peers(&state).await?;
@@ -285,11 +283,6 @@
     }
 }
 
-async fn measure_loop_delay(state: Rc<EntryState>) {
-    let record = |late| state.loop_delay.borrow_mut().record(late);
-    event_loop::measure_delays(record).await;
-}
-
 async fn purge_removed_upstreams(state: Rc<EntryState>) {
     let mut changes = state.directory.subscribe();
     while changes.changed().await.is_ok() {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -146,11 +146,7 @@
         } = accepted;
         let limits = &state.active_settings.settings().limits;
         let max_tickets = match limits.policy {
-            // Tickets are most of what a request costs an entry.
-            Policy::LateBinding => {
-                let delay = *state.loop_delay.borrow();
-                delay.affordable(limits.probes as usize)
-            }
+            Policy::LateBinding => limits.probes as usize,
             Policy::RoundRobin | Policy::TwoChoices => 1,
         };
         let admission = &job.admission;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -45,7 +45,6 @@
 use crate::entry::streams::Streams;
 use crate::entry::suspects::Suspects;
 use crate::entry::upstream_limits::UpstreamLimits;
-use crate::event_loop::LoopDelay;
 use crate::held_requests::HeldRequestBounds;
 use crate::held_requests::HeldRequests;
 use crate::held_requests::HoldResult;
@@ -103,8 +102,6 @@
     pub claims: Option<Rc<ClaimStore>>,
     /// The metrics.
     pub metrics: EntryMetrics,
-    /// By how much the event loop of this entry is late.
-    pub loop_delay: RefCell<LoopDelay>,
     /// The log.
     pub log: Logger,
     /// Hosts that are about to be removed.
@@ -180,7 +177,6 @@
             quota,
             loans: Rc::new(loans),
             metrics: EntryMetrics::new(),
-            loop_delay: RefCell::default(),
             log,
             clock,
             keys: RefCell::new((Revision::default(), keys)),
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -16,12 +16,9 @@
 use crate::clock::Timestamp;
 use crate::units::millis;
 
-mod delay;
 #[cfg(test)]
 mod tests;
 
-pub use delay::LoopDelay;
-
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -70,25 +67,13 @@
 
 /// Logs each stall after its end. Never returns.
 pub async fn log_stalls(log: Logger) {
-    measure_delays(|late| {
-        if late >= MIN_STALL {
-            warn!(log, "event loop was stalled"; "milliseconds" => millis(late));
-        }
-    })
-    .await;
-}
-
-/// Passes to `record`, at short intervals, by how much the event loop is late. Never
-/// returns.
-pub async fn measure_delays<F>(mut record: F)
-where
-    F: FnMut(Duration),
-{
     let clock = Clock::new();
     loop {
         let due = clock.now() + CHECK_INTERVAL;
         actix_rt::time::sleep(CHECK_INTERVAL).await;
-        record(clock.now().since(due));
+        if let Some(stall) = stall_at(due, clock.now()) {
+            warn!(log, "event loop was stalled"; "milliseconds" => millis(stall));
+        }
     }
 }
 
--- a/src/event_loop/tests.rs
+++ b/src/event_loop/tests.rs
@@ -41,32 +41,3 @@
     };
     assert_eq!(timeout(Duration::from_secs(1), operation).await, Ok(()));
 }
-
-// Issue 39: an entry short of processor time offered six tickets for each request, which
-// made it later still, and its callers came back.
-#[test]
-fn optional_work_shrinks_while_the_loop_is_late_and_grows_again() {
-    let mut delay = LoopDelay::new();
-    let mut record = |millis, count| {
-        for _ in 0..count {
-            delay.record(Duration::from_millis(millis));
-        }
-        delay.affordable(6)
-    };
-    assert_eq!(record(1, 20), 6);
-    assert_eq!(record(12, 20), 3);
-    assert_eq!(record(80, 20), 2);
-    assert_eq!(record(1, 40), 6);
-    assert_eq!(LoopDelay::new().affordable(0), 1);
-}
-
-#[test]
-fn single_stall_does_not_choke_an_idle_process() {
-    let mut delay = LoopDelay::new();
-    delay.record(Duration::from_millis(60));
-    assert_eq!(delay.affordable(6), 3);
-    for _ in 0..10 {
-        delay.record(Duration::from_millis(1));
-    }
-    assert_eq!(delay.affordable(6), 6);
-}
