Touch only as much of a caller's read buffer as has arrived

Cause: the connection that can be peeked at zeroed the whole read buffer, 32 KB, before each read, and so took it whole; the TCP stream of the runtime leaves it untouched.

Change: it reads into the buffer without that.

Result: a test reads five bytes and finds five touched; it would have found 1,024.

--- a/src/http_server/shared_stream.rs
+++ b/src/http_server/shared_stream.rs
@@ -62,11 +62,10 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            let unfilled = buf.initialize_unfilled();
-            let room = unfilled.len();
-            match self.0.try_read(unfilled) {
+            let room = buf.remaining();
+            // Touches only what is read: a buffer is large, and most callers send little.
+            match self.0.try_read_buf(buf) {
                 Ok(count) => {
-                    buf.advance(count);
                     if 0 < count && count < room {
                         self.clear_readable();
                     }
--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -116,3 +116,25 @@
     assert!(sees_departure(true).await);
     assert!(!sees_departure(false).await);
 }
+
+// Each connection of a caller took the whole of its read buffer, so that entries with
+// little memory were killed.
+#[actix_rt::test]
+async fn read_touches_only_as_much_of_its_buffer_as_has_arrived() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let mut stream = SharedStream::new(stream);
+    caller
+        .write_all(b"hello")
+        .await
+        .expect("connection is open");
+    let mut bytes = [std::mem::MaybeUninit::uninit(); 1_024];
+    let mut buf = tokio::io::ReadBuf::uninit(&mut bytes);
+    poll_fn(|cx| Pin::new(&mut stream).poll_read(cx, &mut buf))
+        .await
+        .expect("bytes");
+    assert_eq!(buf.filled(), b"hello");
+    assert_eq!(buf.initialized().len(), 5);
+}
