--- a/src/active_settings.rs
+++ b/src/active_settings.rs
@@ -1,11 +1,13 @@
 //! The settings that this process currently applies.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -16,6 +18,7 @@
 use tokio::sync::Mutex;
 use tokio::sync::watch;
 
+use crate::name::Name;
 use crate::pieces::PiecesDone;
 use crate::pieces::run_in_pieces;
 use crate::settings::BuiltSettings;
@@ -98,10 +101,37 @@
     pub pieces: PiecesDone,
 }
 
+/// Where a process received settings from.
+#[derive(Clone, Copy, Debug)]
+pub enum SettingsOrigin<'a> {
+    /// The store, or a platform.
+    Store,
+    /// The agent of this upstream.
+    Agent(&'a Name),
+    /// An entry.
+    Entry,
+}
+
+impl fmt::Display for SettingsOrigin<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Agent(upstream) => write!(f, "agent of {upstream}"),
+            Self::Entry => f.write_str("entry"),
+        }
+    }
+}
+
 /// Logs that settings were adopted, and what it took.
-pub fn log_adoption(log: &Logger, revision: Revision, adoption: &Adoption) {
+pub fn log_adoption(
+    log: &Logger,
+    revision: Revision,
+    adoption: &Adoption,
+    origin: SettingsOrigin<'_>,
+) {
     info!(log, "settings adopted";
         "revision" => revision.0,
+        "origin" => %origin,
         "decoded_files" => adoption.decoded_files,
         "pieces" => adoption.pieces.count,
         "work_ms" => millis(adoption.pieces.work),
@@ -118,6 +148,9 @@
     /// Held while settings are adopted, so that adoptions follow one another.
     adoptions: Mutex<()>,
     revisions: watch::Sender<Revision>,
+    /// When the store last confirmed that its revision is active, or when an adoption from
+    /// it ended; `None` before the first time.
+    confirmed_at: Cell<Option<Instant>>,
 }
 
 impl ActiveSettings {
@@ -129,6 +162,7 @@
             encoded_updates: RefCell::default(),
             adoptions: Mutex::default(),
             revisions: watch::Sender::new(Revision::default()),
+            confirmed_at: Cell::default(),
         }
     }
 
@@ -153,6 +187,17 @@
         self.active.borrow().0
     }
 
+    /// Records that the store has no newer settings than the active ones.
+    pub fn confirm(&self) {
+        self.confirmed_at.set(Some(Instant::now()));
+    }
+
+    /// Returns the time since the store last confirmed the active settings; `None` before
+    /// the first time.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.get().map(|at| at.elapsed())
+    }
+
     /// Returns whether settings have been adopted.
     pub fn is_ready(&self) -> bool {
         self.revision() > Revision::default()
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -9,7 +9,9 @@
 
 use crate::active_settings::AdoptError;
 use crate::active_settings::Revision;
+use crate::active_settings::SettingsOrigin;
 use crate::active_settings::SettingsUpdate;
+use crate::active_settings::log_adoption;
 use crate::agent::state::AgentState;
 use crate::agent::state::SessionId;
 use crate::almondramp_capnp as schema;
@@ -222,7 +224,11 @@
         match active_settings.apply_update(&update).await {
             // The peer sees from the returned revision that the update did not
             // apply here, and sends a full one.
-            Ok(_) | Err(AdoptError::BaseNotActive(_) | AdoptError::BaseDiffers(_)) => {}
+            Ok(None) | Err(AdoptError::BaseNotActive(_) | AdoptError::BaseDiffers(_)) => {}
+            Ok(Some(adoption)) => {
+                let origin = SettingsOrigin::Entry;
+                log_adoption(&self.state.log, update.revision, &adoption, origin);
+            }
             Err(AdoptError::Invalid(e)) => return Err(Error::failed(e.to_string())),
         }
         results.get().set_revision(active_settings.revision().0);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -20,6 +20,7 @@
 
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
+use crate::active_settings::SettingsOrigin;
 use crate::active_settings::log_adoption;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -296,8 +297,13 @@
             match self.platform.configuration().await {
                 Ok(configuration) => {
                     backoff.record_success();
-                    if let Answer::State(configuration) = configuration {
-                        self.adopt_configuration(configuration).await;
+                    match configuration {
+                        Answer::State(configuration) => {
+                            self.adopt_configuration(configuration).await;
+                            self.state.active_settings.confirm();
+                        }
+                        Answer::Unchanged => self.state.active_settings.confirm(),
+                        Answer::Unknown => {}
                     }
                 }
                 Err(e) => backoff.wait_after_failure(&e).await,
@@ -312,7 +318,9 @@
             .adopt(revision, configuration.document)
             .await
         {
-            Ok(Some(adoption)) => log_adoption(&self.log, revision, &adoption),
+            Ok(Some(adoption)) => {
+                log_adoption(&self.log, revision, &adoption, SettingsOrigin::Store);
+            }
             Ok(None) => {}
             Err(e) => warn!(self.log, "settings rejected as invalid";
                 "revision" => revision.0,
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -114,6 +114,7 @@
                 "code" => e.error.code(),
                 "retry_after_ms" => e.error.retry_after().map(millis),
                 "revision" => state.active_settings.revision().0,
+                "settings_ms" => state.active_settings.age().map(millis),
                 "outcome" => e.error.outcome().name());
             record_refusal(&state, &e);
             let mut response = state.dialect.error_response(&e.error, id);
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -25,7 +25,9 @@
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::AdoptError;
 use crate::active_settings::Revision;
+use crate::active_settings::SettingsOrigin;
 use crate::active_settings::SettingsUpdate;
+use crate::active_settings::log_adoption;
 use crate::agent_client::AgentConnection;
 use crate::agent_client::connect;
 use crate::almondramp_capnp::desk;
@@ -43,6 +45,7 @@
 use crate::settings::Upstream;
 use crate::site_key::SiteKey;
 use crate::subset;
+use crate::units::millis;
 
 /// The shortest delay between two connection attempts.
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
@@ -271,7 +274,7 @@
             revision,
         } = authenticated;
         info!(self.log, "connected to agent"; "upstream" => %upstream, "incarnation" => %incarnation);
-        if let Err(e) = self.exchange_settings(&scheduler, revision).await {
+        if let Err(e) = self.exchange_settings(upstream, &scheduler, revision).await {
             warn!(self.log, "could not exchange settings with agent"; "upstream" => %upstream, "error" => %e);
         }
         self.last_id.set(self.last_id.get() + 1);
@@ -283,7 +286,7 @@
         self.connected
             .borrow_mut()
             .insert(upstream.clone(), link.clone());
-        if let Err(e) = self.run_heartbeats(&link).await {
+        if let Err(e) = self.run_heartbeats(upstream, &link).await {
             debug!(self.log, "connection to agent lost"; "upstream" => %upstream, "error" => %e);
         }
     }
@@ -292,7 +295,7 @@
     /// poll: the agent answers when its settings revision changes, so that new
     /// settings spread immediately, or after the hold time. An idle connection
     /// has a long hold, which ends early when the connection is used.
-    async fn run_heartbeats(&self, link: &Link) -> Result<(), capnp::Error> {
+    async fn run_heartbeats(&self, upstream: &Name, link: &Link) -> Result<(), capnp::Error> {
         let mut revisions = self.active_settings.subscribe();
         loop {
             let hold = match link.usage.is_recent() {
@@ -309,7 +312,8 @@
                     heartbeat(&link.scheduler, self.active_settings.revision(), Duration::ZERO).await?
                 }
             };
-            self.exchange_settings(&link.scheduler, theirs).await?;
+            self.exchange_settings(upstream, &link.scheduler, theirs)
+                .await?;
         }
     }
 
@@ -317,6 +321,7 @@
     /// `theirs` is the agent's revision.
     async fn exchange_settings(
         &self,
+        upstream: &Name,
         scheduler: &desk::Client,
         theirs: Revision,
     ) -> Result<(), capnp::Error> {
@@ -326,9 +331,10 @@
             // did not apply. A full update applies to any revision.
             self.send_settings(scheduler, Revision::default()).await?;
         }
-        if theirs > ours && !self.fetch_settings(scheduler, ours).await? {
+        if theirs > ours && !self.fetch_settings(upstream, scheduler, ours).await? {
             // A full update applies to any files.
-            self.fetch_settings(scheduler, Revision::default()).await?;
+            self.fetch_settings(upstream, scheduler, Revision::default())
+                .await?;
         }
         Ok(())
     }
@@ -337,18 +343,33 @@
     /// whether they apply to the files of this entry.
     async fn fetch_settings(
         &self,
+        upstream: &Name,
         scheduler: &desk::Client,
         ours: Revision,
     ) -> Result<bool, capnp::Error> {
         let mut req = scheduler.settings_request();
         req.get().set_have(ours.0);
+        let started = Instant::now();
         let reply = req.send().promise.await?;
-        let update = serde_json::from_slice::<SettingsUpdate>(reply.get()?.get_handover()?);
+        let encoded = reply.get()?.get_handover()?;
+        info!(self.log, "settings received from agent";
+            "upstream" => %upstream,
+            "base" => ours.0,
+            "bytes" => encoded.len(),
+            "milliseconds" => millis(started.elapsed()));
+        let update = serde_json::from_slice::<SettingsUpdate>(encoded);
         let update = update.map_err(|e| capnp::Error::failed(e.to_string()))?;
         match self.active_settings.apply_update(&update).await {
-            // `BaseNotActive`: this entry's revision has changed in the meantime. The
-            // exchange is repeated at the next heartbeat.
-            Ok(_) | Err(AdoptError::BaseNotActive(_)) => Ok(true),
+            Ok(adoption) => {
+                if let Some(adoption) = adoption {
+                    let origin = SettingsOrigin::Agent(upstream);
+                    log_adoption(&self.log, update.revision, &adoption, origin);
+                }
+                Ok(true)
+            }
+            // This entry's revision has changed in the meantime. The exchange is repeated at
+            // the next heartbeat.
+            Err(AdoptError::BaseNotActive(_)) => Ok(true),
             Err(AdoptError::BaseDiffers(_)) => Ok(false),
             Err(AdoptError::Invalid(e)) => Err(capnp::Error::failed(e.to_string())),
         }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -76,6 +76,7 @@
     links: Gauge,
     revision: Gauge,
     directory_age: Gauge<f64, AtomicU64>,
+    settings_age: Gauge<f64, AtomicU64>,
     kept_upstreams: Gauge,
     suspected_parts: Gauge,
     quarantined_parts: Gauge,
@@ -101,6 +102,7 @@
             links: Gauge::default(),
             revision: Gauge::default(),
             directory_age: Gauge::default(),
+            settings_age: Gauge::default(),
             kept_upstreams: Gauge::default(),
             suspected_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
@@ -159,6 +161,11 @@
             "Time since the platform last confirmed the upstreams; 0 without a platform",
             this.directory_age.clone(),
         );
+        r.register(
+            "settings_age_seconds",
+            "Time since the store last confirmed the settings; 0 without a store",
+            this.settings_age.clone(),
+        );
         r.register(
             "kept_upstreams",
             "Upstreams that are kept without a registration",
@@ -289,6 +296,11 @@
         self.kept_upstreams.set(kept as i64);
     }
 
+    /// Sets the gauge of the time since the store last confirmed the settings.
+    pub fn record_settings_age(&self, age: Option<Duration>) {
+        self.settings_age.set(age.unwrap_or_default().as_secs_f64());
+    }
+
     /// Sets the gauges of the requests and parts of prompts that crash upstreams.
     pub fn record_suspects(&self, suspects: usize, convicted: usize) {
         self.suspected_parts.set(suspects as i64);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -489,6 +489,7 @@
             .record_state(held, self.links.count(), revision);
         self.metrics
             .record_directory(self.directory.age(), self.directory.kept());
+        self.metrics.record_settings_age(self.active_settings.age());
         let (suspects, convicted) = self.suspects.counts();
         self.metrics.record_suspects(suspects, convicted);
         self.metrics
--- a/src/settings_service.rs
+++ b/src/settings_service.rs
@@ -13,6 +13,7 @@
 
 use crate::active_settings::ActiveSettings;
 use crate::active_settings::Revision;
+use crate::active_settings::SettingsOrigin;
 use crate::active_settings::log_adoption;
 use crate::config::SettingsSource;
 use crate::directory::Directory;
@@ -173,6 +174,7 @@
                         adopt(&object, &self.active_settings, &self.log).await;
                         known = Some(object.version);
                     }
+                    self.active_settings.confirm();
                 }
                 Err(e) => {
                     if reachable {
@@ -215,7 +217,7 @@
     };
     let revision = stored.revision;
     match active_settings.adopt(revision, stored.document).await {
-        Ok(Some(adoption)) => log_adoption(log, revision, &adoption),
+        Ok(Some(adoption)) => log_adoption(log, revision, &adoption, SettingsOrigin::Store),
         Ok(None) => {}
         Err(e) => error!(log, "stored settings are not valid and were not adopted"; "error" => %e),
     }
