--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -1,15 +1,18 @@
 //! A TCP relay to one process that can close, refuse, freeze, silence or delay
-//! connections.
+//! connections, or pass their bytes through one slow link.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -17,6 +20,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -36,6 +41,32 @@
     delay: Duration,
     /// New connections are closed immediately.
     refusing: bool,
+    /// The rate at which all connections together pass bytes from the process to its
+    /// callers; `None` for no limit.
+    bytes_per_second: Option<u64>,
+}
+
+/// The link that all connections share: it passes one chunk after the other, also those of
+/// connections that were closed after the chunk had been sent.
+#[derive(Debug)]
+struct Link {
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    fn new() -> Self {
+        Self {
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Returns when `count` bytes that are sent now have passed.
+    fn passed_at(&self, count: usize, bytes_per_second: u64) -> Instant {
+        let mut free_at = self.free_at.lock().expect("no holder has panicked");
+        let time = Duration::from_secs_f64(count as f64 / bytes_per_second as f64);
+        *free_at = (*free_at).max(Instant::now()) + time;
+        *free_at
+    }
 }
 
 /// Forwards connections to one address.
@@ -121,6 +152,13 @@
         self.state.send_modify(|s| s.delay = delay);
     }
 
+    /// Limits the rate at which all connections together pass bytes from the process to
+    /// its callers.
+    pub fn set_bytes_per_second(&self, bytes_per_second: u64) {
+        self.state
+            .send_modify(|s| s.bytes_per_second = Some(bytes_per_second));
+    }
+
     /// Sets whether forwarding is suspended.
     pub fn set_frozen(&self, frozen: bool) {
         self.state.send_modify(|s| s.frozen = frozen);
@@ -144,15 +182,17 @@
     state: watch::Receiver<State>,
     forwarded: Arc<AtomicU64>,
 ) {
+    let link = Rc::new(Link::new());
     while let Ok((caller, _)) = listener.accept().await {
         if state.borrow().refusing {
             continue;
         }
         let state = state.clone();
+        let link = Rc::clone(&link);
         let forwarded = Arc::clone(&forwarded);
         actix_rt::spawn(async move {
             if let Ok(process) = TcpStream::connect(target).await {
-                forward(caller, process, state, &forwarded).await;
+                forward(caller, process, state, &forwarded, &link).await;
             }
         });
     }
@@ -163,14 +203,21 @@
     process: TcpStream,
     mut state: watch::Receiver<State>,
     forwarded: &AtomicU64,
+    link: &Link,
 ) {
     let _ = caller.set_nodelay(true);
     let _ = process.set_nodelay(true);
     let generation = state.borrow().generation;
     let (caller_read, caller_write) = caller.into_split();
     let (process_read, process_write) = process.into_split();
-    let to_process = copy(caller_read, process_write, state.clone(), forwarded);
-    let to_caller = copy(process_read, caller_write, state.clone(), forwarded);
+    let to_process = copy(caller_read, process_write, state.clone(), forwarded, None);
+    let to_caller = copy(
+        process_read,
+        caller_write,
+        state.clone(),
+        forwarded,
+        Some(link),
+    );
     tokio::select! {
         () = to_process => {}
         () = to_caller => {}
@@ -178,31 +225,71 @@
     }
 }
 
+/// A chunk on its way over the link, and when it has passed.
+type Passing = (Vec<u8>, Option<Instant>);
+
+/// Number of chunks of one connection that can be on the link at once.
+const CHUNKS_ON_LINK: usize = 64;
+
 async fn copy(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    state: watch::Receiver<State>,
+    forwarded: &AtomicU64,
+    link: Option<&Link>,
+) {
+    let (tx, rx) = tokio::sync::mpsc::channel(CHUNKS_ON_LINK);
+    tokio::join!(
+        send_chunks(from, tx, state.clone(), forwarded, link),
+        deliver_chunks(to, rx),
+    );
+}
+
+async fn send_chunks(
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    tx: Sender<Passing>,
     mut state: watch::Receiver<State>,
     forwarded: &AtomicU64,
+    link: Option<&Link>,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
     let epoch = state.borrow().silent_epoch;
     loop {
-        let Ok(count @ 1..) = from.read(&mut buf).await else {
+        let read = tokio::select! {
+            read = from.read(&mut buf) => read,
+            () = tx.closed() => return,
+        };
+        let Ok(count @ 1..) = read else {
             return;
         };
         if state.wait_for(|s| !s.frozen).await.is_err() {
             return;
         }
-        let is_silent = state.borrow().cut || state.borrow().silent_epoch != epoch;
-        if is_silent {
+        let current = *state.borrow();
+        if current.cut || current.silent_epoch != epoch {
             continue;
         }
-        let delay = state.borrow().delay;
-        if !delay.is_zero() {
-            tokio::time::sleep(delay).await;
+        if !current.delay.is_zero() {
+            tokio::time::sleep(current.delay).await;
         }
         forwarded.fetch_add(count as u64, Ordering::Relaxed);
-        if to.write_all(&buf[..count]).await.is_err() {
+        let Ok(permit) = tx.reserve().await else {
+            return;
+        };
+        let passed_at = match (link, current.bytes_per_second) {
+            (Some(link), Some(rate)) => Some(link.passed_at(count, rate)),
+            _ => None,
+        };
+        permit.send((buf[..count].to_vec(), passed_at));
+    }
+}
+
+async fn deliver_chunks(mut to: OwnedWriteHalf, mut rx: Receiver<Passing>) {
+    while let Some((chunk, passed_at)) = rx.recv().await {
+        if let Some(passed_at) = passed_at {
+            tokio::time::sleep_until(passed_at.into()).await;
+        }
+        if to.write_all(&chunk).await.is_err() {
             return;
         }
     }
