Count the timeout of a call to the store from the last bytes received

Cause: the timeout of a call, 500 or 600 ms, covered the transfer of its reply. Behind 10 Mbit/s a configuration of 900 KB takes longer. The call failed, began again at its first byte, and so on without end; each failure also gave up all other connections to the store, among them the watch of the upstreams, while the rest of the reply filled the link.

Now the timeout counts from the last bytes of the reply. A call without any waits up to two timeouts longer while a large reply of another call is received, and such a call that fails does not end the others. reply_timeout has the decision; 20 s bound a transfer.

--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -54,14 +54,18 @@
         output = &mut operation => return Ok(output),
         () = actix_rt::time::sleep_until(clock.instant(due).into()) => {}
     }
-    let left = match stall_at(due, clock.now()) {
-        Some(_) => AFTER_STALL,
-        None => SETTLE_TIME,
-    };
     tokio::select! {
         biased;
         output = &mut operation => Ok(output),
-        () = actix_rt::time::sleep(left) => Err(Elapsed),
+        () = actix_rt::time::sleep(grace(due, clock.now())) => Err(Elapsed),
+    }
+}
+
+/// Returns how long an operation whose limit elapsed at `due` may read what has arrived.
+pub(crate) fn grace(due: Timestamp, now: Timestamp) -> Duration {
+    match stall_at(due, now) {
+        Some(_) => AFTER_STALL,
+        None => SETTLE_TIME,
     }
 }
 
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -5,8 +5,14 @@
 use awc::Client;
 use awc::Connector;
 use awc::error::ConnectError;
+use awc::error::PayloadError;
 use awc::error::SendRequestError;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::Stream;
+use futures::StreamExt;
 
+use crate::reply_timeout::Transfer;
 use crate::strict_connector::StrictConnector;
 
 /// The usual maximum time to open a connection.
@@ -43,3 +49,29 @@
         _ => false,
     }
 }
+
+/// Reads the body of a reply and records its bytes in `transfer` as they arrive.
+///
+/// # Errors
+///
+/// Fails if the body is not complete, or longer than `max_bytes`.
+pub async fn read_body<S>(
+    body: &mut S,
+    transfer: &Transfer<'_>,
+    max_bytes: usize,
+) -> Result<Bytes, PayloadError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    transfer.record(0);
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = body.next().await {
+        let chunk = chunk?;
+        transfer.record(chunk.len());
+        if transfer.received() > max_bytes {
+            return Err(PayloadError::Overflow);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -105,6 +105,7 @@
 pub mod quota;
 pub mod rate_limits;
 pub mod registrations;
+pub mod reply_timeout;
 pub mod retry_budget;
 pub mod rollout;
 pub mod routing;
