Count the timeouts of the stored settings and the host list from the last bytes

A value of two megabytes takes longer below 5.6 Mbit/s, and was then never read.

Both use reply_timeout. A test whose value takes 4 s to transfer is read now; on the code before the call ends after 3 s by its timeout.

--- a/src/host_list/mod.rs
+++ b/src/host_list/mod.rs
@@ -11,7 +11,10 @@
 use thiserror::Error;
 
 use crate::http_client::new_client;
+use crate::http_client::read_body;
 use crate::name::Name;
+use crate::reply_timeout::Transfer;
+use crate::reply_timeout::Transfers;
 
 /// The time within which the platform has to answer.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -68,6 +71,8 @@
 pub struct HttpHostList {
     url: Name,
     client: Client,
+    /// The reply that is being received.
+    transfers: Transfers,
 }
 
 impl HttpHostList {
@@ -77,16 +82,17 @@
         Self {
             url: Name::new(&format!("{}/hosts", base.trim_end_matches('/'))),
             client: new_client(),
+            transfers: Transfers::new(),
         }
     }
 
-    async fn read(&self) -> Result<Vec<Host>, HostListError> {
+    async fn read(&self, transfer: &Transfer<'_>) -> Result<Vec<Host>, HostListError> {
         let result = self.client.get(self.url.as_str()).send().await;
         let mut res = result.map_err(|_| HostListError::Unreachable)?;
         if !res.status().is_success() {
             return Err(HostListError::Unreachable);
         }
-        let body = res.body().limit(MAX_LIST_BYTES).await;
+        let body = read_body(&mut res, transfer, MAX_LIST_BYTES).await;
         let body = body.map_err(|_| HostListError::Unreachable)?;
         serde_json::from_slice(&body).map_err(|_| HostListError::Malformed)
     }
@@ -94,9 +100,11 @@
 
 impl HostList for HttpHostList {
     fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Host>, HostListError>> {
-        let timed = actix_rt::time::timeout(REPLY_TIMEOUT, self.read());
-        timed
-            .map(|r| r.unwrap_or(Err(HostListError::Unreachable)))
-            .boxed_local()
+        async move {
+            let transfer = self.transfers.start(Duration::ZERO, REPLY_TIMEOUT);
+            let read = transfer.run(self.read(&transfer)).await;
+            read.unwrap_or(Err(HostListError::Unreachable))
+        }
+        .boxed_local()
     }
 }
--- a/src/object_store/http.rs
+++ b/src/object_store/http.rs
@@ -16,8 +16,8 @@
 use futures::future::LocalBoxFuture;
 use tokio::sync::watch;
 
-use crate::event_loop;
 use crate::http_client::new_client;
+use crate::http_client::read_body;
 use crate::http_client::was_not_sent;
 use crate::name::Name;
 use crate::object_store::Expected;
@@ -28,14 +28,18 @@
 use crate::object_store::Timeline;
 use crate::object_store::TimelineReceiver;
 use crate::object_store::Version;
+use crate::reply_timeout::Transfers;
 
-/// Timeout of a reply, in addition to the time that a watch waits.
+/// Timeout of a reply, in addition to the time that a watch waits. It counts from the last
+/// bytes received.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Client of the object API at one address. The API names no timeline.
 pub struct HttpObjectStore {
     base: Name,
     client: Client,
+    /// The replies that are being received.
+    transfers: Transfers,
     timeline: watch::Sender<Option<Timeline>>,
 }
 
@@ -51,6 +55,7 @@
         Self {
             base: Name::new(base.trim_end_matches('/')),
             client: new_client(),
+            transfers: Transfers::new(),
             timeline: watch::Sender::default(),
         }
     }
@@ -59,7 +64,13 @@
         format!("{}/objects/{name}", self.base)
     }
 
-    async fn send(req: ClientRequest, body: Bytes, wait: Duration) -> Result<Reply, StoreError> {
+    async fn send(
+        &self,
+        req: ClientRequest,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<Reply, StoreError> {
+        let transfer = self.transfers.start(wait, REPLY_TIMEOUT);
         let replied = async {
             let mut res = req.send_body(body).await.map_err(|e| match e {
                 e if was_not_sent(&e) => StoreError::Unreachable,
@@ -67,7 +78,7 @@
             })?;
             let etag = res.headers().get(header::ETAG);
             let version = etag.and_then(|v| v.to_str().ok()).map(Version::new);
-            let body = res.body().limit(2 * MAX_OBJECT_BYTES);
+            let body = read_body(&mut res, &transfer, 2 * MAX_OBJECT_BYTES);
             let value = body.await.map_err(|_| StoreError::OutcomeUnknown)?;
             Ok(Reply {
                 status: res.status(),
@@ -75,13 +86,12 @@
                 value,
             })
         };
-        let within = wait + REPLY_TIMEOUT;
-        let timed = event_loop::timeout(within, replied).await;
+        let timed = transfer.run(replied).await;
         timed.unwrap_or(Err(StoreError::OutcomeUnknown))
     }
 
     async fn read(&self, req: ClientRequest, wait: Duration) -> Result<Option<Object>, StoreError> {
-        let reply = Self::send(req, Bytes::new(), wait).await?;
+        let reply = self.send(req, Bytes::new(), wait).await?;
         match reply.status {
             StatusCode::OK => {
                 let version = reply.version.ok_or(StoreError::OutcomeUnknown)?;
@@ -115,7 +125,7 @@
             if value.len() > MAX_OBJECT_BYTES {
                 return Err(StoreError::TooLarge);
             }
-            let reply = Self::send(req, value, Duration::ZERO).await?;
+            let reply = self.send(req, value, Duration::ZERO).await?;
             match reply.status {
                 StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => {
                     reply.version.ok_or(StoreError::OutcomeUnknown)
--- a/src/object_store/tests.rs
+++ b/src/object_store/tests.rs
@@ -8,6 +8,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use super::*;
 
@@ -157,3 +159,25 @@
     let written = store.put(Name::new("x"), value, Expected::Absent).await;
     assert_eq!(written, Err(StoreError::TooLarge));
 }
+
+// Issue 50, CONFIG: the timeout of a call covered the transfer of its reply, so a large value
+// was never read over a slow link.
+#[actix_rt::test]
+async fn value_that_takes_longer_than_the_timeout_to_transfer_is_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let serve = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let head = "HTTP/1.1 200 OK\r\netag: \"1\"\r\ncontent-length: 5\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("a reader");
+        for byte in b"value" {
+            actix_rt::time::sleep(Duration::from_millis(800)).await;
+            stream.write_all(&[*byte]).await.expect("a reader");
+        }
+        stream
+    };
+    let store = HttpObjectStore::new(&format!("http://{address}"));
+    let (read, _stream) = futures::join!(store.get(Name::new("a")), serve);
+    let object = read.expect("a reply").expect("an object");
+    assert_eq!(object.value, Bytes::from_static(b"value"));
+}
