Transfer settings over one connection at a time

Cause: all agents of an entry have new settings within moments, and it fetched them over each connection at once.

Transfers take turns, and a fetch that is no longer needed is left out. A store that has lately answered gets a second to deliver them first. Sends take turns too. A link no longer waits for a fetch before it is used.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -35,6 +35,7 @@
 use crate::config::EntryConfig;
 use crate::directory::Directory;
 use crate::dispatch::Event;
+use crate::entry::transfer_turns::TransferTurns;
 use crate::event_loop;
 use crate::handshake::AuthenticatedAgent;
 use crate::handshake::authenticate;
@@ -71,6 +72,14 @@
 /// for the handshake. When it has passed, the connection is closed.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The longest age of the settings at which the store counts as reachable. It exceeds the
+/// time between two answers of the store.
+const STORE_ANSWER_AGE: Duration = Duration::from_secs(4);
+
+/// The time that a reachable store gets to deliver new settings before they are fetched
+/// from an agent, so that a slow link doesn't carry them twice.
+const STORE_DELIVERY_TIME: Duration = Duration::from_secs(1);
+
 /// An established connection to an agent.
 #[derive(Clone)]
 pub struct Link {
@@ -124,6 +133,9 @@
     connected: RefCell<BTreeMap<Name, Link>>,
     /// The upstreams whose agents this entry connects to.
     selected: RefCell<BTreeSet<Name>>,
+    /// The turns of the connections over which settings are fetched, and sent.
+    fetch_turns: TransferTurns,
+    send_turns: TransferTurns,
     /// The event channels of requests to notify when a connection is lost.
     listeners: RefCell<HashMap<Name, HashMap<RequestId, UnboundedSender<Event>>>>,
 }
@@ -146,6 +158,8 @@
             last_id: Cell::new(0),
             connected: RefCell::default(),
             selected: RefCell::default(),
+            fetch_turns: TransferTurns::new(),
+            send_turns: TransferTurns::new(),
             listeners: RefCell::default(),
         }
     }
@@ -274,7 +288,11 @@
             revision,
         } = authenticated;
         info!(self.log, "connected to agent"; "upstream" => %upstream, "incarnation" => %incarnation);
-        if let Err(e) = self.exchange_settings(upstream, &scheduler, revision).await {
+        // An agent needs settings before it gets tickets. Newer ones of the agent are fetched
+        // after its first heartbeat.
+        if revision < self.active_settings.revision()
+            && let Err(e) = self.exchange_settings(upstream, &scheduler, revision).await
+        {
             warn!(self.log, "could not exchange settings with agent"; "upstream" => %upstream, "error" => %e);
         }
         self.last_id.set(self.last_id.get() + 1);
@@ -317,8 +335,8 @@
         }
     }
 
-    /// Transfers the newer settings to the side that has the older ones.
-    /// `theirs` is the agent's revision.
+    /// Transfers the newer settings to the side that has the older ones. `theirs` is the
+    /// agent's revision.
     async fn exchange_settings(
         &self,
         upstream: &Name,
@@ -326,12 +344,54 @@
         theirs: Revision,
     ) -> Result<(), capnp::Error> {
         let ours = self.active_settings.revision();
+        if theirs < ours {
+            let sent = self.send_turns.run(|| true, self.send_newer(scheduler));
+            return sent.await.unwrap_or(Ok(()));
+        }
+        if theirs > ours {
+            self.wait_for_store(theirs).await;
+            let is_needed = || self.active_settings.revision() < theirs;
+            let fetch = self.fetch_newer(upstream, scheduler);
+            let fetched = self.fetch_turns.run(is_needed, fetch);
+            return fetched.await.unwrap_or(Ok(()));
+        }
+        Ok(())
+    }
+
+    /// Waits some time for the store to deliver settings of this revision, if it has lately
+    /// answered.
+    async fn wait_for_store(&self, revision: Revision) {
+        let age = self.active_settings.age();
+        if age.is_none_or(|age| age > STORE_ANSWER_AGE) {
+            return;
+        }
+        let mut revisions = self.active_settings.subscribe();
+        let delivered = revisions.wait_for(|ours| *ours >= revision);
+        // Otherwise they are fetched from the agent.
+        let _ = actix_rt::time::timeout(STORE_DELIVERY_TIME, delivered).await;
+    }
+
+    /// Sends the active settings to an agent that still has older ones. Others may have
+    /// updated it while this connection waited for its turn.
+    async fn send_newer(&self, scheduler: &desk::Client) -> Result<(), capnp::Error> {
+        let ours = self.active_settings.revision();
+        let theirs = heartbeat(scheduler, ours, Duration::ZERO).await?;
         if theirs < ours && self.send_settings(scheduler, theirs).await? < ours {
             // The agent's revision has changed in the meantime, so the update
             // did not apply. A full update applies to any revision.
             self.send_settings(scheduler, Revision::default()).await?;
         }
-        if theirs > ours && !self.fetch_settings(upstream, scheduler, ours).await? {
+        Ok(())
+    }
+
+    /// Fetches newer settings from an agent.
+    async fn fetch_newer(
+        &self,
+        upstream: &Name,
+        scheduler: &desk::Client,
+    ) -> Result<(), capnp::Error> {
+        let ours = self.active_settings.revision();
+        if !self.fetch_settings(upstream, scheduler, ours).await? {
             // A full update applies to any files.
             self.fetch_settings(upstream, scheduler, Revision::default())
                 .await?;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -39,6 +39,7 @@
 mod streams;
 mod suspects;
 mod timers;
+mod transfer_turns;
 mod upstream_limits;
 mod waiter;
 mod zone_balance;
