Repeat a late read of the store beside the first instead of after it

The entry learnt nothing any more: no configuration, and no upstream that left. Two tasks with late calls also ended each other's.

A read that is late is made a second time on a new connection while the first goes on, and the first reply counts, so that replies may take twice as long and a silent connection is noticed as soon as before. It fails with NoReply, which counts as an outage at once, since two connections were tried. A connection may take as long as a reply: the time between two attempts in a cut stays 600 ms.

--- a/src/claims/claim_store.rs
+++ b/src/claims/claim_store.rs
@@ -192,7 +192,12 @@
                     shard.cached.replace(Some(ShardState { version, table }));
                     return Ok(verdicts);
                 }
-                Err(StoreError::Conflict | StoreError::OutcomeUnknown | StoreError::Restored) => {}
+                Err(
+                    StoreError::Conflict
+                    | StoreError::NoReply
+                    | StoreError::OutcomeUnknown
+                    | StoreError::Restored,
+                ) => {}
                 Err(StoreError::TooLarge) => return Err(ClaimError::Full),
                 Err(StoreError::Unreachable | StoreError::Refused(_)) => {
                     return Err(ClaimError::Unavailable);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -393,8 +393,9 @@
                     actix_rt::time::sleep(CHANGE_BATCH_PAUSE).await;
                 }
                 Err(e) => {
-                    // The first failure may concern only the connection of the watch.
-                    let is_outage = backoff.is_failing();
+                    // The first failure may concern only the connection of the watch, unless
+                    // a second connection was tried as well.
+                    let is_outage = backoff.is_failing() || e == StoreError::NoReply;
                     if is_outage && tx.send(UpstreamNews::Unreachable).is_err() {
                         return;
                     }
--- a/src/entry/rollouts/record.rs
+++ b/src/entry/rollouts/record.rs
@@ -151,9 +151,12 @@
                 self.stored = Some(stored);
                 Ok(())
             }
-            Err(StoreError::Conflict | StoreError::OutcomeUnknown | StoreError::Restored) => {
-                self.settle(&value).await
-            }
+            Err(
+                StoreError::Conflict
+                | StoreError::NoReply
+                | StoreError::OutcomeUnknown
+                | StoreError::Restored,
+            ) => self.settle(&value).await,
             Err(e @ (StoreError::Unreachable | StoreError::Refused(_) | StoreError::TooLarge)) => {
                 Err(e.into())
             }
--- a/src/object_store/mod.rs
+++ b/src/object_store/mod.rs
@@ -73,6 +73,9 @@
     /// the outcome open. A write may have taken effect.
     #[error("no conclusive reply from the object store; a write may have taken effect")]
     OutcomeUnknown,
+    /// Two calls that only read were not answered in time.
+    #[error("the object store did not answer two calls in time")]
+    NoReply,
     /// The store was restored from an older copy during the call. A read is out of
     /// date; a write may be lost.
     #[error("the object store was restored from an older copy during the call")]
--- a/src/reply_timeout.rs
+++ b/src/reply_timeout.rs
@@ -85,7 +85,7 @@
         let expected = self.clock.now() + wait;
         Transfer {
             transfers: self,
-            allowance: Allowance { expected, limit },
+            allowance: Cell::new(Allowance { expected, limit }),
             received: Cell::new(0),
             last: Cell::default(),
         }
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 pub struct Transfer<'a> {
     transfers: &'a Transfers,
-    allowance: Allowance,
+    allowance: Cell<Allowance>,
     /// The number of bytes received.
     received: Cell<usize>,
     /// When bytes were last received.
@@ -126,7 +126,14 @@
         self.received.get()
     }
 
-    /// Runs the call until its reply times out.
+    /// Allows the reply to begin one more limit later.
+    pub fn extend(&self) {
+        let Allowance { expected, limit } = self.allowance.get();
+        let expected = expected + limit;
+        self.allowance.set(Allowance { expected, limit });
+    }
+
+    /// Runs the call until its reply times out. The call can be run on after that.
     ///
     /// # Errors
     ///
@@ -164,6 +171,6 @@
             own: self.last.get(),
             large: self.transfers.large.get(),
         };
-        self.allowance.due(arrivals)
+        self.allowance.get().due(arrivals)
     }
 }
