--- a/src/reply_timeout.rs
+++ b/src/reply_timeout.rs
@@ -28,9 +28,9 @@
 /// The size in bytes from which a reply is large: its transfer can delay other replies.
 const LARGE_REPLY: usize = 16 << 10;
 
-/// What a call allows for its reply.
+/// Until when a reply may arrive.
 #[derive(Clone, Copy, Debug)]
-struct Allowance {
+struct Deadline {
     /// When the server is expected to answer at the latest.
     expected: Timestamp,
     /// The longest time after `expected` or after the last bytes of the reply in which
@@ -47,7 +47,7 @@
     large: Option<Timestamp>,
 }
 
-impl Allowance {
+impl Deadline {
     /// Returns when the call times out if nothing else arrives.
     fn due(&self, arrivals: Arrivals) -> Timestamp {
         let idle = self.expected + self.limit;
@@ -85,7 +85,7 @@
         let expected = self.clock.now() + wait;
         Transfer {
             transfers: self,
-            allowance: Cell::new(Allowance { expected, limit }),
+            deadline: Cell::new(Deadline { expected, limit }),
             received: Cell::new(0),
             last: Cell::default(),
         }
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 pub struct Transfer<'a> {
     transfers: &'a Transfers,
-    allowance: Cell<Allowance>,
+    deadline: Cell<Deadline>,
     /// The number of bytes received.
     received: Cell<usize>,
     /// When bytes were last received.
@@ -128,9 +128,9 @@
 
     /// Allows the reply to begin one more limit later.
     pub fn extend(&self) {
-        let Allowance { expected, limit } = self.allowance.get();
+        let Deadline { expected, limit } = self.deadline.get();
         let expected = expected + limit;
-        self.allowance.set(Allowance { expected, limit });
+        self.deadline.set(Deadline { expected, limit });
     }
 
     /// Runs the call until its reply times out. The call can be run on after that.
@@ -171,6 +171,6 @@
             own: self.last.get(),
             large: self.transfers.large.get(),
         };
-        self.allowance.get().due(arrivals)
+        self.deadline.get().due(arrivals)
     }
 }
--- a/src/reply_timeout/tests.rs
+++ b/src/reply_timeout/tests.rs
@@ -8,15 +8,15 @@
     Timestamp::new(Duration::from_millis(milliseconds))
 }
 
-fn allowance() -> Allowance {
-    Allowance {
+fn deadline() -> Deadline {
+    Deadline {
         expected: at(2_000),
         limit: LIMIT,
     }
 }
 
 fn due(own: Option<u64>, large: Option<u64>) -> Timestamp {
-    allowance().due(Arrivals {
+    deadline().due(Arrivals {
         own: own.map(at),
         large: large.map(at),
     })
