--- a/src/reply_timeout.rs
+++ b/src/reply_timeout.rs
@@ -9,6 +9,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::event_loop::Elapsed;
@@ -88,6 +90,7 @@
             deadline: Cell::new(Deadline { expected, limit }),
             received: Cell::new(0),
             last: Cell::default(),
+            began: Notify::new(),
         }
     }
 
@@ -108,12 +111,17 @@
     received: Cell<usize>,
     /// When bytes were last received.
     last: Cell<Option<Timestamp>>,
+    /// Notified when the reply begins.
+    began: Notify,
 }
 
 impl Transfer<'_> {
     /// Records that bytes of the reply were received; 0 for its head.
     pub fn record(&self, bytes: usize) {
         let now = self.transfers.clock.now();
+        if self.last.get().is_none() {
+            self.began.notify_one();
+        }
         self.received.set(self.received.get() + bytes);
         self.last.set(Some(now));
         if self.received.get() >= LARGE_REPLY {
@@ -126,6 +134,11 @@
         self.received.get()
     }
 
+    /// Waits until the reply begins. Only one task can wait.
+    pub async fn began(&self) {
+        self.began.notified().await;
+    }
+
     /// Allows the reply to begin one more limit later.
     pub fn extend(&self) {
         let Deadline { expected, limit } = self.deadline.get();
