--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -207,6 +207,17 @@
         child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
+    /// Returns the memory that the process uses, in bytes.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else {
+            return 0;
+        };
+        let path = format!("/proc/{}/statm", child.id());
+        let statm = std::fs::read_to_string(path).unwrap_or_default();
+        let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+        pages.unwrap_or(0) * 4096
+    }
+
     /// Returns the process's log.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
--- a/review/harness/src/replica.rs
+++ b/review/harness/src/replica.rs
@@ -30,6 +30,9 @@
     Stream { events: u64, pause: Duration },
     /// A whole body after so long, of so many bytes or as many as the request names.
     Body { bytes: usize, after: Duration },
+    /// Like `Body`, but one answer in `every` is spoilt: other bytes that look like an
+    /// answer of some other server are sent in its place.
+    Spoilt { bytes: usize, every: usize },
     /// The head of the answer as soon as so many bytes of a longer request body have arrived,
     /// and its body of `bytes` when the whole request is there. The replica pauses in between.
     Early {
@@ -232,6 +235,17 @@
                 }
                 writer.write_all(b"0\r\n\r\n").await
             }
+            Answer::Spoilt { bytes, every } => {
+                if self.runs.borrow().len() % every == 0 {
+                    self.record
+                        .line(&format!("{} spoils its answer to {id}", self.id));
+                    let spoilt = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nok\n";
+                    return writer.write_all(spoilt.as_bytes()).await;
+                }
+                let begin = format!("HTTP/1.1 200 OK\r\n{common}content-length: {bytes}\r\n\r\n");
+                writer.write_all(begin.as_bytes()).await?;
+                writer.write_all(&body(bytes)).await
+            }
             Answer::Early { bytes, .. } => {
                 let begin = format!("HTTP/1.1 200 OK\r\n{common}content-length: {bytes}\r\n\r\n");
                 writer.write_all(begin.as_bytes()).await?;
--- a/review/harness/src/requester.rs
+++ b/review/harness/src/requester.rs
@@ -97,6 +97,8 @@
 pub struct Outcome {
     /// 0 without the head of an answer.
     pub status: u16,
+    /// The header `Server-Stamp` of the answer.
+    pub stamp: Option<String>,
     pub body: Vec<u8>,
     /// Whether the answer is complete.
     pub is_complete: bool,
@@ -128,6 +130,7 @@
                 let head = http::read_head(reader).await?;
                 let head = head.ok_or(std::io::ErrorKind::UnexpectedEof)?;
                 outcome.status = head.status();
+                outcome.stamp = head.get("server-stamp").map(str::to_owned);
                 outcome.body = http::read_body(reader, &head).await?;
                 std::io::Result::Ok(())
             };
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -16,11 +16,27 @@
 
 use crate::http;
 
+/// The largest number and size of the entries of a page.
+const PAGE_ENTRIES: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
+/// The body of a reply that holds nothing.
+const NOTHING: &str = "null";
+
 #[derive(Default)]
 struct State {
     revision: u64,
-    objects: BTreeMap<(String, String), Value>,
-    events: Vec<(u64, String, Value)>,
+    objects: BTreeMap<(String, String), Object>,
+    /// The changes, with their revision and the kind of the object.
+    events: Vec<(u64, String, Rc<str>)>,
+}
+
+#[derive(Clone)]
+struct Object {
+    rev: u64,
+    created: u64,
+    /// The encoded object.
+    text: Rc<str>,
 }
 
 pub struct Store {
@@ -58,17 +74,16 @@
         state.revision += 1;
         let rev = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        let before = state.objects.get(&key);
-        let created = before.and_then(|o| o["meta"]["created"].as_u64());
-        let status = before.map_or(Value::Null, |o| o["status"].clone());
+        let created = state.objects.get(&key).map_or(rev, |o| o.created);
         let object = json!({
-            "meta": {"name": name, "rev": rev, "created": created.unwrap_or(rev),
+            "meta": {"name": name, "rev": rev, "created": created,
                      "finalizers": [], "deleting": false},
-            "spec": spec, "status": status,
+            "spec": spec,
         });
-        state.objects.insert(key, object.clone());
-        let event = json!({"object": object, "deleted": false});
-        state.events.push((rev, kind.to_owned(), event));
+        let text: Rc<str> = object.to_string().into();
+        let event = format!("{{\"object\":{text},\"deleted\":false}}");
+        state.objects.insert(key, Object { rev, created, text });
+        state.events.push((rev, kind.to_owned(), event.into()));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -80,8 +95,8 @@
         let rev = state.revision;
         let key = (kind.to_owned(), name.to_owned());
         if let Some(object) = state.objects.remove(&key) {
-            let event = json!({"object": object, "deleted": true});
-            state.events.push((rev, kind.to_owned(), event));
+            let event = format!("{{\"object\":{},\"deleted\":true}}", object.text);
+            state.events.push((rev, kind.to_owned(), event.into()));
         }
         drop(state);
         self.changed.notify_waiters();
@@ -92,23 +107,22 @@
         while let Some(head) = http::read_head(&mut reader).await? {
             let body = http::read_body(&mut reader, &head).await?;
             let (status, reply) = self.execute(&head, &body).await;
-            let reply = serde_json::to_vec(&reply)?;
             let answer = format!(
                 "HTTP/1.1 {status} R\r\ncontent-type: application/json\r\nstore-era: 1\r\n\
                  content-length: {}\r\n\r\n",
                 reply.len()
             );
             writer.write_all(answer.as_bytes()).await?;
-            writer.write_all(&reply).await?;
+            writer.write_all(reply.as_bytes()).await?;
         }
         Ok(())
     }
 
-    async fn execute(&self, head: &http::Head, body: &[u8]) -> (u16, Value) {
+    async fn execute(&self, head: &http::Head, body: &[u8]) -> (u16, String) {
         let target = head.word(1).to_owned();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
         let Some(path) = path.strip_prefix("/objects/") else {
-            return (404, Value::Null);
+            return (404, NOTHING.to_owned());
         };
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -121,8 +135,8 @@
             ("GET", Some(name)) => {
                 let key = (kind.to_owned(), name.to_owned());
                 match self.state.borrow().objects.get(&key) {
-                    Some(object) => (200, object.clone()),
-                    None => (404, Value::Null),
+                    Some(object) => (200, object.text.to_string()),
+                    None => (404, NOTHING.to_owned()),
                 }
             }
             ("GET", None) => match parameter("watch").and_then(|v| v.parse().ok()) {
@@ -131,23 +145,36 @@
                     let wait = Duration::from_millis(wait.unwrap_or(0).min(30_000));
                     self.watch(kind, since, wait).await
                 }
-                None => self.list(kind),
+                None => self.list(kind, parameter("after").as_deref()),
             },
             ("POST", None) => self.write(kind, body, None),
             ("PUT", Some(name)) if parts.next().is_none() => self.write(kind, body, Some(name)),
-            _ => (404, Value::Null),
+            _ => (404, NOTHING.to_owned()),
         }
     }
 
-    fn list(&self, kind: &str) -> (u16, Value) {
+    /// Returns a page of the objects of a kind that come after a name.
+    fn list(&self, kind: &str, after: Option<&str>) -> (u16, String) {
         let state = self.state.borrow();
         let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
-        let entries: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-        let page = json!({"entries": entries, "hasMore": false, "asOf": state.revision});
+        let mut rest = of_kind.filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a));
+        let (mut entries, mut bytes): (Vec<&str>, usize) = (Vec::new(), 0);
+        let mut has_more = false;
+        for (_, object) in &mut rest {
+            bytes += object.text.len();
+            has_more = !entries.is_empty() && (bytes > PAGE_BYTES || entries.len() == PAGE_ENTRIES);
+            if has_more {
+                break;
+            }
+            entries.push(&object.text);
+        }
+        let entries = entries.join(",");
+        let as_of = state.revision;
+        let page = format!("{{\"entries\":[{entries}],\"hasMore\":{has_more},\"asOf\":{as_of}}}");
         (200, page)
     }
 
-    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> (u16, Value) {
+    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> (u16, String) {
         let changes = async {
             loop {
                 let changed = self.changed.notified();
@@ -158,41 +185,38 @@
             }
         };
         let _ = tokio::time::timeout(wait, changes).await;
-        let events = self.events(kind, since);
+        let events = self.events(kind, since).join(",");
         let as_of = self.state.borrow().revision;
-        (200, json!({"events": events, "asOf": as_of}))
+        (200, format!("{{\"events\":[{events}],\"asOf\":{as_of}}}"))
     }
 
-    fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+    fn events(&self, kind: &str, since: u64) -> Vec<Rc<str>> {
         let state = self.state.borrow();
-        let later = state
-            .events
-            .iter()
-            .filter(|(rev, k, _)| *rev > since && k == kind);
-        later.map(|(_, _, event)| event.clone()).collect()
+        let first = state.events.partition_point(|(rev, ..)| *rev <= since);
+        let later = state.events[first..].iter().filter(|(_, k, _)| k == kind);
+        later.map(|(_, _, event)| Rc::clone(event)).collect()
     }
 
     /// Creates an object if `name` is not given, else replaces it.
-    fn write(&self, kind: &str, body: &[u8], name: Option<&str>) -> (u16, Value) {
+    fn write(&self, kind: &str, body: &[u8], name: Option<&str>) -> (u16, String) {
         let Ok(object) = serde_json::from_slice::<Value>(body) else {
-            return (400, Value::Null);
+            return (400, NOTHING.to_owned());
         };
         let meta_name = object["meta"]["name"].as_str().unwrap_or_default();
         let key = (kind.to_owned(), name.unwrap_or(meta_name).to_owned());
         let present = self.state.borrow().objects.get(&key).cloned();
         let expected = object["meta"]["rev"].as_u64();
         match (&present, name) {
-            (Some(present), None) => return (409, present.clone()),
-            (None, Some(_)) => return (404, Value::Null),
-            (Some(present), Some(_)) => {
-                if expected.is_some_and(|r| present["meta"]["rev"] != json!(r)) {
-                    return (409, present.clone());
-                }
+            (Some(present), None) => return (409, present.text.to_string()),
+            (None, Some(_)) => return (404, NOTHING.to_owned()),
+            (Some(present), Some(_)) if expected.is_some_and(|rev| rev != present.rev) => {
+                return (409, present.text.to_string());
             }
-            (None, None) => {}
+            _ => {}
         }
         self.put(kind, &key.1, &object["spec"]);
-        let stored = self.state.borrow().objects.get(&key).cloned();
-        (200, stored.unwrap_or_default())
+        let state = self.state.borrow();
+        let stored = state.objects.get(&key);
+        (200, stored.map_or(NOTHING, |o| &*o.text).to_owned())
     }
 }
