--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -5,6 +5,7 @@
 use crate::record::Record;
 
 mod early_answer;
+mod failed_after_run;
 mod odd_entries;
 mod prefix_without_slash;
 mod public_tenant;
@@ -18,6 +19,7 @@
 pub async fn play(name: &str, record: &Record, has_trouble: bool) -> Result<Verdict, CaseError> {
     match name {
         "early-answer" => early_answer::play(record, has_trouble).await,
+        "failed-after-run" => failed_after_run::play(record, has_trouble).await,
         "odd-entries" => odd_entries::play(record, has_trouble).await,
         "prefix-without-slash" => prefix_without_slash::play(record, has_trouble).await,
         "public-tenant" => public_tenant::play(record, has_trouble).await,
--- a/review/harness/src/replica.rs
+++ b/review/harness/src/replica.rs
@@ -30,6 +30,9 @@
     Stream { events: u64, pause: Duration },
     /// A whole body after so long, of so many bytes or as many as the request names.
     Body { bytes: usize, after: Duration },
+    /// Like `Body`, but the replica fails so many in a hundred of its requests with its own
+    /// 503, after it has run them.
+    Failing { bytes: usize, percent: usize },
     /// Like `Body`, but one answer in `every` is spoilt: other bytes that look like an
     /// answer of some other server are sent in its place.
     Spoilt { bytes: usize, every: usize },
@@ -235,6 +238,20 @@
                 }
                 writer.write_all(b"0\r\n\r\n").await
             }
+            Answer::Failing { bytes, percent } => {
+                let run = self.runs.borrow().len();
+                if run * percent / 100 > (run - 1) * percent / 100 {
+                    self.record
+                        .line(&format!("{} has run {id} and answers 503", self.id));
+                    let failure = format!(
+                        "HTTP/1.1 503 Service Unavailable\r\n{common}content-length: 6\r\n\r\nfailed"
+                    );
+                    return writer.write_all(failure.as_bytes()).await;
+                }
+                let begin = format!("HTTP/1.1 200 OK\r\n{common}content-length: {bytes}\r\n\r\n");
+                writer.write_all(begin.as_bytes()).await?;
+                writer.write_all(&body(bytes)).await
+            }
             Answer::Spoilt { bytes, every } => {
                 if self.runs.borrow().len() % every == 0 {
                     self.record
