Review: streams can't be taken up again after a rolling restart

Cause: the record of where a stream began is sent to others once, and not again when these are restarted. Planned work alone loses it, which makes it a better case than entries of another writer.

--- a/review/harness/src/cases/resumed_after_rolling_restart.rs
+++ b/review/harness/src/cases/resumed_after_rolling_restart.rs
@@ -1,9 +1,10 @@
-//! LOST: two machines are restarted in turn and a third dies later, while two software
-//! versions serve; the streams of the third are taken up again at the others.
+//! LOST: three machines are restarted in turn while two software versions serve; the streams
+//! that outlast the grace time of the last one are taken up again at the others.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -20,9 +21,9 @@
 
 const STREAMS: usize = 16;
 
-/// A stream lasts for 13 seconds.
+/// A stream lasts for 14 seconds.
 const ANSWER: Answer = Answer::Stream {
-    events: 52,
+    events: 56,
     pause: Duration::from_millis(250),
 };
 
@@ -112,24 +113,33 @@
                 if stream.is_complete {
                     break;
                 }
+                // Requesters honour `Retry-After` up to a third of the time that they have left.
+                let left = LIMIT.saturating_sub(record.now() - begun);
                 let pause = stream.retry_after.unwrap_or(Duration::from_millis(50));
-                tokio::time::sleep(pause).await;
+                tokio::time::sleep(pause.min(left / 3)).await;
             }
+            stream.is_complete
         }));
     }
-    tokio::time::sleep(Duration::from_millis(600)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     if has_trouble {
-        for machine in machines.iter_mut().take(2) {
+        let mut in_touch_at = Instant::now();
+        for (i, machine) in machines.iter_mut().enumerate() {
             machine.stop().await;
+            if i == 2 {
+                break;
+            }
             machine.start()?;
+            in_touch_at = Instant::now() + IN_TOUCH;
             machine.wait_until_ready(Duration::from_secs(10)).await?;
         }
+        if Instant::now() < in_touch_at {
+            return Err("the last machine ended before the others were in touch".into());
+        }
+        record.line("machines 0 and 1 are in touch");
     } else {
-        tokio::time::sleep(Duration::from_millis(5500)).await;
+        tokio::time::sleep(Duration::from_secs(13)).await;
     }
-    tokio::time::sleep(IN_TOUCH).await;
-    record.line("machines 0 and 1 are in touch");
-    machines[2].kill();
     // New streams begin at the same machines meanwhile.
     let mut began = 0;
     for i in 0..STREAMS {
@@ -142,14 +152,18 @@
             record.line("new streams begin at the same machines");
         }
     }
+    let mut complete = 0;
     for requester in requesters {
-        requester.await?;
+        complete += usize::from(requester.await?);
     }
     let (taken_up, gone_on) = (taken_up.get(), gone_on.get());
     record.line(&format!(
-        "taken up again: {taken_up}, of these gone on: {gone_on}; \
-         new streams sent: {STREAMS}, of these begun: {began}"
+        "streams complete: {complete} of {STREAMS}; taken up again: {taken_up}, of these \
+         gone on: {gone_on}; new streams sent: {STREAMS}, of these begun: {began}"
     ));
+    if complete == STREAMS && began == STREAMS {
+        return Ok(Verdict::Held);
+    }
     if taken_up < 12 || began < STREAMS / 2 {
         return Err("too few streams were taken up again or began".into());
     }
