Review: the planned stop shows at any moment of the answers

Cause: how much of an answer is still in the process when it ends depends on the buffers of the kernel, so sizes that were chosen on one machine may not show it on another. Change: the script of case 5 stops each of five machines twice, after different times.

--- a/review/harness/src/cases/slow_reader_at_stop.rs
+++ b/review/harness/src/cases/slow_reader_at_stop.rs
@@ -23,17 +23,24 @@
 use crate::requester::send;
 
 /// The machines, and the time between the stops of two.
-const MACHINES: usize = 6;
+const MACHINES: usize = 5;
 const GAP: Duration = Duration::from_secs(1);
 
-/// The requesters at each machine, the size of their answers, and the difference between
-/// the sizes at two machines.
+/// How often each machine is stopped and started.
+const ROUNDS: usize = 2;
+
+/// The time from the answers to the stop at the first machine, and by how much it is longer
+/// at each stop after that. Whether the last bytes are still in the process when it ends
+/// depends on it, and on the buffers of the kernel.
+const FIRST_DELAY: Duration = Duration::from_millis(100);
+const DELAY_STEP: Duration = Duration::from_millis(150);
+
+/// The requesters at each machine, and the size of their answers.
 const REQUESTERS: usize = 4;
-const ANSWER_BYTES: usize = 380_000;
-const STEP_BYTES: usize = 8_000;
+const ANSWER_BYTES: usize = 460_000;
 
 /// What a requester reads at a time, and the pause after it: 80 KB a second, so that an
-/// answer takes about five seconds.
+/// answer takes about six seconds.
 const READ_BYTES: usize = 8_000;
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
@@ -76,19 +83,22 @@
     tokio::time::sleep(Duration::from_millis(3500)).await;
 
     let cut = Rc::new(Cell::new(0));
-    let mut stops = Vec::new();
-    for (i, machine) in machines.into_iter().enumerate() {
-        let (record, cut) = (record.clone(), Rc::clone(&cut));
-        stops.push(tokio::task::spawn_local(async move {
-            let result = stop_one(machine, i, &record, &cut, has_trouble).await;
-            result.map_err(|e| e.to_string())
-        }));
-        tokio::time::sleep(GAP).await;
-    }
-    for stop in stops {
-        stop.await??;
+    for round in 0..ROUNDS {
+        let mut stops = Vec::new();
+        for (i, machine) in machines.drain(..).enumerate() {
+            let (record, cut) = (record.clone(), Rc::clone(&cut));
+            stops.push(tokio::task::spawn_local(async move {
+                let number = round * MACHINES + i;
+                let result = stop_one(machine, number, &record, &cut, has_trouble).await;
+                result.map_err(|e| e.to_string())
+            }));
+            tokio::time::sleep(GAP).await;
+        }
+        for stop in stops {
+            machines.push(stop.await??);
+        }
     }
-    let all = MACHINES * REQUESTERS;
+    let all = ROUNDS * MACHINES * REQUESTERS;
     record.line(&format!("answers cut off: {} of {all}", cut.get()));
     Ok(match cut.get() > 0 {
         true => Verdict::Broken,
@@ -96,21 +106,20 @@
     })
 }
 
-/// Lets requesters read answers slowly at a machine, which is stopped half a second later.
-/// Counts the answers that are cut off.
+/// Lets requesters read answers slowly at a machine, which is stopped shortly later, and
+/// started again when it has ended. Counts the answers that are cut off.
 async fn stop_one(
     mut machine: Machine,
     i: usize,
     record: &Record,
     cut: &Cell<usize>,
     has_trouble: bool,
-) -> Result<(), CaseError> {
-    let bytes = ANSWER_BYTES + i * STEP_BYTES;
+) -> Result<Machine, CaseError> {
+    let bytes = ANSWER_BYTES;
     let mut readers = Vec::new();
     for j in 0..REQUESTERS {
         let id = format!("r-{i}-{j}");
-        let mut request = Request::new("GET", "/x/a", &id, Duration::from_secs(15));
-        request.more = format!("answer-bytes: {bytes}\r\n");
+        let request = Request::new("GET", "/x/a", &id, Duration::from_secs(15));
         let mut channel = send(machine.front, &request, Some(RECEIVE_BUFFER)).await?;
         record.line(&format!("{id} is answered {}", channel.head.status()));
         if channel.head.status() != 200 {
@@ -128,7 +137,7 @@
             is_whole
         }));
     }
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    tokio::time::sleep(FIRST_DELAY + DELAY_STEP * u32::try_from(i)?).await;
     let stopped = record.now();
     if has_trouble {
         machine.signal(Signal::SIGTERM);
@@ -151,5 +160,12 @@
         }
         cut.set(cut.get() + usize::from(!reader.await?));
     }
-    Ok(())
+    if has_trouble {
+        while machine.is_running() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        machine.start()?;
+        machine.wait_until_ready(Duration::from_secs(10)).await?;
+    }
+    Ok(machine)
 }
