Keep the origins of streams at agents, and past versions in the store

Cause: only entries knew where streams began and which versions there had been. After a kill of all of them each new process took the only listed version for that of every stream.

Change: entries send the record of each stream to agents, which outlive them, and to other entries beside several versions. One entry writes the versions of services to the store, and an entry that starts reads them before it takes a single version for that of an unknown stream. The signing of datagrams moves to a module that agents use too.

Ruled out: refusing all unknown streams after a start, which turns ORDER into LOST.

The property test of origins no longer needs somebody who was there at a stream's begin. `records_are_sent_only_beside_several_versions` is now about entries only, since agents get the records of a single version too, and has a counterpart for agents.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod rpc;
 mod state;
+mod stream_records;
 
 use std::rc::Rc;
 
@@ -21,6 +22,7 @@
 use crate::active_settings::ActiveSettings;
 use crate::agent::orders::OrderSender;
 use crate::agent::state::AgentState;
+use crate::agent::stream_records::RecordKeeper;
 use crate::config::AgentConfig;
 use crate::daemon;
 use crate::daemon::DaemonError;
@@ -152,11 +154,14 @@
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
             let state = registry.find::<AgentState>(STATE)?;
-            let listening = listener::listen(Rc::clone(&state)).await;
-            listening.map_err(|e| KernelError::Failed {
+            let failed = |e| KernelError::Failed {
                 name: self.name(),
                 source: Box::new(e),
-            })?;
+            };
+            let listening = listener::listen(Rc::clone(&state)).await;
+            listening.map_err(failed)?;
+            let keeper = RecordKeeper::bind(Rc::clone(&state)).await;
+            actix_rt::spawn(keeper.map_err(failed)?.run());
             self.state.get_or_init(|| state);
             Ok(())
         }
--- a/src/entry/attempt/body.rs
+++ b/src/entry/attempt/body.rs
@@ -107,6 +107,7 @@
         if !relay.finish().await {
             return self.fail_incomplete(relay);
         }
+        self.state.streams.end(self.job.stream(self.request));
         if running.status < 500 {
             self.state
                 .record_result(&self.upstream, UpstreamResult::Served);
--- a/src/entry/loans.rs
+++ b/src/entry/loans.rs
@@ -20,7 +20,7 @@
 use crate::active_settings::ActiveSettings;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
-use crate::entry::peers::DatagramKind;
+use crate::datagram::DatagramKind;
 use crate::entry::peers::Peers;
 use crate::ids::Incarnation;
 use crate::name::Name;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -41,6 +41,7 @@
 mod timers;
 mod transfer_turns;
 mod upstream_limits;
+mod version_record;
 mod waiter;
 mod zone_balance;
 
@@ -75,6 +76,7 @@
 use crate::entry::quarantine_record::QuarantineRecorder;
 use crate::entry::record::SpendingRecorder;
 use crate::entry::state::EntryState;
+use crate::entry::version_record::VersionRecorder;
 use crate::health::AdminState;
 use crate::health::HealthService;
 use crate::host_list::HttpHostList;
@@ -125,7 +127,7 @@
     /// The peer addresses of the other entries discovered so far.
     pub peers: watch::Receiver<BTreeSet<SocketAddr>>,
     /// The store for the records that outlive a restart of all entries: the use of quotas,
-    /// and what crashes upstreams.
+    /// what crashes upstreams, and the versions of services.
     pub store: Option<Rc<dyn ObjectStore>>,
     /// Orders to roll out versions; `None` without any.
     pub rollouts: Option<Rc<dyn RolloutStore>>,
@@ -254,6 +256,17 @@
                 log: self.log.clone(),
             };
             actix_rt::spawn(recorder.run());
+            let recorder = VersionRecorder {
+                store: Rc::clone(store),
+                streams: Rc::clone(&state.streams),
+                directory: Rc::clone(&state.directory),
+                quota: Rc::clone(&state.quota),
+                incarnation: state.incarnation,
+                clock: state.clock(),
+                log: self.log.clone(),
+            };
+            state.streams.await_history();
+            actix_rt::spawn(recorder.run());
         }
     }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -9,7 +9,6 @@
 //! start. An entry that is not known yet is added when its first report
 //! arrives.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::io;
@@ -33,6 +32,8 @@
 use crate::clock::Clock;
 use crate::crash_suspects::NEWS_FANOUT;
 use crate::crash_suspects::SuspectId;
+use crate::datagram::DatagramKind;
+use crate::datagram::OpenError;
 use crate::entry::gossip::EntryGossip;
 use crate::entry::loans::Loans;
 use crate::entry::notices::Notices;
@@ -51,11 +52,6 @@
 use crate::wire::limits;
 use crate::wire::limits::LimitMessage;
 
-mod datagram;
-
-pub use datagram::DatagramKind;
-use datagram::TAG_SIZE;
-
 /// The shortest interval between two reports. It limits spending beyond a quota
 /// to the demand of a tenth of a second, even for the largest organisations.
 const INTERVAL_MIN: Duration = Duration::from_millis(50);
@@ -305,36 +301,30 @@
     }
 
     async fn receive(&self, datagram: &[u8], peer: SocketAddr) {
-        if self.parts.key.get().is_none() {
-            return;
-        }
-        let Some((message, tag)) = datagram.split_last_chunk::<TAG_SIZE>() else {
-            return;
-        };
-        let kind = Cell::new(None);
-        let accepted = self.parts.key.find(|key| {
-            kind.set(DatagramKind::signed_by(key, message, tag));
-            kind.get().is_some()
-        });
-        match kind.get().filter(|_| accepted.is_some()) {
-            None => {
-                warn!(self.parts.log, "rejected a datagram that is not signed with the site key"; "peer" => %peer);
+        let (kind, message) = match DatagramKind::open(&self.parts.key, datagram) {
+            Ok(opened) => opened,
+            Err(OpenError::NoKey) => return,
+            Err(e) => {
+                warn!(self.parts.log, "rejected a datagram"; "peer" => %peer, "error" => %e);
+                return;
             }
-            Some(DatagramKind::Streams) => {
+        };
+        match kind {
+            DatagramKind::Streams => {
                 if let Some(reply) = self.parts.streams.receive(message, peer) {
                     self.send(DatagramKind::Streams, &reply, &[peer]).await;
                 }
             }
-            Some(DatagramKind::Suspects) => self.parts.suspects.receive(message),
-            Some(DatagramKind::Departures) => self.parts.notices.receive(message),
-            Some(DatagramKind::Gossip) => self.parts.gossip.receive(message),
-            Some(DatagramKind::Loans) => {
+            DatagramKind::Suspects => self.parts.suspects.receive(message),
+            DatagramKind::Departures => self.parts.notices.receive(message),
+            DatagramKind::Gossip => self.parts.gossip.receive(message),
+            DatagramKind::Loans => {
                 if let Some(reply) = self.parts.loans.receive(message, peer) {
                     self.send(DatagramKind::Loans, &reply, &[peer]).await;
                 }
             }
-            Some(DatagramKind::Limits) => self.receive_limits(message, peer).await,
-            Some(DatagramKind::Quotas) => self.receive_report(message, peer),
+            DatagramKind::Limits => self.receive_limits(message, peer).await,
+            DatagramKind::Quotas => self.receive_report(message, peer),
         }
     }
 
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,40 +10,40 @@
 use std::rc::Weak;
 use std::time::Duration;
 
-use sha2::Digest;
-use sha2::Sha256;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::datagram::DatagramKind;
 use crate::directory::Directory;
 use crate::directory::SoftwareVersion;
-use crate::entry::peers::DatagramKind;
 use crate::entry::peers::Peers;
 use crate::name::Name;
+use crate::stream_holders::Holder;
+use crate::stream_holders::Holders;
 use crate::stream_origins::Origin;
 use crate::stream_origins::Standing;
 use crate::stream_origins::StreamId;
 use crate::stream_origins::StreamOrigins;
 use crate::stream_origins::StreamRecord;
+use crate::stream_origins::VersionHistory;
 use crate::units::millis;
 use crate::wire::streams::StreamMessage;
 use crate::wire::streams::StreamQuery;
-use crate::wire::streams::StreamReply;
 use crate::wire::streams::decode;
 use crate::wire::streams::encode;
 
-/// The number of other entries that get the record of a stream.
-const COPIES: usize = 4;
-
-/// The number of other entries that are asked for a record. It is larger than `COPIES`,
-/// because the entries may disagree on who is running.
-const ASKED: usize = 8;
-
-/// The time for which records are collected before they are sent together.
+/// The time for which records are collected before they are sent together, beside several
+/// versions and beside a single one.
 const BATCH_TIME: Duration = Duration::from_millis(20);
+const SINGLE_VERSION_BATCH_TIME: Duration = Duration::from_millis(250);
+
+/// The longest time for which a request waits for the history of the versions, which an
+/// entry reads when it starts.
+const HISTORY_WAIT: Duration = Duration::from_millis(500);
 
 /// The maximum number of records in one datagram.
 const MAX_BATCH: usize = 1000;
@@ -58,13 +57,18 @@
 /// The streams of this entry and what others have sent of theirs.
 pub struct Streams {
     origins: RefCell<StreamOrigins>,
+    holders: RefCell<Holders>,
     directory: Rc<Directory>,
+    /// Whether the versions of the time before this entry started are known.
+    knows_history: watch::Sender<bool>,
     /// The other entries; not set if this entry has no address for them.
     peers: OnceCell<Weak<Peers>>,
     queries: RefCell<HashMap<u64, PendingQuery>>,
     last_query: Cell<u64>,
     /// Notified when there are records to send.
     due: Notify,
+    /// Notified when there are records to send without delay.
+    urgent: Notify,
     clock: Clock,
     log: Logger,
 }
@@ -72,8 +76,9 @@
 /// A query that waits for replies.
 #[derive(Default)]
 struct PendingQuery {
-    /// The number of entries that were asked.
-    asked: usize,
+    /// The entries that were asked.
+    entries: BTreeSet<SocketAddr>,
+    /// The entries and agents that have not replied.
     unanswered: BTreeSet<SocketAddr>,
     record: Option<StreamRecord>,
     versions: BTreeSet<SoftwareVersion>,
@@ -85,11 +90,14 @@
     pub fn new(directory: Rc<Directory>, clock: Clock, log: Logger) -> Self {
         Self {
             origins: RefCell::new(StreamOrigins::new()),
+            holders: RefCell::new(Holders::new()),
             directory,
+            knows_history: watch::Sender::new(true),
             peers: OnceCell::new(),
             queries: RefCell::default(),
             last_query: Cell::new(0),
             due: Notify::new(),
+            urgent: Notify::new(),
             clock,
             log,
         }
@@ -100,29 +108,69 @@
         let _ = self.peers.set(Rc::downgrade(peers));
     }
 
+    /// Lets requests wait for the history of the versions, which a store keeps.
+    pub fn await_history(&self) {
+        self.knows_history.send_replace(false);
+    }
+
+    /// Adds the history of the versions that was stored `age` ago; `None` if there is none.
+    pub fn restore_history(&self, history: Option<(&VersionHistory, Duration)>) {
+        if let Some((history, age)) = history {
+            let mut origins = self.origins.borrow_mut();
+            origins.restore(self.clock.now(), history, age);
+        }
+        self.knows_history.send_replace(true);
+        self.notify_due();
+    }
+
+    /// Returns the versions that streams can have begun at.
+    pub fn history(&self) -> VersionHistory {
+        self.origins.borrow().history(self.clock.now())
+    }
+
     /// Follows the versions of upstreams, and sends records that are due, until the task
     /// is aborted.
     pub async fn run(self: Rc<Self>) {
         let mut changes = self.directory.subscribe();
+        changes.mark_changed();
         loop {
             tokio::select! {
                 changed = changes.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    let upstreams = self.directory.upstreams();
-                    self.origins.borrow_mut().observe(self.clock.now(), &upstreams);
+                    self.follow_upstreams();
                 }
                 () = self.due.notified() => {}
             }
             if self.origins.borrow().has_unsent() {
-                actix_rt::time::sleep(BATCH_TIME).await;
+                let collected = actix_rt::time::sleep(SINGLE_VERSION_BATCH_TIME);
+                tokio::select! {
+                    () = self.urgent.notified() => actix_rt::time::sleep(BATCH_TIME).await,
+                    () = collected => {}
+                }
                 self.send_due().await;
             }
         }
     }
 
-    /// Records that this entry begins a stream at an upstream of `service`.
+    /// Observes the versions and the agents of the listed upstreams.
+    fn follow_upstreams(&self) {
+        let now = self.clock.now();
+        let upstreams = self.directory.upstreams();
+        self.origins.borrow_mut().observe(now, &upstreams);
+        let agents = upstreams.values().filter_map(|upstream| {
+            let address = upstream.agent?;
+            let run = upstream.started.unwrap_or_default();
+            Some(Holder { address, run })
+        });
+        if self.holders.borrow_mut().set_agents(agents) {
+            self.origins.borrow_mut().mark_all_due(now);
+        }
+        self.notify_due();
+    }
+
+    /// Records that this entry begins or resumes a stream at an upstream of `service`.
     pub fn begin(
         &self,
         stream: StreamId,
@@ -130,11 +178,27 @@
         version: SoftwareVersion,
         timeout: Duration,
     ) {
+        let now = self.clock.now();
         let mut origins = self.origins.borrow_mut();
-        origins.begin(self.clock.now(), stream, service, version, timeout);
+        origins.begin(now, stream, service, version, timeout);
+        drop(origins);
+        self.notify_due();
+    }
+
+    /// Records that the caller has got a whole stream.
+    pub fn end(&self, stream: StreamId) {
+        self.origins.borrow_mut().end(self.clock.now(), stream);
+    }
+
+    /// Wakes the task that sends records, if there are any to send.
+    fn notify_due(&self) {
+        let origins = self.origins.borrow();
         if origins.has_unsent() {
             self.due.notify_one();
         }
+        if origins.has_urgent() {
+            self.urgent.notify_one();
+        }
     }
 
     /// Returns the version that began a stream, or `None` if that can't be told. Asks
@@ -149,10 +213,9 @@
             let origins = self.origins.borrow();
             origins.find(self.clock.now(), service, stream, timeout)
         };
-        let seen = match found {
-            Origin::Known(version) => return Some(version),
-            Origin::Unknown(seen) => seen,
-        };
+        if let Origin::Known(version) = found {
+            return Some(version);
+        }
         let query = StreamQuery {
             number: self.last_query.get() + 1,
             stream,
@@ -165,40 +228,59 @@
             self.origins.borrow_mut().learn(self.clock.now(), &record);
             return Some(record.version);
         }
+        let knows_history = self.wait_for_history().await;
+        let now = self.clock.now();
+        let seen = self.origins.borrow().versions_within(now, service, timeout);
         let versions: BTreeSet<SoftwareVersion> = seen.union(&answer.versions).cloned().collect();
-        info!(self.log, "no entry knows where a stream began";
+        info!(self.log, "nobody knows where a stream began";
             "service" => %service,
             "versions" => versions.len(),
-            "asked" => answer.asked,
+            "knows_history" => knows_history,
+            "asked_entries" => answer.entries.len(),
             "unanswered" => answer.unanswered.len(),
             "view_ms" => self.directory.age().map(millis));
-        if versions.len() != 1 || !self.standing(&answer).is_in_step() {
+        let is_certain = versions.len() == 1 && knows_history;
+        if !is_certain || !self.standing(&answer).is_in_step() {
             return None;
         }
         versions.into_iter().next()
     }
 
+    /// Waits for the history of the versions, and returns whether it is known.
+    async fn wait_for_history(&self) -> bool {
+        let mut knows_history = self.knows_history.subscribe();
+        let known = knows_history.wait_for(|knows| *knows);
+        actix_rt::time::timeout(HISTORY_WAIT, known).await.is_ok()
+    }
+
     fn standing(&self, answer: &PendingQuery) -> Standing {
         let peers = self.peers.get().and_then(Weak::upgrade);
+        let entries = answer.entries.iter();
+        let replied = entries.filter(|e| !answer.unanswered.contains(e));
         Standing {
-            asked: answer.asked,
-            replied: answer.asked - answer.unanswered.len(),
+            asked: answer.entries.len(),
+            replied: replied.count(),
             reachable_fraction: peers.map_or(1.0, |peers| peers.reachable_fraction()),
             view_age: self.directory.age(),
         }
     }
 
-    /// Asks other entries until one knows the stream, all have replied or the time is
-    /// over.
+    /// Asks agents and other entries until one knows the stream, all have replied or the
+    /// time is over.
     async fn ask(&self, query: StreamQuery) -> PendingQuery {
         let Some(peers) = self.peers.get().and_then(Weak::upgrade) else {
             return PendingQuery::default();
         };
-        let asked = closest(query.stream, peers.reachable(), ASKED);
+        self.follow_entries(&peers);
+        let (agents, entries) = {
+            let holders = self.holders.borrow();
+            let agents = holders.asked_agents(query.stream);
+            (agents, holders.asked_entries(query.stream))
+        };
         let replied = Rc::<Notify>::default();
         let pending = PendingQuery {
-            asked: asked.len(),
-            unanswered: asked.iter().copied().collect(),
+            unanswered: agents.iter().chain(&entries).copied().collect(),
+            entries: entries.into_iter().collect(),
             replied: Rc::clone(&replied),
             ..PendingQuery::default()
         };
@@ -231,7 +313,14 @@
             .unwrap_or_default()
     }
 
-    /// Returns the entries that have not replied to a query; none if the answer is known.
+    /// Updates the other entries that can keep records.
+    fn follow_entries(&self, peers: &Peers) {
+        let entries = peers.reachable().into_iter();
+        let entries = entries.map(|address| Holder { address, run: 0 });
+        self.holders.borrow_mut().set_entries(entries);
+    }
+
+    /// Returns the processes that have not replied to a query; none if the answer is known.
     fn unanswered(&self, number: u64) -> BTreeSet<SocketAddr> {
         let queries = self.queries.borrow();
         let pending = queries.get(&number).filter(|q| q.record.is_none());
@@ -245,19 +334,13 @@
             Ok(StreamMessage::Began(records)) => {
                 let mut origins = self.origins.borrow_mut();
                 records.iter().for_each(|record| origins.learn(now, record));
-                if origins.has_unsent() {
-                    self.due.notify_one();
-                }
+                drop(origins);
+                self.notify_due();
                 None
             }
             Ok(StreamMessage::Query(query)) => {
-                let origins = self.origins.borrow();
-                let record = query.stream.and_then(|s| origins.get(now, s));
-                Some(encode(&StreamMessage::Reply(StreamReply {
-                    number: query.number,
-                    record,
-                    versions: origins.versions_within(now, &query.service, query.timeout),
-                })))
+                let reply = self.origins.borrow().answer(now, &query);
+                Some(encode(&StreamMessage::Reply(reply)))
             }
             Ok(StreamMessage::Reply(reply)) => {
                 if let Some(pending) = self.queries.borrow_mut().get_mut(&reply.number) {
@@ -277,23 +360,22 @@
         }
     }
 
-    /// Sends the records that are due to the entries that are to keep them.
+    /// Sends the records that are due to the processes that are to keep them.
     async fn send_due(&self) {
-        let records = self.origins.borrow_mut().take_unsent(self.clock.now());
         let Some(peers) = self.peers.get().and_then(Weak::upgrade) else {
             return;
         };
-        let reachable = peers.reachable();
-        let mut batches: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
-        for record in records {
-            for peer in closest(Some(record.stream), reachable.clone(), COPIES) {
-                batches.entry(peer).or_default().push(record.clone());
-            }
-        }
-        for (peer, batch) in batches {
+        self.follow_entries(&peers);
+        let batches = {
+            let holders = self.holders.borrow();
+            let now = self.clock.now();
+            self.origins.borrow_mut().take_unsent(now, &holders)
+        };
+        for (holder, batch) in batches {
             for part in batch.chunks(MAX_BATCH) {
                 let message = encode(&StreamMessage::Began(part.to_vec()));
-                peers.send(DatagramKind::Streams, &message, &[peer]).await;
+                let receiver = [holder.address];
+                peers.send(DatagramKind::Streams, &message, &receiver).await;
             }
         }
     }
@@ -310,22 +392,3 @@
         self.streams.queries.borrow_mut().remove(&self.number);
     }
 }
-
-/// Returns the `count` entries that come first in the order of this stream, which is the
-/// same at all entries (rendezvous hashing).
-fn closest(stream: Option<StreamId>, mut peers: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
-    if peers.len() > count {
-        peers.sort_by_cached_key(|peer| order(stream, *peer));
-        peers.truncate(count);
-    }
-    peers
-}
-
-fn order(stream: Option<StreamId>, peer: SocketAddr) -> [u8; 32] {
-    let id = stream.map_or(0, |s| s.0);
-    Sha256::new()
-        .chain_update(id.to_le_bytes())
-        .chain_update(peer.to_string())
-        .finalize()
-        .into()
-}
--- a/src/entry/upstream_limits/permits.rs
+++ b/src/entry/upstream_limits/permits.rs
@@ -12,7 +12,7 @@
 
 use super::UpstreamLimits;
 use crate::clock::Timestamp;
-use crate::entry::peers::DatagramKind;
+use crate::datagram::DatagramKind;
 use crate::name::Name;
 use crate::quota::REPORT_TIMEOUT;
 use crate::rate_limits::PermitAnswer;
--- a/src/peer_table.rs
+++ b/src/peer_table.rs
@@ -162,13 +162,13 @@
 }
 
 /// Returns a hash that is the same at all entries.
-fn hash(bytes: &[u8]) -> u64 {
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
     id_of_digest(&Sha256::digest(bytes))
 }
 
 /// Returns the position of an entry in the order of a key (rendezvous hashing). Mixes the
 /// hashes with the finalizer of SplitMix64.
-fn order(key: u64, entry: u64) -> u64 {
+pub(crate) fn order(key: u64, entry: u64) -> u64 {
     let mut mixed = key ^ entry;
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- /dev/null
+++ b/src/stream_holders.rs
@@ -0,0 +1,145 @@
+//! Which processes keep the records of where streams began.
+//!
+//! Entries can all end at the same time, while agents go on, and an entry that has just
+//! started knows the agents from the directory. So agents keep the records, and other
+//! entries do beside several versions, when more depends on them.
+
+use std::net::SocketAddr;
+
+use crate::peer_table::hash;
+use crate::peer_table::order;
+use crate::stream_origins::StreamId;
+
+#[cfg(test)]
+mod tests;
+
+/// The number of agents that get the record of a stream while its service has one
+/// version. It is needed only if the entry dies before it knows of a second one.
+const SPARE_COPIES: usize = 2;
+
+/// The number of agents and of other entries that get the record of a stream beside
+/// several versions.
+const AGENT_COPIES: usize = 3;
+const ENTRY_COPIES: usize = 2;
+
+/// The number of other entries that get a record where no agents are known.
+const LONE_ENTRY_COPIES: usize = 4;
+
+/// The number of agents and of other entries that are asked for a record. They are more
+/// than keep it, because entries may disagree on which are running.
+const ASKED_AGENTS: usize = 6;
+const ASKED_ENTRIES: usize = 5;
+
+/// The number of other entries that are asked where no agents are known.
+const ASKED_LONE_ENTRIES: usize = 8;
+
+/// A process that can keep records.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Holder {
+    /// Where it receives datagrams.
+    pub address: SocketAddr,
+    /// Tells a process from the one before it at the same address, as far as is known.
+    pub run: u64,
+}
+
+/// Processes in an order that differs by stream and is the same at all entries
+/// (rendezvous hashing).
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Ring {
+    /// The processes with the hashes of their addresses, ordered by address, which is
+    /// unique.
+    holders: Vec<(u64, Holder)>,
+}
+
+impl Ring {
+    /// Replaces the processes. Returns whether they have changed.
+    fn set<I>(&mut self, holders: I) -> bool
+    where
+        I: IntoIterator<Item = Holder>,
+    {
+        let mut holders: Vec<Holder> = holders.into_iter().collect();
+        holders.sort_unstable();
+        holders.dedup_by_key(|h| h.address);
+        if self.holders.iter().map(|(_, h)| h).eq(&holders) {
+            return false;
+        }
+        let hash_of = |h: &Holder| hash(h.address.to_string().as_bytes());
+        self.holders = holders.into_iter().map(|h| (hash_of(&h), h)).collect();
+        true
+    }
+
+    /// Returns the first `count` processes in the order of a stream.
+    fn first(&self, stream: Option<StreamId>, count: usize) -> Vec<Holder> {
+        let key = stream.map_or(0, |s| s.0);
+        let mut first: Vec<(u64, Holder)> = Vec::with_capacity(count + 1);
+        for (hash, holder) in &self.holders {
+            let place = (order(key, *hash), *holder);
+            if first.len() == count && first.last().is_none_or(|last| *last < place) {
+                continue;
+            }
+            first.insert(first.partition_point(|f| *f < place), place);
+            first.truncate(count);
+        }
+        first.into_iter().map(|(_, holder)| holder).collect()
+    }
+}
+
+/// The processes that can keep records for an entry.
+#[derive(Clone, Debug, Default)]
+pub struct Holders {
+    agents: Ring,
+    entries: Ring,
+}
+
+impl Holders {
+    /// Creates the empty set of an entry that starts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the agents. Returns whether they have changed.
+    pub fn set_agents<I>(&mut self, agents: I) -> bool
+    where
+        I: IntoIterator<Item = Holder>,
+    {
+        self.agents.set(agents)
+    }
+
+    /// Replaces the other entries. Returns whether they have changed.
+    pub fn set_entries<I>(&mut self, entries: I) -> bool
+    where
+        I: IntoIterator<Item = Holder>,
+    {
+        self.entries.set(entries)
+    }
+
+    /// Returns the processes that are to keep the record of a stream. `is_mixed` says
+    /// whether its service has several versions.
+    pub fn keepers(&self, stream: StreamId, is_mixed: bool) -> Vec<Holder> {
+        let has_agents = !self.agents.holders.is_empty();
+        let (agents, entries) = match (is_mixed, has_agents) {
+            (true, true) => (AGENT_COPIES, ENTRY_COPIES),
+            (true, false) => (0, LONE_ENTRY_COPIES),
+            (false, _) => (SPARE_COPIES, 0),
+        };
+        let mut keepers = self.agents.first(Some(stream), agents);
+        keepers.extend(self.entries.first(Some(stream), entries));
+        keepers
+    }
+
+    /// Returns the agents that are asked for the record of a stream.
+    pub fn asked_agents(&self, stream: Option<StreamId>) -> Vec<SocketAddr> {
+        let asked = self.agents.first(stream, ASKED_AGENTS);
+        asked.into_iter().map(|h| h.address).collect()
+    }
+
+    /// Returns the other entries that are asked for the record of a stream.
+    pub fn asked_entries(&self, stream: Option<StreamId>) -> Vec<SocketAddr> {
+        let count = match self.agents.holders.is_empty() {
+            true => ASKED_LONE_ENTRIES,
+            false => ASKED_ENTRIES,
+        };
+        let asked = self.entries.first(stream, count);
+        asked.into_iter().map(|h| h.address).collect()
+    }
+}
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -1,18 +1,21 @@
 //! Which software version began a stream, so that it goes on at that version only.
 //!
 //! What two versions of an upstream's software write doesn't fit together, and upstreams
-//! don't check it. An entry records the version of each stream that it begins. While a
-//! service has several versions, it sends the records to some other entries, so that the
-//! caller can resume the stream there. An entry that has no record asks them. A stream
-//! without any record is resumed only where a single version can have begun it. An entry
-//! that is cut off or stood still doesn't see the versions that came meanwhile, so it takes
-//! the answers of others for that.
+//! don't check it. An entry records the version of each stream that it begins, and sends the
+//! record to the processes that [`crate::stream_holders`] names, so that the caller can
+//! resume the stream at any entry, also after this one has ended. An entry that has no
+//! record asks them. A stream without any record is resumed only where a single version can
+//! have begun it. An entry that is cut off or stood still doesn't see the versions that came
+//! meanwhile, so it takes the answers of others for that. One that has just started doesn't
+//! know the versions of before: a [`VersionHistory`] in the store names them.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -21,6 +24,11 @@
 use crate::directory::Upstreams;
 use crate::ids::id_of_digest;
 use crate::name::Name;
+use crate::stream_holders::Holder;
+use crate::stream_holders::Holders;
+use crate::units::millis;
+use crate::wire::streams::StreamQuery;
+use crate::wire::streams::StreamReply;
 
 #[cfg(test)]
 mod tests;
@@ -36,6 +44,10 @@
 /// longer than the timeouts of common routes.
 const VERSION_MEMORY: Duration = Duration::from_secs(60);
 
+/// The time by which clocks of hosts may differ. The age of a version in a record of another
+/// process is trusted only beyond it.
+const CLOCK_ERROR: Duration = Duration::from_secs(30);
+
 /// The age up to which a view of the upstreams shows that an entry that reaches only a
 /// minority of the others isn't cut off from the platform. Those that it can't reach have
 /// been silent for as long.
@@ -108,13 +120,53 @@
     }
 }
 
+/// The versions of services that streams can have begun at, as they are stored for entries
+/// that start after all that knew them have ended.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionHistory {
+    /// The versions of each service.
+    pub services: BTreeMap<Name, Vec<PastVersion>>,
+}
+
+impl VersionHistory {
+    /// Returns whether both name the same versions and agree on which are listed.
+    pub fn has_same_versions(&self, other: &Self) -> bool {
+        let outline = |history: &Self| -> BTreeSet<(Name, SoftwareVersion, bool)> {
+            let versions = history.services.iter().flat_map(|(service, versions)| {
+                let of_service = versions.iter();
+                of_service.map(|v| (service.clone(), v.version.clone(), v.gone_millis.is_none()))
+            });
+            versions.collect()
+        };
+        outline(self) == outline(other)
+    }
+}
+
+/// A version of a service in a [`VersionHistory`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PastVersion {
+    /// The version.
+    pub version: SoftwareVersion,
+    /// The time since an upstream was last listed with it; `None` while one is.
+    pub gone_millis: Option<u64>,
+}
+
 #[derive(Debug)]
 struct StoredRecord {
     service: Name,
     version: SoftwareVersion,
     expires: Timestamp,
-    /// Whether this entry began the stream.
-    is_own: bool,
+    /// What this entry keeps for a stream that it began or has resumed.
+    own: Option<OwnStream>,
+}
+
+/// A stream that this entry began or has resumed.
+#[derive(Debug)]
+struct OwnStream {
+    /// When its request times out at the latest.
+    runs_until: Timestamp,
+    /// The processes to which its record was sent.
+    copies: Vec<Holder>,
 }
 
 /// The streams that began at this entry or were reported by others, and the versions
@@ -124,7 +176,7 @@
     records: HashMap<StreamId, StoredRecord>,
     /// The same records, by the time at which they expire.
     expiries: BTreeSet<(Timestamp, StreamId)>,
-    /// Own records that are due to be sent to other entries.
+    /// Own records that may lack copies.
     unsent: BTreeSet<StreamId>,
     /// The versions of each service, with the time at which an upstream was last listed
     /// with them; `None` while one is.
@@ -145,7 +197,6 @@
             for last in seen.values_mut() {
                 last.get_or_insert(now);
             }
-            seen.retain(|_, last| last.is_none_or(|at| now.since(at) < VERSION_MEMORY));
         }
         for upstream in upstreams.values() {
             for service in &upstream.serves {
@@ -153,19 +204,73 @@
                 seen.insert(upstream.version.clone(), None);
             }
         }
+        self.expire_versions(now);
+        self.mark_mixed_due(&mixed_before);
+    }
+
+    fn expire_versions(&mut self, now: Timestamp) {
+        for seen in self.versions.values_mut() {
+            seen.retain(|_, last| last.is_none_or(|at| now.since(at) < VERSION_MEMORY));
+        }
         self.versions.retain(|_, seen| !seen.is_empty());
-        self.mark_due(&(&self.mixed_services() - &mixed_before));
     }
 
-    /// Makes the own records of streams of these services due to be sent.
-    fn mark_due(&mut self, services: &BTreeSet<Name>) {
-        let own = self.records.iter().filter(|(_, r)| r.is_own);
-        let due = own.filter(|(_, r)| services.contains(&r.service));
+    /// Returns the versions that streams can have begun at.
+    pub fn history(&self, now: Timestamp) -> VersionHistory {
+        let past = |(version, last): (&SoftwareVersion, &Option<Timestamp>)| PastVersion {
+            version: version.clone(),
+            gone_millis: last.map(|at| millis(now.since(at))),
+        };
+        let services = self.versions.iter();
+        let services = services.map(|(name, seen)| (name.clone(), seen.iter().map(past).collect()));
+        VersionHistory {
+            services: services.collect(),
+        }
+    }
+
+    /// Adds the versions of a history that was written `age` ago by the clocks of hosts.
+    pub fn restore(&mut self, now: Timestamp, history: &VersionHistory, age: Duration) {
+        let mixed_before = self.mixed_services();
+        for (service, versions) in &history.services {
+            let seen = self.versions.entry(service.clone()).or_default();
+            for past in versions {
+                let gone = past.gone_millis.map(Duration::from_millis);
+                let age = gone.map(|gone| (gone + age).saturating_sub(CLOCK_ERROR));
+                let last = now.before(age.unwrap_or_default());
+                let known = seen.entry(past.version.clone()).or_insert(Some(last));
+                *known = known.map(|at| at.max(last));
+            }
+        }
+        self.expire_versions(now);
+        self.mark_mixed_due(&mixed_before);
+    }
+
+    /// Makes own records due to be sent, where the service has got a second version. Callers
+    /// may have lost the end of a stream that was sent whole.
+    fn mark_mixed_due(&mut self, mixed_before: &BTreeSet<Name>) {
+        let services = &self.mixed_services() - mixed_before;
+        if !services.is_empty() {
+            let is_own = |r: &StoredRecord| r.own.is_some();
+            self.mark_due(|r| is_own(r) && services.contains(&r.service));
+        }
+    }
+
+    /// Makes the records of all running own streams due to be sent, after a change of the
+    /// processes that can keep them.
+    pub fn mark_all_due(&mut self, now: Timestamp) {
+        self.mark_due(|r| r.own.as_ref().is_some_and(|own| now < own.runs_until));
+    }
+
+    fn mark_due<F>(&mut self, is_due: F)
+    where
+        F: Fn(&StoredRecord) -> bool,
+    {
+        let due = self.records.iter().filter(|(_, r)| is_due(r));
         self.unsent.extend(due.map(|(id, _)| *id));
     }
 
-    /// Records that this entry begins a stream at an upstream of `service` with this
-    /// version. Its request times out after `timeout`.
+    /// Records that this entry begins or resumes a stream at an upstream of `service` with
+    /// this version. Its request times out after `timeout`.
     pub fn begin(
         &mut self,
         now: Timestamp,
@@ -174,35 +279,46 @@
         version: SoftwareVersion,
         timeout: Duration,
     ) {
-        if self.is_mixed(service) {
-            self.unsent.insert(stream);
-        }
+        self.unsent.insert(stream);
+        let runs_until = now + timeout;
         let stored = StoredRecord {
             service: service.clone(),
             version,
-            expires: now + timeout + RESUME_TIME,
-            is_own: true,
+            expires: runs_until + RESUME_TIME,
+            own: Some(OwnStream {
+                runs_until,
+                copies: Vec::new(),
+            }),
         };
         self.insert(now, stream, stored);
     }
 
+    /// Records that the caller has got a whole stream, so that copies of its record are no
+    /// longer replaced.
+    pub fn end(&mut self, now: Timestamp, stream: StreamId) {
+        let record = self.records.get_mut(&stream);
+        if let Some(own) = record.and_then(|r| r.own.as_mut()) {
+            own.runs_until = now;
+        }
+    }
+
     /// Stores a record that another entry has sent. It also shows a version that this
     /// entry may not know yet, because its view of the upstreams is old.
     pub fn learn(&mut self, now: Timestamp, record: &StreamRecord) {
         let mixed_before = self.mixed_services();
+        self.expire_versions(now);
         let seen = self.versions.entry(record.service.clone()).or_default();
         seen.entry(record.version.clone()).or_insert(Some(now));
-        self.mark_due(&(&self.mixed_services() - &mixed_before));
-        if self.records.contains_key(&record.stream) {
-            return;
+        self.mark_mixed_due(&mixed_before);
+        if !self.records.contains_key(&record.stream) {
+            let stored = StoredRecord {
+                service: record.service.clone(),
+                version: record.version.clone(),
+                expires: now + record.needed_for,
+                own: None,
+            };
+            self.insert(now, record.stream, stored);
         }
-        let stored = StoredRecord {
-            service: record.service.clone(),
-            version: record.version.clone(),
-            expires: now + record.needed_for,
-            is_own: false,
-        };
-        self.insert(now, record.stream, stored);
     }
 
     /// Returns the record of a stream.
@@ -243,18 +359,49 @@
         recent.map(|(version, _)| version.clone()).collect()
     }
 
-    /// Returns whether there are records to send.
+    /// Returns what this process knows in answer to the question of an entry.
+    pub fn answer(&self, now: Timestamp, query: &StreamQuery) -> StreamReply {
+        StreamReply {
+            number: query.number,
+            record: query.stream.and_then(|s| self.get(now, s)),
+            versions: self.versions_within(now, &query.service, query.timeout),
+        }
+    }
+
+    /// Returns whether there are records that may lack copies.
     pub fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
     }
 
-    /// Returns the records to send, and marks them as sent.
-    pub fn take_unsent(&mut self, now: Timestamp) -> Vec<StreamRecord> {
-        let unsent = std::mem::take(&mut self.unsent);
-        unsent
-            .into_iter()
-            .filter_map(|s| self.get(now, s))
-            .collect()
+    /// Returns whether records of a service with several versions may lack copies.
+    pub fn has_urgent(&self) -> bool {
+        let mut services = self.unsent.iter().filter_map(|s| self.records.get(s));
+        services.any(|r| self.is_mixed(&r.service))
+    }
+
+    /// Returns the records to send to each of `holders` that is to keep them, and counts
+    /// them as sent.
+    pub fn take_unsent(
+        &mut self,
+        now: Timestamp,
+        holders: &Holders,
+    ) -> BTreeMap<Holder, Vec<StreamRecord>> {
+        let mut batches: BTreeMap<Holder, Vec<StreamRecord>> = BTreeMap::new();
+        for stream in std::mem::take(&mut self.unsent) {
+            let Some(record) = self.get(now, stream) else {
+                continue;
+            };
+            let keepers = holders.keepers(stream, self.is_mixed(&record.service));
+            let stored = self.records.get_mut(&stream);
+            let Some(own) = stored.and_then(|r| r.own.as_mut()) else {
+                continue;
+            };
+            for holder in keepers.iter().filter(|h| !own.copies.contains(h)) {
+                batches.entry(*holder).or_default().push(record.clone());
+            }
+            own.copies = keepers;
+        }
+        batches
     }
 
     fn insert(&mut self, now: Timestamp, stream: StreamId, stored: StoredRecord) {
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -7,6 +7,8 @@
 use crate::settings::Upstream;
 use crate::settings::UpstreamKind;
 
+mod many_entries;
+
 /// The timeout of all requests, in seconds.
 const TIMEOUT: u64 = 15;
 
@@ -100,6 +102,30 @@
     assert_eq!(find(&origins, 115, 7), unknown(&[2]));
 }
 
+fn holder(port: u16) -> Holder {
+    Holder {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        run: 0,
+    }
+}
+
+/// Returns the processes that can keep records: agents and other entries with these ports.
+fn holders(agents: &[u16], entries: &[u16]) -> Holders {
+    let mut holders = Holders::new();
+    holders.set_agents(agents.iter().map(|p| holder(*p)));
+    holders.set_entries(entries.iter().map(|p| holder(*p)));
+    holders
+}
+
+/// Returns the streams whose records are sent to each port.
+fn sent(origins: &mut StreamOrigins, now: u64, holders: &Holders) -> Vec<(u16, Vec<u64>)> {
+    let batches = origins.take_unsent(at(now), holders).into_iter();
+    let streams = |batch: Vec<StreamRecord>| batch.iter().map(|r| r.stream.0).collect();
+    batches
+        .map(|(holder, batch)| (holder.address.port(), streams(batch)))
+        .collect()
+}
+
 fn standing(asked: usize, replied: usize) -> Standing {
     Standing {
         asked,
@@ -143,11 +169,13 @@
 }
 
 #[test]
-fn records_are_sent_only_beside_several_versions() {
+fn records_are_sent_to_entries_only_beside_several_versions() {
+    let holders = holders(&[], &[5]);
     let mut origins = StreamOrigins::new();
     origins.observe(at(0), &upstreams(&[1]));
     origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert!(!origins.has_unsent());
+    assert!(!origins.has_urgent());
+    assert_eq!(sent(&mut origins, 1, &holders), []);
     let other = StreamRecord {
         stream: StreamId(9),
         service: pool(),
@@ -157,21 +185,41 @@
     origins.learn(at(1), &other);
     // The second version makes the own streams of before due.
     origins.observe(at(2), &upstreams(&[1, 2]));
+    assert!(origins.has_urgent());
     origins.begin(at(3), StreamId(2), &pool(), version(2), timeout());
-    let sent = origins.take_unsent(at(3));
-    let sent: Vec<_> = sent.iter().map(|r| (r.stream.0, &r.version)).collect();
+    let batches = origins.take_unsent(at(3), &holders);
+    let sent: Vec<_> = batches[&holder(5)]
+        .iter()
+        .map(|r| (r.stream.0, &r.version))
+        .collect();
     assert_eq!(sent, [(1, &version(1)), (2, &version(2))]);
     assert!(!origins.has_unsent());
 }
 
+// Issue 56, LOST: an entry that died before it knew of a second version had sent no records
+// (soak, seed 124).
+#[test]
+fn records_are_sent_to_agents_beside_a_single_version() {
+    let holders = holders(&[1, 2], &[5]);
+    let mut origins = StreamOrigins::new();
+    origins.observe(at(0), &upstreams(&[1]));
+    origins.begin(at(1), StreamId(7), &pool(), version(1), timeout());
+    assert_eq!(
+        sent(&mut origins, 1, &holders),
+        [(1, vec![7]), (2, vec![7])]
+    );
+    assert!(!origins.has_unsent());
+}
+
 // Found by the soak, seed 100: an entry that was cut off from the platform did not know of
 // a release, kept its records to itself and died.
 #[test]
 fn record_of_another_entry_shows_a_version_that_is_not_known_yet() {
+    let holders = holders(&[], &[5]);
     let mut origins = StreamOrigins::new();
     origins.observe(at(0), &upstreams(&[1]));
     origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert!(!origins.has_unsent());
+    assert_eq!(sent(&mut origins, 1, &holders), []);
     let of_new_version = StreamRecord {
         stream: StreamId(9),
         service: pool(),
@@ -179,11 +227,98 @@
         needed_for: timeout(),
     };
     origins.learn(at(2), &of_new_version);
-    let sent = origins.take_unsent(at(2));
-    assert_eq!(sent.iter().map(|r| r.stream.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(sent(&mut origins, 2, &holders), [(5, vec![1])]);
     assert_eq!(find(&origins, 3, 7), unknown(&[1, 2]));
 }
 
+// Issue 56, LOST: records were sent once, and were gone with the processes that had them.
+#[test]
+fn records_of_running_streams_follow_the_processes_that_are_to_keep_them() {
+    let mut origins = StreamOrigins::new();
+    origins.observe(at(0), &upstreams(&[1, 2]));
+    for stream in [1, 2] {
+        origins.begin(at(1), StreamId(stream), &pool(), version(1), timeout());
+    }
+    let before = holders(&[1], &[5]);
+    assert_eq!(
+        sent(&mut origins, 1, &before),
+        [(1, vec![1, 2]), (5, vec![1, 2])]
+    );
+    origins.end(at(2), StreamId(2));
+    origins.mark_all_due(at(2));
+    assert_eq!(sent(&mut origins, 2, &before), []);
+    origins.mark_all_due(at(3));
+    let after = holders(&[2], &[5]);
+    assert_eq!(sent(&mut origins, 3, &after), [(2, vec![1])]);
+    // A stream whose request has timed out is not running.
+    origins.mark_all_due(at(1 + TIMEOUT));
+    assert!(!origins.has_unsent());
+}
+
+fn past(number: u64, gone_millis: Option<u64>) -> PastVersion {
+    PastVersion {
+        version: version(number),
+        gone_millis,
+    }
+}
+
+fn history(versions: Vec<PastVersion>) -> VersionHistory {
+    VersionHistory {
+        services: BTreeMap::from([(pool(), versions)]),
+    }
+}
+
+// Issue 56, ORDER: entries that had all started after a release took the only listed version
+// for that of every stream.
+#[test]
+fn entry_that_has_just_started_knows_past_versions_from_the_history() {
+    let mut before = StreamOrigins::new();
+    before.observe(at(0), &upstreams(&[1]));
+    before.observe(at(5), &upstreams(&[1, 2]));
+    before.observe(at(6), &upstreams(&[2]));
+    let stored = before.history(at(7));
+    assert_eq!(stored, history(vec![past(1, Some(1_000)), past(2, None)]));
+    let mut started = StreamOrigins::new();
+    started.observe(at(1), &upstreams(&[2]));
+    started.restore(at(1), &stored, Duration::from_secs(2));
+    assert_eq!(find(&started, 2, 7), unknown(&[1, 2]));
+    assert_eq!(find(&started, 1 + TIMEOUT, 7), unknown(&[2]));
+}
+
+#[test]
+fn version_of_the_history_counts_as_listed_until_this_entry_has_seen_that_it_is_not() {
+    let mut started = StreamOrigins::new();
+    started.restore(at(100), &history(vec![past(1, None)]), Duration::ZERO);
+    assert_eq!(find(&started, 100, 7), unknown(&[1]));
+    started.observe(at(101), &upstreams(&[2]));
+    assert_eq!(find(&started, 114, 7), unknown(&[1, 2]));
+    assert_eq!(find(&started, 115, 7), unknown(&[2]));
+}
+
+#[test]
+fn old_versions_of_the_history_are_left_out_beyond_the_error_of_clocks() {
+    let hour = Duration::from_secs(3_600);
+    let mut started = StreamOrigins::new();
+    started.observe(at(3_600), &upstreams(&[3]));
+    let stored = history(vec![past(1, Some(1_000)), past(2, None)]);
+    started.restore(at(3_600), &stored, hour);
+    assert_eq!(find(&started, 3_600, 7), unknown(&[2, 3]));
+    // A clock that is 20 s fast doesn't make a version old.
+    let mut fast = StreamOrigins::new();
+    fast.observe(at(3_600), &upstreams(&[2]));
+    fast.restore(at(3_600), &stored, Duration::from_secs(22));
+    assert_eq!(find(&fast, 3_601, 7), unknown(&[1, 2]));
+}
+
+#[test]
+fn histories_are_compared_without_ages() {
+    let listed = history(vec![past(1, None)]);
+    let gone = history(vec![past(1, Some(5))]);
+    assert!(gone.has_same_versions(&history(vec![past(1, Some(9_000))])));
+    assert!(!gone.has_same_versions(&listed));
+    assert!(!listed.has_same_versions(&VersionHistory::default()));
+}
+
 #[test]
 fn first_record_of_a_stream_stays() {
     let mut origins = StreamOrigins::new();
@@ -233,6 +368,8 @@
     Begin(usize, u64),
     /// An entry starts again without memory.
     Restart(usize),
+    /// All entries do at the same time.
+    RestartAll,
     /// A caller resumes one of the last streams at an entry. The flags say which of the
     /// other entries reply.
     Resume(usize, usize, Vec<bool>),
@@ -246,6 +383,7 @@
         prop::sample::subsequence(vec![1, 2, 3], 1..=2).prop_map(Step::Release),
         (0..ENTRIES, 0..3_u64).prop_map(|(entry, pick)| Step::Begin(entry, pick)),
         (0..ENTRIES).prop_map(Step::Restart),
+        Just(Step::RestartAll),
         (0..ENTRIES).prop_map(Step::Lag),
         Just(Step::CatchUp),
         (
@@ -283,22 +421,28 @@
     is_certain.then(|| versions.into_iter().next())?
 }
 
+/// Returns an entry that has just started and read the stored history.
+fn start(now: u64, versions: &[u64], stored: &VersionHistory) -> StreamOrigins {
+    let mut started = StreamOrigins::new();
+    started.observe(at(now), &upstreams(versions));
+    started.restore(at(now), stored, Duration::ZERO);
+    started
+}
+
 proptest! {
     /// Whatever is released, restarted and lost, a stream is never resumed at another
-    /// version while an entry that was there at its begin replies or resumes it.
+    /// version. The store has the versions that an entry in step knows.
     #[test]
     fn no_stream_is_resumed_at_another_version(steps in prop::collection::vec(step(), 1..60)) {
         let mut now = 0;
         let mut versions = vec![1];
         let mut lagging = None;
         let mut seen = vec![vec![1]; ENTRIES];
+        let mut stored = VersionHistory::default();
         let mut entries: Vec<StreamOrigins> =
-            (0..ENTRIES).map(|_| StreamOrigins::new()).collect();
-        // The numbers of the steps in which each entry and each stream began.
-        let mut started = [0; ENTRIES];
-        let mut streams: Vec<(StreamId, usize, u64, SoftwareVersion)> = Vec::new();
-        entries.iter_mut().for_each(|e| e.observe(at(0), &upstreams(&[1])));
-        for (number, step) in (1..).zip(steps) {
+            (0..ENTRIES).map(|_| start(0, &versions, &stored)).collect();
+        let mut streams: Vec<(StreamId, u64, SoftwareVersion)> = Vec::new();
+        for step in steps {
             match step {
                 Step::Wait(seconds) => now += seconds,
                 Step::Release(next) => versions = next,
@@ -313,25 +457,24 @@
                     let begun = version(running[pick as usize % running.len()]);
                     let stream = StreamId(streams.len() as u64 + 1);
                     entries[entry].begin(at(now), stream, &pool(), begun.clone(), timeout());
-                    streams.push((stream, number, now, begun));
+                    streams.push((stream, now, begun));
                 }
                 Step::Restart(entry) => {
-                    entries[entry] = StreamOrigins::new();
-                    entries[entry].observe(at(now), &upstreams(&versions));
+                    entries[entry] = start(now, &versions, &stored);
                     seen[entry] = versions.clone();
-                    started[entry] = number;
+                }
+                Step::RestartAll => {
+                    entries = (0..ENTRIES).map(|_| start(now, &versions, &stored)).collect();
+                    seen = vec![versions.clone(); ENTRIES];
                 }
                 Step::Resume(entry, back, replies) => {
-                    let Some((stream, begun_in, begun_at, begun)) = streams.iter().rev().nth(back) else {
+                    let Some((stream, begun_at, begun)) = streams.iter().rev().nth(back) else {
                         continue;
                     };
                     if now >= begun_at + TIMEOUT {
                         continue;
                     }
-                    let was_there = (0..ENTRIES)
-                        .any(|i| (i == entry || replies[i]) && started[i] < *begun_in);
-                    let resolved = resolve(&entries, entry, &replies, now, *stream);
-                    if was_there && let Some(resolved) = resolved {
+                    if let Some(resolved) = resolve(&entries, entry, &replies, now, *stream) {
                         prop_assert_eq!(&resolved, begun);
                     }
                 }
@@ -342,11 +485,15 @@
                     seen[entry] = versions.clone();
                 }
             }
+            let writer = (0..ENTRIES).find(|entry| Some(*entry) != lagging);
+            stored = entries[writer.unwrap_or_default()].history(at(now));
             // Due records reach one other entry.
             for entry in 0..ENTRIES {
-                let due = entries[entry].take_unsent(at(now));
-                let other = &mut entries[(entry + 1) % ENTRIES];
-                due.iter().for_each(|record| other.learn(at(now), record));
+                let other = (entry + 1) % ENTRIES;
+                let holders = holders(&[], &[u16::try_from(other).unwrap_or_default()]);
+                let due = entries[entry].take_unsent(at(now), &holders);
+                let due = due.into_values().flatten();
+                due.for_each(|record| entries[other].learn(at(now), &record));
             }
         }
     }
