--- a/src/claims/claim_store.rs
+++ b/src/claims/claim_store.rs
@@ -196,6 +196,7 @@
                     StoreError::Conflict
                     | StoreError::NoReply
                     | StoreError::OutcomeUnknown
+                    | StoreError::ReplyTooLarge
                     | StoreError::Restored,
                 ) => {}
                 Err(StoreError::TooLarge) => return Err(ClaimError::Full),
--- a/src/entry/rollouts/record.rs
+++ b/src/entry/rollouts/record.rs
@@ -155,6 +155,7 @@
                 StoreError::Conflict
                 | StoreError::NoReply
                 | StoreError::OutcomeUnknown
+                | StoreError::ReplyTooLarge
                 | StoreError::Restored,
             ) => self.settle(&value).await,
             Err(e @ (StoreError::Unreachable | StoreError::Refused(_) | StoreError::TooLarge)) => {
--- a/src/object_store/mod.rs
+++ b/src/object_store/mod.rs
@@ -80,6 +80,9 @@
     /// date; a write may be lost.
     #[error("the object store was restored from an older copy during the call")]
     Restored,
+    /// The reply is longer than is read. A write may have taken effect.
+    #[error("the reply of the object store is too long")]
+    ReplyTooLarge,
     /// The value is larger than `MAX_OBJECT_BYTES`. Nothing was written.
     #[error("the value exceeds {MAX_OBJECT_BYTES} bytes")]
     TooLarge,
