Send the records of running streams to the processes that lack them

Change: an entry keeps which processes have a copy of the record of each running stream. It sends the record to those that have been restarted, which their reports show, and to those that come to be keepers; to all again at intervals beside several versions, and when it begins to stop.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -48,6 +48,7 @@
 use crate::quota::Quota;
 use crate::quota::QuotaReport;
 use crate::site_key::KeyHolder;
+use crate::stream_holders::Holder;
 use crate::wire;
 use crate::wire::limits;
 use crate::wire::limits::LimitMessage;
@@ -300,6 +301,17 @@
         self.table.borrow().reachable(self.parts.clock.now())
     }
 
+    /// Returns the entries that may be running and can keep records of streams.
+    pub fn holders(&self) -> Vec<Holder> {
+        let table = self.table.borrow();
+        let runs = table.reachable_runs(self.parts.clock.now()).into_iter();
+        let holder = |(address, run): (SocketAddr, Option<Incarnation>)| Holder {
+            address,
+            run: run.map_or(0, |run| run.0),
+        };
+        runs.map(holder).collect()
+    }
+
     async fn receive(&self, datagram: &[u8], peer: SocketAddr) {
         let (kind, message) = match DatagramKind::open(&self.parts.key, datagram) {
             Ok(opened) => opened,
@@ -351,8 +363,13 @@
             Ok(report) => {
                 self.add(peer);
                 let now = self.parts.clock.now();
-                let mut table = self.table.borrow_mut();
-                table.record_report(now, peer, report.from);
+                let is_first = {
+                    let mut table = self.table.borrow_mut();
+                    table.record_report(now, peer, report.from)
+                };
+                if is_first {
+                    self.parts.streams.send_to_new_holders();
+                }
                 let window = self.parts.active_settings.settings().limits.quota_window;
                 self.parts
                     .quota
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -268,6 +268,8 @@
         self.upstream_limits.set_leaving();
         self.loans.set_leaving();
         self.gossip.set_leaving();
+        // Those that outlast the stop are resumed elsewhere.
+        self.streams.send_again();
     }
 
     /// Returns whether new requests are refused because they could not finish
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -41,6 +41,10 @@
 const BATCH_TIME: Duration = Duration::from_millis(20);
 const SINGLE_VERSION_BATCH_TIME: Duration = Duration::from_millis(250);
 
+/// The interval at which the records of running streams are sent again beside several
+/// versions. That an agent has been restarted is not noticed otherwise.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The longest time for which a request waits for the history of the versions, which an
 /// entry reads when it starts.
 const HISTORY_WAIT: Duration = Duration::from_millis(500);
@@ -113,6 +117,20 @@
         self.knows_history.send_replace(false);
     }
 
+    /// Sends the records of running streams to the processes that are to keep them and have
+    /// started or come since.
+    pub fn send_to_new_holders(&self) {
+        self.origins.borrow_mut().mark_all_due(self.clock.now());
+        self.notify_due();
+    }
+
+    /// Sends the records of running streams once more to all that are to keep them, some of
+    /// which may have lost them.
+    pub fn send_again(&self) {
+        self.origins.borrow_mut().forget_copies(self.clock.now());
+        self.notify_due();
+    }
+
     /// Adds the history of the versions that was stored `age` ago; `None` if there is none.
     pub fn restore_history(&self, history: Option<(&VersionHistory, Duration)>) {
         if let Some((history, age)) = history {
@@ -133,6 +151,7 @@
     pub async fn run(self: Rc<Self>) {
         let mut changes = self.directory.subscribe();
         changes.mark_changed();
+        let mut repeat = actix_rt::time::interval(REPEAT_INTERVAL);
         loop {
             tokio::select! {
                 changed = changes.changed() => {
@@ -142,6 +161,7 @@
                     self.follow_upstreams();
                 }
                 () = self.due.notified() => {}
+                _ = repeat.tick() => self.origins.borrow_mut().forget_mixed_copies(self.clock.now()),
             }
             if self.origins.borrow().has_unsent() {
                 let collected = actix_rt::time::sleep(SINGLE_VERSION_BATCH_TIME);
@@ -315,9 +335,7 @@
 
     /// Updates the other entries that can keep records.
     fn follow_entries(&self, peers: &Peers) {
-        let entries = peers.reachable().into_iter();
-        let entries = entries.map(|address| Holder { address, run: 0 });
-        self.holders.borrow_mut().set_entries(entries);
+        self.holders.borrow_mut().set_entries(peers.holders());
     }
 
     /// Returns the processes that have not replied to a query; none if the answer is known.
--- a/src/peer_table.rs
+++ b/src/peer_table.rs
@@ -39,6 +39,8 @@
     hash: u64,
     /// When it last sent a report, or became known.
     last_heard: Timestamp,
+    /// Its incarnation; `None` before its first report.
+    run: Option<Incarnation>,
     /// The incarnation that has announced its stop.
     leaving: Option<Incarnation>,
 }
@@ -71,19 +73,23 @@
         let added = Peer {
             hash: hash(peer.to_string().as_bytes()),
             last_heard: now,
+            run: None,
             leaving: None,
         };
         self.peers.insert(peer, added);
         true
     }
 
-    /// Records a report of an entry that is known.
-    pub fn record_report(&mut self, now: Timestamp, peer: SocketAddr, from: Incarnation) {
-        if let Some(peer) = self.peers.get_mut(&peer) {
-            peer.last_heard = now;
-            // A new process has taken the place of one that was stopping.
-            peer.leaving = peer.leaving.filter(|leaving| *leaving == from);
-        }
+    /// Records a report of an entry that is known. Returns whether it is the first one of
+    /// its process.
+    pub fn record_report(&mut self, now: Timestamp, peer: SocketAddr, from: Incarnation) -> bool {
+        let Some(peer) = self.peers.get_mut(&peer) else {
+            return false;
+        };
+        peer.last_heard = now;
+        // A new process has taken the place of one that was stopping.
+        peer.leaving = peer.leaving.filter(|leaving| *leaving == from);
+        peer.run.replace(from) != Some(from)
     }
 
     /// Records that an entry has announced its stop.
@@ -109,6 +115,12 @@
         reachable.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the other entries that have not been silent, with their incarnations.
+    pub fn reachable_runs(&self, now: Timestamp) -> Vec<(SocketAddr, Option<Incarnation>)> {
+        let reachable = self.peers.iter().filter(|(_, p)| p.is_reachable(now));
+        reachable.map(|(address, p)| (*address, p.run)).collect()
+    }
+
     /// Returns the part of the entries that this one can reach, of those that may be
     /// running and have not announced their stop.
     pub fn reachable_fraction(&self, now: Timestamp) -> f64 {
--- a/src/peer_table/tests.rs
+++ b/src/peer_table/tests.rs
@@ -68,3 +68,15 @@
     let table = table(1, &[2]);
     assert!((0..50_u8).all(|key| table.holder(at(0), &[key], true) == Some(address(2))));
 }
+
+// Issue 56, LOST: nobody noticed that a process at the same address had lost its memory.
+#[test]
+fn first_report_of_each_process_is_told_from_the_others() {
+    let mut table = table(1, &[2]);
+    assert!(table.record_report(at(1), address(2), Incarnation(7)));
+    assert!(!table.record_report(at(2), address(2), Incarnation(7)));
+    assert!(table.record_report(at(3), address(2), Incarnation(8)));
+    let runs = table.reachable_runs(at(3));
+    assert_eq!(runs, [(address(2), Some(Incarnation(8)))]);
+    assert!(!table.record_report(at(3), address(3), Incarnation(9)));
+}
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -261,6 +261,35 @@
         self.mark_due(|r| r.own.as_ref().is_some_and(|own| now < own.runs_until));
     }
 
+    /// Makes the records of all running own streams due to be sent once more.
+    pub fn forget_copies(&mut self, now: Timestamp) {
+        self.forget_copies_of(now, |_| true);
+    }
+
+    /// Makes the records of the running own streams of services with several versions due to
+    /// be sent once more.
+    pub fn forget_mixed_copies(&mut self, now: Timestamp) {
+        let mixed = self.mixed_services();
+        if !mixed.is_empty() {
+            self.forget_copies_of(now, |service| mixed.contains(service));
+        }
+    }
+
+    fn forget_copies_of<F>(&mut self, now: Timestamp, is_due: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        for (stream, record) in &mut self.records {
+            let is_due = is_due(&record.service);
+            if let Some(own) = record.own.as_mut().filter(|own| now < own.runs_until)
+                && is_due
+            {
+                own.copies.clear();
+                self.unsent.insert(*stream);
+            }
+        }
+    }
+
     fn mark_due<F>(&mut self, is_due: F)
     where
         F: Fn(&StoredRecord) -> bool,
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -255,6 +255,48 @@
     assert!(!origins.has_unsent());
 }
 
+// Issue 56, LOST: a process that had lost its records was not sent them again.
+#[test]
+fn record_is_sent_to_the_process_that_takes_the_place_of_one_that_had_it() {
+    let mut origins = StreamOrigins::new();
+    origins.observe(at(0), &upstreams(&[1, 2]));
+    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
+    assert_eq!(
+        sent(&mut origins, 1, &holders(&[1], &[5])),
+        [(1, vec![1]), (5, vec![1])]
+    );
+    let mut restarted = holders(&[1], &[]);
+    restarted.set_entries([Holder {
+        run: 1,
+        ..holder(5)
+    }]);
+    origins.mark_all_due(at(2));
+    assert_eq!(sent(&mut origins, 2, &restarted), [(5, vec![1])]);
+}
+
+#[test]
+fn records_are_sent_again_at_intervals_only_beside_several_versions() {
+    let holders = holders(&[1], &[5]);
+    let mut origins = StreamOrigins::new();
+    origins.observe(at(0), &upstreams(&[1]));
+    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
+    assert_eq!(sent(&mut origins, 1, &holders), [(1, vec![1])]);
+    origins.forget_mixed_copies(at(2));
+    assert!(!origins.has_unsent());
+    origins.forget_copies(at(2));
+    assert_eq!(sent(&mut origins, 2, &holders), [(1, vec![1])]);
+    origins.observe(at(3), &upstreams(&[1, 2]));
+    assert_eq!(sent(&mut origins, 3, &holders), [(5, vec![1])]);
+    origins.forget_mixed_copies(at(4));
+    assert_eq!(
+        sent(&mut origins, 4, &holders),
+        [(1, vec![1]), (5, vec![1])]
+    );
+    origins.end(at(5), StreamId(1));
+    origins.forget_mixed_copies(at(6));
+    assert!(!origins.has_unsent());
+}
+
 fn past(number: u64, gone_millis: Option<u64>) -> PastVersion {
     PastVersion {
         version: version(number),
--- a/src/stream_origins/tests/many_entries.rs
+++ b/src/stream_origins/tests/many_entries.rs
@@ -19,6 +19,7 @@
     processes: Vec<StreamOrigins>,
     runs: Vec<u64>,
     stored: VersionHistory,
+    has_agents: bool,
     now: u64,
 }
 
@@ -42,6 +43,7 @@
             processes: processes.collect(),
             runs: vec![0; (AGENTS + ENTRIES) as usize],
             stored: VersionHistory::default(),
+            has_agents: true,
             now: 100,
         };
         for entry in ENTRY_NUMBERS {
@@ -63,11 +65,13 @@
             run: self.runs[number as usize],
         };
         let mut holders = Holders::new();
-        // The run of an agent is not known.
-        holders.set_agents((0..AGENTS).map(|n| Holder {
-            run: 0,
-            ..holder(n)
-        }));
+        if self.has_agents {
+            // The run of an agent is not known.
+            holders.set_agents((0..AGENTS).map(|n| Holder {
+                run: 0,
+                ..holder(n)
+            }));
+        }
         holders.set_entries(ENTRY_NUMBERS.filter(|n| *n != entry).map(holder));
         holders
     }
@@ -120,17 +124,22 @@
 
     /// Begins streams at the first entries, of two versions in turn.
     fn begin_streams(&mut self) -> Vec<(u32, StreamId, SoftwareVersion)> {
+        let entries = ENTRY_NUMBERS.take(FOLLOWED);
+        entries
+            .flat_map(|entry| self.begin_streams_at(entry))
+            .collect()
+    }
+
+    fn begin_streams_at(&mut self, entry: u32) -> Vec<(u32, StreamId, SoftwareVersion)> {
         let mut begun = Vec::new();
-        for entry in ENTRY_NUMBERS.take(FOLLOWED) {
-            for i in 0..STREAMS {
-                let stream = StreamId::new(&pool(), &format!("{entry}-{i}"));
-                let version = version(1 + i % 2);
-                let origins = &mut self.processes[entry as usize];
-                origins.begin(at(self.now), stream, &pool(), version.clone(), timeout());
-                begun.push((entry, stream, version));
-            }
-            self.send(entry);
+        for i in 0..STREAMS {
+            let stream = StreamId::new(&pool(), &format!("{entry}-{i}"));
+            let version = version(1 + i % 2);
+            let origins = &mut self.processes[entry as usize];
+            origins.begin(at(self.now), stream, &pool(), version.clone(), timeout());
+            begun.push((entry, stream, version));
         }
+        self.send(entry);
         begun
     }
 
@@ -174,3 +183,34 @@
     (0..AGENTS + ENTRIES).for_each(|process| fleet.restart(process));
     assert_eq!(fleet.resumed(&streams), 0.0);
 }
+
+// Issue 56, LOST: records were sent once, and were gone when each entry had been restarted.
+#[test]
+fn streams_go_on_after_a_restart_of_each_entry_in_turn_without_agents() {
+    let mut fleet = Fleet::start();
+    fleet.has_agents = false;
+    let owner = ENTRY_NUMBERS.start;
+    let streams = fleet.begin_streams_at(owner);
+    for entry in ENTRY_NUMBERS.skip(1) {
+        fleet.restart(entry);
+        let now = at(fleet.now);
+        fleet.processes[owner as usize].mark_all_due(now);
+        fleet.send(owner);
+    }
+    fleet.restart(owner);
+    assert_eq!(fleet.resumed(&streams), 1.0);
+}
+
+#[test]
+fn streams_go_on_after_a_restart_of_each_process_and_a_kill_of_all_entries() {
+    let mut fleet = Fleet::start();
+    let owner = ENTRY_NUMBERS.start;
+    let streams = fleet.begin_streams_at(owner);
+    (0..AGENTS).for_each(|agent| fleet.restart(agent));
+    // That agents were restarted is not noticed; the records are sent again some time later.
+    let now = at(fleet.now);
+    fleet.processes[owner as usize].forget_mixed_copies(now);
+    fleet.send(owner);
+    ENTRY_NUMBERS.for_each(|entry| fleet.restart(entry));
+    assert_eq!(fleet.resumed(&streams), 1.0);
+}
