--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -36,10 +36,9 @@
 use crate::wire::streams::decode;
 use crate::wire::streams::encode;
 
-/// The time for which records are collected before they are sent together, beside several
-/// versions and beside a single one.
+/// The time for which records are collected before they are sent together. Those of streams
+/// that began later than this before the entry dies may be lost.
 const BATCH_TIME: Duration = Duration::from_millis(20);
-const SINGLE_VERSION_BATCH_TIME: Duration = Duration::from_millis(250);
 
 /// The interval at which the records of running streams are sent again beside several
 /// versions. That an agent has been restarted is not noticed otherwise.
@@ -71,8 +70,6 @@
     last_query: Cell<u64>,
     /// Notified when there are records to send.
     due: Notify,
-    /// Notified when there are records to send without delay.
-    urgent: Notify,
     clock: Clock,
     log: Logger,
 }
@@ -101,7 +98,6 @@
             queries: RefCell::default(),
             last_query: Cell::new(0),
             due: Notify::new(),
-            urgent: Notify::new(),
             clock,
             log,
         }
@@ -164,11 +160,7 @@
                 _ = repeat.tick() => self.origins.borrow_mut().forget_mixed_copies(self.clock.now()),
             }
             if self.origins.borrow().has_unsent() {
-                let collected = actix_rt::time::sleep(SINGLE_VERSION_BATCH_TIME);
-                tokio::select! {
-                    () = self.urgent.notified() => actix_rt::time::sleep(BATCH_TIME).await,
-                    () = collected => {}
-                }
+                actix_rt::time::sleep(BATCH_TIME).await;
                 self.send_due().await;
             }
         }
@@ -212,13 +204,9 @@
 
     /// Wakes the task that sends records, if there are any to send.
     fn notify_due(&self) {
-        let origins = self.origins.borrow();
-        if origins.has_unsent() {
+        if self.origins.borrow().has_unsent() {
             self.due.notify_one();
         }
-        if origins.has_urgent() {
-            self.urgent.notify_one();
-        }
     }
 
     /// Returns the version that began a stream, or `None` if that can't be told. Asks
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -402,12 +402,6 @@
         !self.unsent.is_empty()
     }
 
-    /// Returns whether records of a service with several versions may lack copies.
-    pub fn has_urgent(&self) -> bool {
-        let mut services = self.unsent.iter().filter_map(|s| self.records.get(s));
-        services.any(|r| self.is_mixed(&r.service))
-    }
-
     /// Returns the records to send to each of `holders` that is to keep them, and counts
     /// them as sent.
     pub fn take_unsent(
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -174,7 +174,6 @@
     let mut origins = StreamOrigins::new();
     origins.observe(at(0), &upstreams(&[1]));
     origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert!(!origins.has_urgent());
     assert_eq!(sent(&mut origins, 1, &holders), []);
     let other = StreamRecord {
         stream: StreamId(9),
@@ -185,7 +184,7 @@
     origins.learn(at(1), &other);
     // The second version makes the own streams of before due.
     origins.observe(at(2), &upstreams(&[1, 2]));
-    assert!(origins.has_urgent());
+    assert!(origins.has_unsent());
     origins.begin(at(3), StreamId(2), &pool(), version(2), timeout());
     let batches = origins.take_unsent(at(3), &holders);
     let sent: Vec<_> = batches[&holder(5)]
