Judge what continues a stream by its head and the ids of its events

Cause: an answer counted as the rest of a stream if its status was 2xx. Nobody compared the ids of its events with those before, and an answer without events ended the stream.

Change: status, media type and encoding must be those of the first head; ids must increase, and the first of a rest must not leave a gap beyond the usual distance; a stream of which a part of an event has arrived is not complete before another event. Otherwise the rest is sought elsewhere.

--- a/src/completeness.rs
+++ b/src/completeness.rs
@@ -126,7 +126,7 @@
 }
 
 /// Returns the media type of a `content-type` value, without its parameters.
-fn media_type(value: &[u8]) -> &[u8] {
+pub(crate) fn media_type(value: &[u8]) -> &[u8] {
     let end = value.iter().position(|b| *b == b';');
     value[..end.unwrap_or(value.len())].trim_ascii()
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -305,8 +305,12 @@
             }
         }
         let status = answer.head.status;
-        if relay.has_sent_head() && !(200..300).contains(&status) {
+        if relay.has_sent_head() && !relay.can_continue_with(&answer.head) {
             // A response that doesn't continue the stream must not be appended to it.
+            info!(self.state.log, "answer does not continue the stream";
+                "request" => %self.job.logged_id(self.request),
+                "upstream" => %self.upstream,
+                "status" => status);
             self.state
                 .record_result(&self.upstream, UpstreamResult::Failed);
             return Err(AttemptResult::Interrupted);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,13 +6,15 @@
 
 use crate::clock::Timestamp;
 use crate::completeness::CompletenessCheck;
+use crate::completeness::media_type;
 use crate::directory::SoftwareVersion;
 use crate::entry::error::CallerError;
 use crate::entry::reply_queue::ReplySender;
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
+use crate::events::EventError;
 use crate::events::EventReader;
-use crate::events::EventTooLarge;
+use crate::exchange::AnswerHead;
 use crate::exchange::Framing;
 use crate::headers::Header;
 use crate::http_server::CallerPresence;
@@ -28,14 +30,16 @@
     reply_tx: ReplySender,
     /// Tells whether the caller is still there.
     presence: Option<CallerPresence>,
-    /// The status sent to the caller.
-    status: Option<u16>,
+    /// The head sent to the caller.
+    head: Option<SentHead>,
     /// Splits a stream that another upstream can continue into events.
     events: Option<EventReader>,
     /// Checks the end of the last answer; `None` before its head.
     check: Option<CompletenessCheck>,
     /// Whether the caller asked to resume a stream.
     resumes: bool,
+    /// Whether the stream has another event, of which an upstream has sent a part.
+    owes_event: bool,
     /// The software version of the upstream of the last answer.
     version: SoftwareVersion,
     /// The software version that began the stream whose events the caller has.
@@ -46,6 +50,27 @@
     blocked: Duration,
 }
 
+/// What the head of an answer says of its body. What continues the answer must say the same.
+#[derive(Debug, Eq, PartialEq)]
+struct SentHead {
+    status: u16,
+    media_type: Option<Vec<u8>>,
+    encoding: Option<Bytes>,
+}
+
+impl SentHead {
+    fn new(status: u16, headers: &[Header]) -> Self {
+        let value = |name| headers.iter().find(|h| &*h.name == name).map(|h| &h.value);
+        let media_type = value("content-type").map(|v| media_type(v).to_ascii_lowercase());
+        let encoding = value("content-encoding").filter(|v| !v.eq_ignore_ascii_case(b"identity"));
+        Self {
+            status,
+            media_type,
+            encoding: encoding.cloned(),
+        }
+    }
+}
+
 impl Relay {
     /// Creates a relay that has not sent anything.
     pub fn new(reply_tx: ReplySender, job: &Job) -> Self {
@@ -53,10 +78,11 @@
         Self {
             reply_tx,
             presence: None,
-            status: None,
+            head: None,
             events: resumable.then(|| EventReader::new(job.last_event)),
             check: None,
             resumes: job.last_event.is_some(),
+            owes_event: false,
             version: None,
             origin: None,
             usage: UsageReader::new(AnswerFormat::Opaque),
@@ -79,7 +105,7 @@
 
     /// Returns whether the head of an answer was sent.
     pub fn has_sent_head(&self) -> bool {
-        self.status.is_some()
+        self.head.is_some()
     }
 
     /// Returns the software version of the upstreams that can continue the stream, or
@@ -91,7 +117,7 @@
     /// Returns whether another upstream can begin or continue the answer.
     pub fn can_fail_over(&self) -> bool {
         let can_resume = self.events.as_ref().is_some_and(EventReader::can_resume);
-        self.status.is_none() || can_resume
+        self.head.is_none() || can_resume
     }
 
     /// Returns the id of the last event that the caller has received, in this
@@ -155,6 +181,7 @@
     ) {
         self.version = version;
         self.usage = UsageReader::new(format);
+        self.owes_event |= self.partial_bytes().is_some_and(|bytes| bytes > 0);
         let continues = self.resumes || self.last_event().is_some();
         let check = CompletenessCheck::new(&headers, framing, format);
         self.check = Some(check.with_continuation(continues));
@@ -163,17 +190,24 @@
             self.events = None;
         }
         if let Some(events) = &mut self.events {
-            events.drop_partial();
+            events.begin_answer();
         }
-        if self.status.is_none() {
-            self.status = Some(status);
+        if self.head.is_none() {
+            self.head = Some(SentHead::new(status, &headers));
             self.send(Reply::Head(status, headers)).await;
         }
     }
 
-    /// Relays bytes of the body, as soon as there is room for them. Returns whether they contain the first events of a
-    /// stream that can be resumed. Fails if one of its events is too large to be buffered.
-    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> Result<bool, EventTooLarge> {
+    /// Returns whether an answer with this head can continue the one that was begun.
+    pub fn can_continue_with(&self, head: &AnswerHead) -> bool {
+        let next = SentHead::new(head.status, &head.headers);
+        self.head.as_ref().is_some_and(|sent| *sent == next)
+    }
+
+    /// Relays bytes of the body, as soon as there is room for them. Returns whether they
+    /// contain the first events of a stream that can be resumed. Fails if one of its events is
+    /// too large to be buffered or out of order; those before it are relayed.
+    pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> Result<bool, EventError> {
         self.usage.push(&bytes);
         if let Some(check) = &mut self.check {
             check.push(&bytes);
@@ -190,8 +224,13 @@
             self.origin.get_or_insert_with(|| self.version.clone());
         }
         self.first_byte.get_or_insert(now);
+        self.owes_event = false;
         self.send(Reply::Bytes(bytes)).await;
-        Ok(begins)
+        match self.events.as_ref().and_then(EventReader::error) {
+            Some(e) if !begins => Err(e),
+            // The first events of a stream are recorded; the next bytes or the end fail.
+            _ => Ok(begins),
+        }
     }
 
     /// Returns whether the answer may lack a part although its content is complete.
@@ -203,10 +242,12 @@
 
     /// Ends the answer if it is complete, and returns whether it is.
     pub async fn finish(&mut self) -> bool {
-        let partial = self.events.as_ref().is_some_and(EventReader::has_partial);
+        let events = self.events.as_ref();
+        let partial = events.is_some_and(|e| e.has_partial() || e.error().is_some());
         let content = self.check.as_ref();
         let is_content_complete = content.is_none_or(CompletenessCheck::is_complete);
-        let complete = self.usage.is_complete() && is_content_complete && !partial;
+        let complete =
+            self.usage.is_complete() && is_content_complete && !partial && !self.owes_event;
         if complete {
             self.send(Reply::End).await;
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -18,12 +18,47 @@
 /// Field name of an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
-/// Error for a stream with an event that is larger than an entry buffers.
+/// Reason for which a stream can't be forwarded in events.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLarge;
+pub enum EventError {
+    /// An event is larger than an entry buffers.
+    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// An event does not follow the one before it: the upstream repeats or leaves out events,
+    /// or has begun the stream anew.
+    #[error("the event {id} does not follow the event {last}")]
+    OutOfOrder {
+        /// The id of the last event that is in order.
+        last: u64,
+        /// The id of the event after it.
+        id: u64,
+    },
+}
+
+/// The differences between the ids of subsequent events.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Step {
+    /// There were not two events yet.
+    #[default]
+    Unknown,
+    /// All differences were the same.
+    Always(u64),
+    /// The differences vary.
+    Varies,
+}
+
+impl Step {
+    fn with(self, difference: u64) -> Self {
+        match self {
+            Self::Unknown => Self::Always(difference),
+            Self::Always(step) if step == difference => self,
+            Self::Always(_) | Self::Varies => Self::Varies,
+        }
+    }
+}
 
-/// Splits a stream of bytes into complete events and tracks the last event id.
+/// Splits a stream of bytes into complete events and tracks the last event id. The ids of
+/// the events must increase.
 #[derive(Debug, Default)]
 pub struct EventReader {
     /// The incomplete event; at most `MAX_EVENT_BYTES` between two calls.
@@ -31,15 +66,20 @@
     last_id: Option<u64>,
     /// Whether the last complete event has no id, so that `last_id` is an earlier one's.
     lacks_id: bool,
+    step: Step,
+    /// Whether the next event is the first of an answer, which may continue another one.
+    is_first: bool,
+    /// Why no more events are returned.
+    error: Option<EventError>,
 }
 
 impl EventReader {
     /// Creates a reader of a stream that continues after the event `last_id`.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
-            lacks_id: false,
+            is_first: true,
+            ..Self::default()
         }
     }
 
@@ -59,39 +99,55 @@
         !self.partial.is_empty()
     }
 
-    /// Appends bytes and returns the events that are now complete.
+    /// Appends bytes and returns the events that are now complete and in order. If one is
+    /// not, the next call fails.
     ///
     /// # Errors
     ///
-    /// Fails if the incomplete event is too large. The last event id is that of the events
-    /// returned before.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
+    /// Fails if the incomplete event is too large, or if an event was out of order. The last
+    /// event id is that of the events returned before.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        if let Some(e) = self.error {
+            return Err(e);
+        }
         let scanned = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let end = last_event_end(&self.partial, scanned).unwrap_or(0);
         if self.partial.len() - end > MAX_EVENT_BYTES {
             self.partial = BytesMut::new();
-            return Err(EventTooLarge);
+            return Err(EventError::TooLarge);
         }
         if end == 0 {
             return Ok(Bytes::new());
         }
-        let complete = self.partial.split_to(end).freeze();
-        self.read_ids(&complete);
-        Ok(complete)
+        let mut complete = self.partial.split_to(end).freeze();
+        let in_order = self.read_ids(&complete);
+        complete.truncate(in_order);
+        match self.error {
+            Some(e) if complete.is_empty() => Err(e),
+            _ => Ok(complete),
+        }
+    }
+
+    /// Returns why no more events are returned, if there is a reason.
+    pub fn error(&self) -> Option<EventError> {
+        self.error
     }
 
-    /// Reads the ids of complete events.
-    fn read_ids(&mut self, complete: &[u8]) {
+    /// Reads the ids of complete events. Returns the number of bytes of those before the
+    /// first one that is out of order.
+    fn read_ids(&mut self, complete: &[u8]) -> usize {
         let mut is_event = false;
         let mut id = None;
-        for line in complete.split(|b| *b == b'\n') {
+        let (mut at, mut in_order) = (0, 0);
+        for line in complete.split_inclusive(|b| *b == b'\n') {
+            at += line.len();
             match line.trim_ascii_end() {
                 [] => {
-                    if std::mem::take(&mut is_event) {
-                        self.lacks_id = id.is_none();
-                        self.last_id = id.take().or(self.last_id);
+                    if std::mem::take(&mut is_event) && !self.record_event(id.take()) {
+                        return in_order;
                     }
+                    in_order = at;
                 }
                 // Comments are not a part of an event.
                 [b':', ..] => {}
@@ -101,11 +157,37 @@
                 }
             }
         }
+        complete.len()
+    }
+
+    /// Records an event. Returns whether it is in order.
+    fn record_event(&mut self, id: Option<u64>) -> bool {
+        let is_first = std::mem::take(&mut self.is_first);
+        self.lacks_id = id.is_none();
+        let Some(id) = id else {
+            return true;
+        };
+        if let Some(last) = self.last_id {
+            let difference = id.checked_sub(last).filter(|d| *d > 0);
+            // The last event of a stream may be shorter than the others.
+            let is_next = |d: u64| !is_first || !matches!(self.step, Step::Always(s) if d > s);
+            let Some(difference) = difference.filter(|d| is_next(*d)) else {
+                self.error = Some(EventError::OutOfOrder { last, id });
+                self.lacks_id = false;
+                return false;
+            };
+            self.step = self.step.with(difference);
+        }
+        self.last_id = Some(id);
+        true
     }
 
-    /// Discards the incomplete event.
-    pub fn drop_partial(&mut self) {
+    /// Prepares for another answer that continues the stream, and discards the incomplete
+    /// event.
+    pub fn begin_answer(&mut self) {
         self.partial.clear();
+        self.error = None;
+        self.is_first = true;
     }
 }
 
--- a/src/events/tests.rs
+++ b/src/events/tests.rs
@@ -33,7 +33,7 @@
     assert_eq!(reader.push(b"id: 8\nda"), Ok(Bytes::new()));
     assert_eq!(reader.last_id(), Some(7));
     assert!(reader.has_partial());
-    reader.drop_partial();
+    reader.begin_answer();
     assert_eq!(
         reader.push(b"id: 8\ndata: x\n\n"),
         Ok(Bytes::from_static(b"id: 8\ndata: x\n\n"))
@@ -117,7 +117,61 @@
     assert_eq!(end.len(), MAX_EVENT_BYTES + 2 + 15);
     assert_eq!(reader.last_id(), Some(1));
     let next = [b"id: 2\ndata: b\n\n".as_slice(), &large, b"a"].concat();
-    assert_eq!(reader.push(&next), Err(EventTooLarge));
+    assert_eq!(reader.push(&next), Err(EventError::TooLarge));
     assert_eq!(reader.last_id(), Some(1));
     assert!(!reader.has_partial());
 }
+
+/// Returns the events of `ids`.
+fn events(ids: &[u64]) -> Vec<u8> {
+    let events = ids.iter().map(|id| format!("id: {id}\ndata: x\n\n"));
+    events.collect::<String>().into_bytes()
+}
+
+// Issue 56, ORDER: nobody looked at the ids of what continues a stream.
+#[test]
+fn events_that_do_not_follow_are_not_returned() {
+    // The events before, those of the answer that continues them, and how many are in order.
+    let cases: [(&[u64], &[u64], usize); 9] = [
+        (&[1, 2, 3], &[4, 5], 2),
+        // An upstream that begins anew, repeats an event or leaves one out.
+        (&[1, 2, 3], &[1, 2, 3, 4], 0),
+        (&[1, 2, 3], &[3, 4], 0),
+        (&[1, 2, 3], &[5, 6], 0),
+        (&[1, 2, 3], &[4, 5, 5], 2),
+        (&[1, 2, 3], &[4, 5, 2], 2),
+        // Ids that count tokens: the last event has fewer.
+        (&[5, 10, 15], &[17], 1),
+        (&[5, 9, 15], &[27, 29], 2),
+        (&[7], &[20, 30], 2),
+    ];
+    for (before, after, in_order) in cases {
+        let bytes = events(after);
+        for split in 0..=bytes.len() {
+            let mut reader = EventReader::new(None);
+            reader.push(&events(before)).expect("events in order");
+            reader.push(b"id: 9").expect("a part of an event");
+            reader.begin_answer();
+            let mut out = Vec::new();
+            for part in [&bytes[..split], &bytes[split..]] {
+                out.extend_from_slice(&reader.push(part).unwrap_or_default());
+            }
+            let expected = &after[..in_order];
+            assert_eq!(out, events(expected), "{before:?} {after:?} at {split}");
+            assert_eq!(reader.error().is_some(), in_order < after.len());
+            let last = before.iter().chain(expected).last();
+            assert_eq!(reader.last_id(), last.copied());
+            assert!(reader.can_resume());
+        }
+    }
+}
+
+#[test]
+fn answer_to_a_caller_that_resumes_must_not_begin_anew() {
+    let mut reader = EventReader::new(Some(4));
+    let error = EventError::OutOfOrder { last: 4, id: 1 };
+    assert_eq!(reader.push(&events(&[1, 2])), Err(error));
+    // Another upstream goes on.
+    reader.begin_answer();
+    assert_eq!(reader.push(&events(&[5])), Ok(events(&[5]).into()));
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -39,7 +39,7 @@
 use tokio_util::codec::Encoder;
 
 use crate::event_loop;
-use crate::events::EventTooLarge;
+use crate::events::EventError;
 use crate::headers::Header;
 use crate::headers::end_to_end;
 use crate::upstream_notice::InvalidRetryAfter;
@@ -104,9 +104,9 @@
     /// The lines around the chunks of the body are too large.
     #[error("the lines around a chunk of the upstream's answer exceed {MAX_FRAMING_BYTES} bytes")]
     FramingTooLarge,
-    /// The answer is a stream with an event that is too large to be buffered.
-    #[error("the upstream's answer cannot be buffered: {0}")]
-    EventTooLarge(#[from] EventTooLarge),
+    /// The answer is a stream that can't be forwarded in events.
+    #[error("the upstream's events cannot be forwarded: {0}")]
+    Event(#[from] EventError),
 }
 
 impl ExchangeError {
