Pass the last event on to upstreams of plain services

Cause: the id of the last event was read for model routes only, and taken out of all requests.

Change: resumable routes of plain services read it as well, look up the version that began the stream, and end with their callers.

--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -211,10 +211,10 @@
                 prefix: Vec::new(),
                 parts: Vec::new(),
                 digest,
-                idempotent,
-                cancellable: idempotent,
-                last_event: None,
-                resumes: None,
+                idempotent: idempotent || self.route.resumable,
+                cancellable: idempotent || self.route.resumable,
+                last_event: parse_last_event(head).filter(|_| self.route.resumable),
+                resumes: dialect.resumed_request(head),
                 caller_id,
                 admission: self,
             });
@@ -377,7 +377,7 @@
 /// Returns whether a request on `route` with this head resumes a stream that an upstream
 /// has begun.
 pub fn resumes_stream(route: &Route, head: &RequestHead) -> bool {
-    route.kind == RouteKind::Model && route.resumable && parse_last_event(head).is_some()
+    route.resumable && parse_last_event(head).is_some()
 }
 
 fn parse_last_event(head: &RequestHead) -> Option<u64> {
