--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -268,7 +268,6 @@
         self.upstream_limits.set_leaving();
         self.loans.set_leaving();
         self.gossip.set_leaving();
-        // Those that outlast the stop are resumed elsewhere.
         self.streams.send_again();
     }
 
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -121,7 +121,7 @@
     }
 
     /// Sends the records of running streams once more to all that are to keep them, some of
-    /// which may have lost them.
+    /// which may have lost them. Streams that outlast the stop of this entry are resumed elsewhere.
     pub fn send_again(&self) {
         self.origins.borrow_mut().forget_copies(self.clock.now());
         self.notify_due();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,8 @@
 //! Modules outside this path: entries know each other by their [`peer_table`]
 //! and inform each other by [`gossip`], by which they agree on the share of a new
 //! version in a [`rollout`], and by which [`zone_balance`] learns the load of other zones.
+//! [`stream_origins`] knows which software version began a stream, and [`stream_holders`]
+//! which processes keep that; they exchange signed messages ([`datagram`]).
 //! [`settings`] are merged and checked, stored as
 //! [`stored_settings`] in the [`object_store`], changed by [`apply`], loaded by
 //! [`settings_service`] and active as [`active_settings`]; long work on them is done in
