Let agents serve without the UDP port of their address

Cause: an agent that could not bind the UDP port of its listen address did not start. The stand-in site of the standalone product reserves that port, so its tests ended with "the site is not ready in time".

Change: the agent logs it, goes on without records of streams, and tries again every second.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -154,14 +154,12 @@
     ) -> LocalBoxFuture<'a, Result<(), KernelError>> {
         async move {
             let state = registry.find::<AgentState>(STATE)?;
-            let failed = |e| KernelError::Failed {
+            let listening = listener::listen(Rc::clone(&state)).await;
+            listening.map_err(|e| KernelError::Failed {
                 name: self.name(),
                 source: Box::new(e),
-            };
-            let listening = listener::listen(Rc::clone(&state)).await;
-            listening.map_err(failed)?;
-            let keeper = RecordKeeper::bind(Rc::clone(&state)).await;
-            actix_rt::spawn(keeper.map_err(failed)?.run());
+            })?;
+            actix_rt::spawn(RecordKeeper::new(Rc::clone(&state)).run());
             self.state.get_or_init(|| state);
             Ok(())
         }
--- a/src/agent/stream_records.rs
+++ b/src/agent/stream_records.rs
@@ -1,7 +1,6 @@
 //! Keeps the records of where streams began, for entries.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,38 +22,56 @@
 /// The pause after a failed call of the socket. An entry's host may have rejected a reply.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
+/// The pause before the port is bound again while another process holds it.
+const BIND_RETRY: Duration = Duration::from_secs(1);
+
 /// The records that an agent keeps. It begins no streams itself.
 pub struct RecordKeeper {
-    socket: UdpSocket,
     origins: RefCell<StreamOrigins>,
     state: Rc<AgentState>,
 }
 
 impl RecordKeeper {
-    /// Binds a UDP socket to the address at which entries reach the agent.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address can't be bound.
-    pub async fn bind(state: Rc<AgentState>) -> io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(state.config.listen).await?,
+    /// Creates a keeper without records.
+    pub fn new(state: Rc<AgentState>) -> Self {
+        Self {
             origins: RefCell::new(StreamOrigins::new()),
             state,
-        })
+        }
     }
 
-    /// Serves entries until the task is aborted.
+    /// Serves entries until the task is aborted. An agent whose UDP port is taken by another
+    /// process does its other work meanwhile.
     pub async fn run(self) {
+        let socket = self.bind().await;
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            let Ok((length, sender)) = self.socket.recv_from(&mut buf).await else {
+            let Ok((length, sender)) = socket.recv_from(&mut buf).await else {
                 actix_rt::time::sleep(ERROR_PAUSE).await;
                 continue;
             };
             if let Some(reply) = self.receive(&buf[..length], sender) {
                 // The entry asks again if the reply is lost.
-                let _ = self.socket.send_to(&reply, sender).await;
+                let _ = socket.send_to(&reply, sender).await;
+            }
+        }
+    }
+
+    /// Binds a UDP socket to the address at which entries reach the agent.
+    async fn bind(&self) -> UdpSocket {
+        let address = self.state.config.listen;
+        let mut has_failed = false;
+        loop {
+            match UdpSocket::bind(address).await {
+                Ok(socket) => return socket,
+                Err(e) => {
+                    if !std::mem::replace(&mut has_failed, true) {
+                        warn!(self.state.log, "cannot receive records of streams";
+                            "address" => %address,
+                            "error" => %e);
+                    }
+                    actix_rt::time::sleep(BIND_RETRY).await;
+                }
             }
         }
     }
