--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod endless_upstream;
 mod engine;
 mod impatient_upstream;
+mod listener;
 mod load;
 mod paced_upstream;
 mod platform;
@@ -24,6 +25,7 @@
 pub use engine::EngineStats;
 pub use engine::SeenPrefixes;
 pub use impatient_upstream::ImpatientUpstream;
+pub use listener::close_listener;
 pub use load::LoadClass;
 pub use load::LoadRecord;
 pub use load::LoadSummary;
--- a/standins/src/raw_upstream.rs
+++ b/standins/src/raw_upstream.rs
@@ -9,6 +9,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::listener::close_listener;
+
 const BUFFER_BYTES: usize = 16 << 10;
 
 /// The time for which a reset is delayed, so that the bytes before it arrive.
@@ -43,7 +45,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             let crashes = matches!(end, ConnectionEnd::Crash | ConnectionEnd::CrashAfterPause);
             if crashes {
-                drop(listener);
+                close_listener(listener);
                 return answer(stream, headers, body, end).await;
             }
             actix_rt::spawn(answer(stream, headers.clone(), body.clone(), end));
