Use only the margin of the retry slack for a window after a start

Cause: what an entry had retried was forgotten with its process, and the one in its place used its share of the slack again (BUDGET). Found by asking what entries know only in memory, not by callers.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -64,12 +64,13 @@
 use crate::outlier::UpstreamResult;
 use crate::prefix::PrefixIndex;
 use crate::quota::Quota;
-use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudget;
 use crate::settings::Settings;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
+mod retries;
+
 /// The retry delay given to callers of evicted requests.
 const EVICTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -231,7 +232,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             stopping: Cell::new(false),
             refusing_new: Cell::new(false),
-            retry_budget: RefCell::default(),
+            retry_budget: RefCell::new(RetryBudget::new().with_start(clock.now())),
             outliers: RefCell::default(),
             admission: RefCell::default(),
             released: Notify::new(),
@@ -302,39 +303,6 @@
         self.rng.borrow_mut().random_range(0.0..1.0)
     }
 
-    /// Counts a request towards the retry budget of its service.
-    pub fn count_for_retry_budget(&self, service: &Name) {
-        let bounds = self.retry_bounds();
-        let mut retry_budget = self.retry_budget.borrow_mut();
-        retry_budget.record_request(self.now(), service, bounds);
-    }
-
-    /// Returns whether the retry budget of `service` allows another attempt,
-    /// and counts the attempt if it does.
-    pub fn try_retry(&self, service: &Name) -> bool {
-        let bounds = self.retry_bounds();
-        let mut retry_budget = self.retry_budget.borrow_mut();
-        retry_budget.try_retry(self.now(), service, bounds)
-    }
-
-    /// Returns whether the retry budget of `service` would allow another attempt.
-    pub fn may_retry(&self, service: &Name) -> bool {
-        let bounds = self.retry_bounds();
-        let mut retry_budget = self.retry_budget.borrow_mut();
-        retry_budget.may_retry(self.now(), service, bounds)
-    }
-
-    fn retry_bounds(&self) -> RetryBounds {
-        let limits = &self.active_settings.settings().limits;
-        RetryBounds {
-            ratio: limits.retry_ratio,
-            slack: limits.retry_slack,
-            window: limits.retry_window,
-            // The quota keeps the number of running entries.
-            entries: self.quota.borrow().entries(),
-        }
-    }
-
     /// Records how an upstream handled a request, and logs if it is ejected.
     pub fn record_result(&self, upstream: &Name, result: UpstreamResult) {
         let now = self.now();
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -35,9 +35,14 @@
 impl RetryBounds {
     /// Returns the retries that one entry can use in a window with this number of requests.
     pub fn max_retries(self, requests: usize) -> f64 {
-        let proportional = requests as f64 * self.ratio;
+        self.max_retries_with(requests, USED_FRACTION)
+    }
+
+    /// Returns the same with this part of the entry's share of the slack.
+    fn max_retries_with(self, requests: usize, slack_fraction: f64) -> f64 {
+        let proportional = requests as f64 * self.ratio * USED_FRACTION;
         let slack = f64::from(self.slack) / self.entries.max(1) as f64;
-        (proportional + slack) * USED_FRACTION
+        proportional + slack * slack_fraction
     }
 }
 
@@ -45,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     services: HashMap<Name, Counts>,
+    /// When the entry started; `None` if no other can have retried in its place before.
+    started: Option<Timestamp>,
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +66,13 @@
         Self::default()
     }
 
+    /// Sets when the entry started. What a process in its place has retried before is not
+    /// known, so it uses only the margin of the slack for a window.
+    pub fn with_start(mut self, started: Timestamp) -> Self {
+        self.started = Some(started);
+        self
+    }
+
     /// Counts a request for `service`.
     pub fn record_request(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) {
         let counts = self.services.entry(service.clone()).or_default();
@@ -79,9 +93,17 @@
 
     /// Returns whether a request for `service` can be retried.
     pub fn may_retry(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
+        let has_just_started = self
+            .started
+            .is_some_and(|at| now.since(at) <= bounds.window);
+        let slack_fraction = match has_just_started {
+            true => 1.0 - USED_FRACTION,
+            false => USED_FRACTION,
+        };
         let counts = self.services.entry(service.clone()).or_default();
         counts.remove_expired(now, bounds.window);
-        (counts.retries.len() + 1) as f64 <= bounds.max_retries(counts.requests.len())
+        let max_retries = bounds.max_retries_with(counts.requests.len(), slack_fraction);
+        (counts.retries.len() + 1) as f64 <= max_retries
     }
 }
 
