--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -7,6 +7,8 @@
 use crate::settings::Upstream;
 use crate::settings::UpstreamKind;
 
+mod copies;
+mod history;
 mod many_entries;
 
 /// The timeout of all requests, in seconds.
@@ -117,15 +119,6 @@
     holders
 }
 
-/// Returns the streams whose records are sent to each port.
-fn sent(origins: &mut StreamOrigins, now: u64, holders: &Holders) -> Vec<(u16, Vec<u64>)> {
-    let batches = origins.take_unsent(at(now), holders).into_iter();
-    let streams = |batch: Vec<StreamRecord>| batch.iter().map(|r| r.stream.0).collect();
-    batches
-        .map(|(holder, batch)| (holder.address.port(), streams(batch)))
-        .collect()
-}
-
 fn standing(asked: usize, replied: usize) -> Standing {
     Standing {
         asked,
@@ -168,198 +161,6 @@
     assert!(!fresh(8, 0).is_in_step());
 }
 
-#[test]
-fn records_are_sent_to_entries_only_beside_several_versions() {
-    let holders = holders(&[], &[5]);
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1]));
-    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert_eq!(sent(&mut origins, 1, &holders), []);
-    let other = StreamRecord {
-        stream: StreamId(9),
-        service: pool(),
-        version: version(1),
-        needed_for: timeout(),
-    };
-    origins.learn(at(1), &other);
-    // The second version makes the own streams of before due.
-    origins.observe(at(2), &upstreams(&[1, 2]));
-    assert!(origins.has_unsent());
-    origins.begin(at(3), StreamId(2), &pool(), version(2), timeout());
-    let batches = origins.take_unsent(at(3), &holders);
-    let sent: Vec<_> = batches[&holder(5)]
-        .iter()
-        .map(|r| (r.stream.0, &r.version))
-        .collect();
-    assert_eq!(sent, [(1, &version(1)), (2, &version(2))]);
-    assert!(!origins.has_unsent());
-}
-
-// Issue 56, LOST: an entry that died before it knew of a second version had sent no records
-// (soak, seed 124).
-#[test]
-fn records_are_sent_to_agents_beside_a_single_version() {
-    let holders = holders(&[1, 2], &[5]);
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1]));
-    origins.begin(at(1), StreamId(7), &pool(), version(1), timeout());
-    assert_eq!(
-        sent(&mut origins, 1, &holders),
-        [(1, vec![7]), (2, vec![7])]
-    );
-    assert!(!origins.has_unsent());
-}
-
-// Found by the soak, seed 100: an entry that was cut off from the platform did not know of
-// a release, kept its records to itself and died.
-#[test]
-fn record_of_another_entry_shows_a_version_that_is_not_known_yet() {
-    let holders = holders(&[], &[5]);
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1]));
-    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert_eq!(sent(&mut origins, 1, &holders), []);
-    let of_new_version = StreamRecord {
-        stream: StreamId(9),
-        service: pool(),
-        version: version(2),
-        needed_for: timeout(),
-    };
-    origins.learn(at(2), &of_new_version);
-    assert_eq!(sent(&mut origins, 2, &holders), [(5, vec![1])]);
-    assert_eq!(find(&origins, 3, 7), unknown(&[1, 2]));
-}
-
-// Issue 56, LOST: records were sent once, and were gone with the processes that had them.
-#[test]
-fn records_of_running_streams_follow_the_processes_that_are_to_keep_them() {
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1, 2]));
-    for stream in [1, 2] {
-        origins.begin(at(1), StreamId(stream), &pool(), version(1), timeout());
-    }
-    let before = holders(&[1], &[5]);
-    assert_eq!(
-        sent(&mut origins, 1, &before),
-        [(1, vec![1, 2]), (5, vec![1, 2])]
-    );
-    origins.end(at(2), StreamId(2));
-    origins.mark_all_due(at(2));
-    assert_eq!(sent(&mut origins, 2, &before), []);
-    origins.mark_all_due(at(3));
-    let after = holders(&[2], &[5]);
-    assert_eq!(sent(&mut origins, 3, &after), [(2, vec![1])]);
-    // A stream whose request has timed out is not running.
-    origins.mark_all_due(at(1 + TIMEOUT));
-    assert!(!origins.has_unsent());
-}
-
-// Issue 56, LOST: a process that had lost its records was not sent them again.
-#[test]
-fn record_is_sent_to_the_process_that_takes_the_place_of_one_that_had_it() {
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1, 2]));
-    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert_eq!(
-        sent(&mut origins, 1, &holders(&[1], &[5])),
-        [(1, vec![1]), (5, vec![1])]
-    );
-    let mut restarted = holders(&[1], &[]);
-    restarted.set_entries([Holder {
-        run: 1,
-        ..holder(5)
-    }]);
-    origins.mark_all_due(at(2));
-    assert_eq!(sent(&mut origins, 2, &restarted), [(5, vec![1])]);
-}
-
-#[test]
-fn records_are_sent_again_at_intervals_only_beside_several_versions() {
-    let holders = holders(&[1], &[5]);
-    let mut origins = StreamOrigins::new();
-    origins.observe(at(0), &upstreams(&[1]));
-    origins.begin(at(1), StreamId(1), &pool(), version(1), timeout());
-    assert_eq!(sent(&mut origins, 1, &holders), [(1, vec![1])]);
-    origins.forget_mixed_copies(at(2));
-    assert!(!origins.has_unsent());
-    origins.forget_copies(at(2));
-    assert_eq!(sent(&mut origins, 2, &holders), [(1, vec![1])]);
-    origins.observe(at(3), &upstreams(&[1, 2]));
-    assert_eq!(sent(&mut origins, 3, &holders), [(5, vec![1])]);
-    origins.forget_mixed_copies(at(4));
-    assert_eq!(
-        sent(&mut origins, 4, &holders),
-        [(1, vec![1]), (5, vec![1])]
-    );
-    origins.end(at(5), StreamId(1));
-    origins.forget_mixed_copies(at(6));
-    assert!(!origins.has_unsent());
-}
-
-fn past(number: u64, gone_millis: Option<u64>) -> PastVersion {
-    PastVersion {
-        version: version(number),
-        gone_millis,
-    }
-}
-
-fn history(versions: Vec<PastVersion>) -> VersionHistory {
-    VersionHistory {
-        services: BTreeMap::from([(pool(), versions)]),
-    }
-}
-
-// Issue 56, ORDER: entries that had all started after a release took the only listed version
-// for that of every stream.
-#[test]
-fn entry_that_has_just_started_knows_past_versions_from_the_history() {
-    let mut before = StreamOrigins::new();
-    before.observe(at(0), &upstreams(&[1]));
-    before.observe(at(5), &upstreams(&[1, 2]));
-    before.observe(at(6), &upstreams(&[2]));
-    let stored = before.history(at(7));
-    assert_eq!(stored, history(vec![past(1, Some(1_000)), past(2, None)]));
-    let mut started = StreamOrigins::new();
-    started.observe(at(1), &upstreams(&[2]));
-    started.restore(at(1), &stored, Duration::from_secs(2));
-    assert_eq!(find(&started, 2, 7), unknown(&[1, 2]));
-    assert_eq!(find(&started, 1 + TIMEOUT, 7), unknown(&[2]));
-}
-
-#[test]
-fn version_of_the_history_counts_as_listed_until_this_entry_has_seen_that_it_is_not() {
-    let mut started = StreamOrigins::new();
-    started.restore(at(100), &history(vec![past(1, None)]), Duration::ZERO);
-    assert_eq!(find(&started, 100, 7), unknown(&[1]));
-    started.observe(at(101), &upstreams(&[2]));
-    assert_eq!(find(&started, 114, 7), unknown(&[1, 2]));
-    assert_eq!(find(&started, 115, 7), unknown(&[2]));
-}
-
-#[test]
-fn old_versions_of_the_history_are_left_out_beyond_the_error_of_clocks() {
-    let hour = Duration::from_secs(3_600);
-    let mut started = StreamOrigins::new();
-    started.observe(at(3_600), &upstreams(&[3]));
-    let stored = history(vec![past(1, Some(1_000)), past(2, None)]);
-    started.restore(at(3_600), &stored, hour);
-    assert_eq!(find(&started, 3_600, 7), unknown(&[2, 3]));
-    // A clock that is 20 s fast doesn't make a version old.
-    let mut fast = StreamOrigins::new();
-    fast.observe(at(3_600), &upstreams(&[2]));
-    fast.restore(at(3_600), &stored, Duration::from_secs(22));
-    assert_eq!(find(&fast, 3_601, 7), unknown(&[1, 2]));
-}
-
-#[test]
-fn histories_are_compared_without_ages() {
-    let listed = history(vec![past(1, None)]);
-    let gone = history(vec![past(1, Some(5))]);
-    assert!(gone.has_same_versions(&history(vec![past(1, Some(9_000))])));
-    assert!(!gone.has_same_versions(&listed));
-    assert!(!listed.has_same_versions(&VersionHistory::default()));
-}
-
 #[test]
 fn first_record_of_a_stream_stays() {
     let mut origins = StreamOrigins::new();
--- a/src/zone_balance.rs
+++ b/src/zone_balance.rs
@@ -89,7 +89,7 @@
 struct Fallback {
     zone: Name,
     /// Part of the requests of the own zone that it has room for.
-    allowance: f64,
+    fraction: f64,
     /// Expected wait at home above which it is asked although a request could wait; `None`
     /// unless the own zone makes its requests wait for longer than the way costs.
     ask_above: Option<Duration>,
@@ -111,17 +111,17 @@
             let share = self.shares.get(zone).copied().unwrap_or_default();
             (zone.clone(), (desired - share).max(0.0))
         });
-        let mut allowances: BTreeMap<Name, f64> = missing.collect();
+        let mut fractions: BTreeMap<Name, f64> = missing.collect();
         if let Some((zone, left)) = &plan.fallback {
-            *allowances.entry(zone.clone()).or_default() += left;
+            *fractions.entry(zone.clone()).or_default() += left;
         }
-        let most = allowances.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
-        let (zone, allowance) = most.filter(|(_, allowance)| *allowance > 0.0)?;
+        let most = fractions.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
+        let (zone, fraction) = most.filter(|(_, fraction)| *fraction > 0.0)?;
         let wait = plan.waits.get(&zone).copied().unwrap_or_default();
         let worth = wait + NETWORK_TIME + cost;
         Some(Fallback {
             zone,
-            allowance: allowance.min(1.0),
+            fraction: fraction.min(1.0),
             ask_above: (plan.own.wait > worth).then_some(worth),
         })
     }
@@ -263,7 +263,7 @@
     pub fn fallback(&self, service: &Name, rank: u8, draw: f64) -> Option<Name> {
         let spillover = self.classes.get(&(service.clone(), rank))?;
         let fallback = spillover.fallback.as_ref();
-        let fallback = fallback.filter(|fallback| draw < fallback.allowance)?;
+        let fallback = fallback.filter(|fallback| draw < fallback.fraction)?;
         Some(fallback.zone.clone())
     }
 
