--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -152,7 +152,7 @@
 }
 
 #[derive(Debug)]
-struct StoredRecord {
+struct HeldRecord {
     service: Name,
     version: SoftwareVersion,
     expires: Timestamp,
@@ -173,7 +173,7 @@
 /// that upstreams have had.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    records: HashMap<StreamId, StoredRecord>,
+    records: HashMap<StreamId, HeldRecord>,
     /// The same records, by the time at which they expire.
     expiries: BTreeSet<(Timestamp, StreamId)>,
     /// Own records that may lack copies.
@@ -250,7 +250,7 @@
     fn mark_mixed_due(&mut self, mixed_before: &BTreeSet<Name>) {
         let services = &self.mixed_services() - mixed_before;
         if !services.is_empty() {
-            let is_own = |r: &StoredRecord| r.own.is_some();
+            let is_own = |r: &HeldRecord| r.own.is_some();
             self.mark_due(|r| is_own(r) && services.contains(&r.service));
         }
     }
@@ -292,7 +292,7 @@
 
     fn mark_due<F>(&mut self, is_due: F)
     where
-        F: Fn(&StoredRecord) -> bool,
+        F: Fn(&HeldRecord) -> bool,
     {
         let due = self.records.iter().filter(|(_, r)| is_due(r));
         self.unsent.extend(due.map(|(id, _)| *id));
@@ -310,7 +310,7 @@
     ) {
         self.unsent.insert(stream);
         let runs_until = now + timeout;
-        let stored = StoredRecord {
+        let stored = HeldRecord {
             service: service.clone(),
             version,
             expires: runs_until + RESUME_TIME,
@@ -340,7 +340,7 @@
         seen.entry(record.version.clone()).or_insert(Some(now));
         self.mark_mixed_due(&mixed_before);
         if !self.records.contains_key(&record.stream) {
-            let stored = StoredRecord {
+            let stored = HeldRecord {
                 service: record.service.clone(),
                 version: record.version.clone(),
                 expires: now + record.needed_for,
@@ -427,7 +427,7 @@
         batches
     }
 
-    fn insert(&mut self, now: Timestamp, stream: StreamId, stored: StoredRecord) {
+    fn insert(&mut self, now: Timestamp, stream: StreamId, stored: HeldRecord) {
         let expires = stored.expires;
         if let Some(old) = self.records.insert(stream, stored) {
             self.expiries.remove(&(old.expires, stream));
