--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -48,6 +48,7 @@
         prefix: Vec::new(),
         idempotent: false,
         interval: None,
+        run_start: None,
     }
 }
 
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -159,6 +159,7 @@
         prefix: vec![sequence; 8],
         idempotent: false,
         interval: None,
+        run_start: None,
     }
 }
 
--- a/schema/almondramp.capnp
+++ b/schema/almondramp.capnp
@@ -20,6 +20,7 @@
   objectiveMillis @9 :UInt64;     # until the answer should start
   patienceMillis @10 :UInt64;     # until the ticket expires if it has not been granted
   intervalMicros @11 :UInt64;     # between two requests to a rate-limited upstream; 0 for no limit
+  registeredStart @12 :UInt64;    # of the only run that may serve it, in Unix ms; 0 for any
 }
 
 enum RefusalCode {
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -1,14 +1,18 @@
 //! Polls the load that the upstream reports about itself.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use serde::Deserialize;
 
+use crate::agent::observed_run::ObservedRun;
 use crate::agent::state::AgentState;
 use crate::http_client::new_client;
 use crate::progress::Progress;
@@ -28,6 +32,9 @@
     pub held: usize,
     /// Whether the upstream is leaving and wants no new requests.
     pub leaving: bool,
+    /// When its run has started, in Unix milliseconds by its own clock; `None` if it tells
+    /// no start.
+    pub started: Option<u64>,
     /// The memory of the upstream; `None` if it reports none.
     pub memory: Option<ReportedMemory>,
     /// The requests that are running; empty if the upstream reports only their
@@ -35,11 +42,32 @@
     pub running: Vec<RunningRequest>,
 }
 
+/// Why a report could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadError {
+    /// The connection was refused: no run of the upstream is there.
+    Refused,
+    /// The upstream did not answer, or with something that is no report.
+    Unreadable,
+}
+
+impl From<SendRequestError> for ReadError {
+    fn from(e: SendRequestError) -> Self {
+        match e {
+            SendRequestError::Connect(ConnectError::Io(e))
+                if e.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                Self::Refused
+            }
+            _ => Self::Unreadable,
+        }
+    }
+}
+
 /// A source of load reports of an upstream.
 pub trait LoadSource {
-    /// Reads the report of the upstream at `address`. Returns `None` if it
-    /// can't be read.
-    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<LoadReport>>;
+    /// Reads the report of the upstream at `address`.
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Result<LoadReport, ReadError>>;
 
     /// Returns the interval between two reads.
     fn interval(&self) -> Duration;
@@ -77,16 +105,15 @@
 }
 
 impl LoadSource for EngineLoad {
-    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<LoadReport>> {
+    fn read(&self, address: SocketAddr) -> LocalBoxFuture<'_, Result<LoadReport, ReadError>> {
         let req = self.client.get(format!("http://{address}/load"));
         async move {
-            let mut res = req.send().await.ok()?;
-            let load = res.json::<Load>().await.ok()?;
-            Some(LoadReport {
+            let mut res = req.send().await?;
+            let load = res.json::<Load>().await;
+            let load = load.map_err(|_| ReadError::Unreadable)?;
+            Ok(LoadReport {
                 held: load.running,
-                leaving: false,
-                memory: None,
-                running: Vec::new(),
+                ..LoadReport::default()
             })
         }
         .boxed_local()
@@ -108,7 +135,9 @@
     loop {
         if let Some(address) = state.upstream_address().filter(|_| state.is_model_engine()) {
             let report = actix_rt::time::timeout(ENGINE_TIMEOUT, source.read(address));
-            if let Ok(Some(report)) = report.await {
+            let report = report.await.unwrap_or(Err(ReadError::Unreadable));
+            state.record_run(ObservedRun::from_report(&report));
+            if let Ok(report) = report {
                 state.set_leaving(report.leaving);
                 state.record_report(report.held, source.is_fresh());
                 if source.is_fresh() {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod listener;
 mod load;
 mod metrics;
+mod observed_run;
 mod orders;
 mod rpc;
 mod state;
@@ -18,6 +19,7 @@
 pub use load::EngineLoad;
 pub use load::LoadReport;
 pub use load::LoadSource;
+pub use load::ReadError;
 
 use crate::active_settings::ActiveSettings;
 use crate::agent::orders::OrderSender;
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use slog::Logger;
+use slog::debug;
 use slog::info;
 use tokio::sync::Notify;
 
 use crate::active_settings::ActiveSettings;
 use crate::agent::metrics::AgentMetrics;
+use crate::agent::observed_run::ObservedRun;
 use crate::almondramp_capnp::waiter;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
@@ -45,6 +47,10 @@
 /// its upstream yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The delay after which an entry should retry at an agent whose upstream runs as another one
+/// than the entry knows.
+const OTHER_RUN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The number of a connection, unique within the life of an agent's process.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct SessionId(pub u64);
@@ -70,6 +76,10 @@
     sessions: RefCell<HashMap<SessionId, HashSet<RequestId>>>,
     /// Whether the upstream says that it is leaving.
     is_upstream_leaving: Cell<bool>,
+    /// The run of the upstream that has answered the last read of its report.
+    run: Cell<ObservedRun>,
+    /// The same of the last read that told a run.
+    known_run: Cell<ObservedRun>,
     /// Whether the last report on the memory of the upstream was absurd.
     is_memory_absurd: Cell<bool>,
     /// Notified when the time of the scheduler's next tick can have changed.
@@ -99,6 +109,8 @@
             waiters: RefCell::default(),
             sessions: RefCell::default(),
             is_upstream_leaving: Cell::new(false),
+            run: Cell::default(),
+            known_run: Cell::default(),
             is_memory_absurd: Cell::new(false),
             next_tick_changed: Notify::new(),
         }
@@ -153,6 +165,14 @@
             let refusal = Refusal::new(RefusalCode::Draining, NOT_READY_RETRY_AFTER);
             return OfferResult::Refused(refusal);
         }
+        if !self.run.get().may_serve(ticket.run_start) {
+            debug!(self.log, "ticket refused: its entry knows another run of the upstream";
+                "request" => %ticket.request,
+                "needed" => ticket.run_start,
+                "run" => ?self.run.get());
+            let refusal = Refusal::new(RefusalCode::Unreachable, OTHER_RUN_RETRY_AFTER);
+            return OfferResult::Refused(refusal);
+        }
         let request = ticket.request;
         let (offered, notices) = self.scheduler.borrow_mut().offer(self.now(), ticket);
         if !matches!(offered, OfferResult::Refused(_)) {
@@ -253,6 +273,25 @@
         }
     }
 
+    /// Records which run of the upstream has answered the read of its report. Tickets that
+    /// wait for an earlier one are returned with all others, to be offered again.
+    pub fn record_run(&self, run: ObservedRun) {
+        self.run.set(run);
+        if run == ObservedRun::Unknown {
+            return;
+        }
+        // A report that could not be read in between does not hide a change.
+        let earlier = self.known_run.replace(run);
+        if earlier == run {
+            return;
+        }
+        info!(self.log, "upstream runs otherwise than before"; "earlier" => ?earlier, "run" => ?run);
+        if earlier != ObservedRun::Unknown {
+            let notices = self.scheduler.borrow_mut().return_waiting();
+            self.send_notices(notices);
+        }
+    }
+
     /// Records the tokens that the upstream has generated since its last
     /// report.
     pub fn record_generated(&self, generated: Generated) {
--- a/src/answer_buffer.rs
+++ b/src/answer_buffer.rs
@@ -55,6 +55,90 @@
     pub fn held(&self) -> u64 {
         self.held
     }
+
+    /// Changes what one answer collects from `before` to `after` bytes. Returns whether it
+    /// can; if not, nothing changes. Collected bytes get at most half of the total, so that
+    /// upstreams that send parts without end leave room for slow callers.
+    fn collect(&mut self, before: u64, after: u64) -> bool {
+        let held = self.held - before + after;
+        let has_room = after <= before || after <= GUARANTEED_BYTES || held <= self.limit / 2;
+        if has_room {
+            self.held = held;
+        }
+        has_room
+    }
+}
+
+/// The bytes that an entry collects of one answer before it can pass them on: an incomplete
+/// head, event or report, or the whole body.
+///
+/// Invariant: they are included in the total.
+#[derive(Debug, Default)]
+pub struct CollectedBytes(u64);
+
+impl CollectedBytes {
+    /// Sets the memory of what is collected. Returns whether it can be held; if not, the
+    /// size stays.
+    pub fn resize(&mut self, memory: u64, total: &mut AnswerTotal) -> bool {
+        let has_room = total.collect(self.0, memory);
+        if has_room {
+            self.0 = memory;
+        }
+        has_room
+    }
+}
+
+/// The body of an answer that is collected until its end, in blocks of equal size. A single
+/// buffer is copied as it grows, which fragments the memory when many do.
+#[derive(Debug, Default)]
+pub struct CollectedBody {
+    /// All but the last are full.
+    blocks: Vec<BytesMut>,
+    length: usize,
+}
+
+impl CollectedBody {
+    /// Creates an empty body.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the memory of the body after `length` more bytes.
+    pub fn memory_with(&self, length: usize) -> u64 {
+        let blocks = (self.length + length).div_ceil(BLOCK_BYTES);
+        (blocks * BLOCK_BYTES) as u64
+    }
+
+    /// Appends bytes.
+    pub fn push(&mut self, mut bytes: &[u8]) {
+        self.length += bytes.len();
+        while !bytes.is_empty() {
+            if self.blocks.last().is_none_or(|b| b.len() == BLOCK_BYTES) {
+                self.blocks.push(BytesMut::with_capacity(BLOCK_BYTES));
+            }
+            if let Some(block) = self.blocks.last_mut() {
+                let room = BLOCK_BYTES - block.len();
+                let (next, rest) = bytes.split_at(room.min(bytes.len()));
+                block.extend_from_slice(next);
+                bytes = rest;
+            }
+        }
+    }
+
+    /// Returns the blocks in order.
+    pub fn into_blocks(self) -> impl Iterator<Item = Bytes> {
+        self.blocks.into_iter().map(BytesMut::freeze)
+    }
 }
 
 /// The part of one answer that its caller has not taken yet.
--- a/src/answer_buffer/tests.rs
+++ b/src/answer_buffer/tests.rs
@@ -93,3 +93,47 @@
     let length = 2 * MAX_ANSWER_BYTES as usize;
     assert_eq!(buffer.room_for(length, &total), Room::Free);
 }
+
+// Upstreams that send parts without end took the memory of all answers.
+#[test]
+fn collected_bytes_get_half_of_the_total_and_keep_their_guarantee() {
+    // Their guarantees are less than the room that one slow caller needs.
+    const COLLECTING: u64 = 10;
+    let limit = 4 * MAX_ANSWER_BYTES;
+    let mut total = AnswerTotal::new(limit);
+    let mut collected: Vec<CollectedBytes> = Vec::new();
+    for _ in 0..COLLECTING {
+        let mut bytes = CollectedBytes::default();
+        assert!(bytes.resize(GUARANTEED_BYTES, &mut total));
+        bytes.resize(MAX_ANSWER_BYTES, &mut total);
+        collected.push(bytes);
+    }
+    assert!(total.held() <= limit / 2 + COLLECTING * GUARANTEED_BYTES);
+    let mut slow = AnswerBuffer::new();
+    assert_eq!(fill(&mut slow, &mut total, 1_000), Room::AnswerFull);
+    slow.clear(&mut total);
+    for bytes in &mut collected {
+        assert!(bytes.resize(0, &mut total));
+    }
+    assert_eq!(total.held(), 0);
+}
+
+// A body that is collected in blocks must arrive unchanged.
+#[test]
+fn collected_body_returns_its_bytes_in_order() {
+    for length in [0, 1, BLOCK_BYTES - 1, BLOCK_BYTES, 3 * BLOCK_BYTES + 7] {
+        let bytes: Vec<u8> = (0..length).map(|i| (i % 251) as u8).collect();
+        for part in [1, 7, BLOCK_BYTES, 5 * BLOCK_BYTES] {
+            let mut body = CollectedBody::new();
+            for part in bytes.chunks(part) {
+                let memory = body.memory_with(part.len());
+                body.push(part);
+                assert_eq!(body.memory_with(0), memory);
+            }
+            assert_eq!(body.len(), length);
+            assert_eq!(body.is_empty(), length == 0);
+            let returned: Vec<u8> = body.into_blocks().flatten().collect();
+            assert!(returned == bytes);
+        }
+    }
+}
--- a/src/completeness.rs
+++ b/src/completeness.rs
@@ -91,6 +91,14 @@
         self.framing == Framing::Connection && !shows_end
     }
 
+    /// Returns the number of complete events read; 0 if the body is no event stream.
+    pub fn events(&self) -> u64 {
+        match &self.content {
+            Content::Events(scanner) => scanner.events(),
+            Content::Json(_) | Content::Opaque => 0,
+        }
+    }
+
     /// Returns what marks the end of the body.
     pub fn framing(&self) -> Framing {
         self.framing
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -14,6 +14,7 @@
 use crate::name::Name;
 use crate::prompt_parts::PartId;
 use crate::settings::Upstream;
+use crate::settings::UpstreamKind;
 use crate::ticket::Work;
 use crate::upstream_notice::UpstreamNotice;
 use crate::upstream_request::UpstreamRequest;
@@ -120,6 +121,13 @@
         upstream: &Upstream,
     ) -> AnswerFormat;
 
+    /// Returns the path at which an upstream of this kind reports, without a slot, when its run
+    /// has started; `None` if there is none.
+    fn run_report_path(&self, kind: UpstreamKind) -> Option<Name>;
+
+    /// Returns the start of the run from such a report, as in [`Upstream::started`].
+    fn read_run_start(&self, report: &[u8]) -> Option<u64>;
+
     /// Returns whether `path` is a health endpoint of the entry itself.
     fn is_health_path(&self, path: &str) -> bool;
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use crate::entry::idempotency::OwnedClaim;
 use crate::entry::local_schedulers::SchedulerHandle;
 use crate::entry::relay::Relay;
+use crate::entry::reply_queue::Collection;
 use crate::entry::request::Job;
 use crate::entry::request::PUBLIC_ORGANISATION;
 use crate::entry::rollouts::SentRequest;
@@ -31,12 +32,15 @@
 use crate::usage::AnswerFormat;
 
 mod body;
+mod connection_end;
 mod failures;
 mod result;
+mod run_check;
 mod running;
 #[cfg(test)]
 mod tests;
 
+pub use self::connection_end::EndEvidence;
 pub use self::result::AttemptResult;
 use self::running::AnswerProgress;
 use self::running::RunningAnswer;
@@ -193,6 +197,11 @@
         let upstream = upstream.ok_or_else(|| self.fail_unreachable())?;
         let stream = exchange::connect(upstream.address).await;
         let stream = stream.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
+        // The process that accepted the connection is asked: were it replaced after its reply,
+        // the connection would fail. What an agent knows of its upstream can be a moment old.
+        if self.job.admission.route.resumable {
+            self.check_run(&upstream).await?;
+        }
         Ok(Connected { upstream, stream })
     }
 
@@ -236,7 +245,9 @@
         let sent_at = self.state.now();
         let sent = self.state.rollouts.record_sent(&self.job, &upstream);
         self.sent.replace(sent);
-        let answer = exchange::send(stream, &upstream_request).await;
+        let mut collection = Collection::new(&self.state.answers);
+        let has_room = |length| collection.resize(length);
+        let answer = exchange::send(stream, &upstream_request, has_room).await;
         let answer = answer.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
         Ok(Answered {
             answer,
@@ -329,11 +340,17 @@
             false => AnswerFormat::Opaque,
         };
         relay
-            .begin_answer(status, headers, answer.framing, format, upstream.version)
+            .begin_answer(
+                status,
+                headers,
+                answer.framing,
+                format,
+                upstream.version.clone(),
+            )
             .await;
         Ok(RunningAnswer::new(
             answer,
-            upstream.address,
+            upstream,
             self.state.now(),
             self.timeout_at,
         ))
--- a/src/entry/attempt/body.rs
+++ b/src/entry/attempt/body.rs
@@ -4,11 +4,11 @@
 
 use super::Attempt;
 use super::AttemptResult;
+use super::connection_end::EndEvidence;
 use super::running::RunningAnswer;
 use crate::clock::Timestamp;
 use crate::entry::idempotency::OwnedClaim;
 use crate::entry::relay::Relay;
-use crate::exchange;
 use crate::outcome::Outcome;
 use crate::outlier::UpstreamResult;
 
@@ -100,13 +100,19 @@
         relay: &mut Relay,
         now: Timestamp,
     ) -> AttemptResult {
-        // A crash looks like the end of such an answer, but leaves no listener.
-        if relay.may_go_on() && exchange::refuses_connections(running.address).await {
+        if !relay.is_complete() {
             return self.fail_incomplete(relay);
         }
-        if !relay.finish().await {
-            return self.fail_incomplete(relay);
+        if relay.may_go_on() {
+            match self.end_evidence(running, relay).await {
+                EndEvidence::refused | EndEvidence::replaced | EndEvidence::silent => {
+                    return self.fail_incomplete(relay);
+                }
+                EndEvidence::asked => return AttemptResult::Unconfirmed,
+                EndEvidence::serving | EndEvidence::listening => {}
+            }
         }
+        relay.finish().await;
         self.state.streams.end(self.job.stream(self.request));
         if running.status < 500 {
             self.state
--- a/src/entry/attempt/result.rs
+++ b/src/entry/attempt/result.rs
@@ -18,6 +18,9 @@
     /// The exchange failed or the answer is incomplete; the request may have
     /// run.
     Interrupted,
+    /// The answer has ended with its connection where it can go on, and whether it is
+    /// complete shows only when its rest is asked for.
+    Unconfirmed,
     /// The caller has disconnected and the work is cancelled.
     CallerDisconnected,
     /// The caller had disconnected before the request was sent.
--- a/src/entry/attempt/running.rs
+++ b/src/entry/attempt/running.rs
@@ -1,6 +1,5 @@
 //! An answer that an upstream is sending.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +8,7 @@
 use crate::event_loop::SETTLE_TIME;
 use crate::exchange::Answer;
 use crate::exchange::ExchangeError;
+use crate::settings::Upstream;
 use crate::silence::SilenceWatch;
 
 /// Time for which bytes that have arrived are relayed after the timeout of a request.
@@ -40,8 +40,8 @@
 pub(crate) struct RunningAnswer {
     /// The status code of the answer.
     pub(super) status: u16,
-    /// The address of the upstream.
-    pub(super) address: SocketAddr,
+    /// The upstream, as it was registered when the request was sent.
+    pub(super) upstream: Upstream,
     /// Whether a part of the body was read.
     pub(super) has_body_started: bool,
     pub(super) silence: SilenceWatch,
@@ -56,13 +56,13 @@
     /// at which it is aborted.
     pub(super) fn new(
         answer: Answer,
-        address: SocketAddr,
+        upstream: Upstream,
         now: Timestamp,
         timeout_at: Timestamp,
     ) -> Self {
         Self {
             status: answer.head.status,
-            address,
+            upstream,
             has_body_started: false,
             silence: SilenceWatch::new(now),
             cutoff: Cutoff::new(timeout_at),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -1,6 +1,5 @@
 //! HTTP interface to callers.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,13 +12,13 @@
 use actix_http::Version;
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
+use actix_http::body::SizedStream;
 use actix_http::header;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures::Stream;
 use futures::StreamExt;
 use slog::info;
-use thiserror::Error;
 use tokio::sync::mpsc;
 
 use crate::admission::retry_after;
@@ -27,11 +26,15 @@
 use crate::clock::Timestamp;
 use crate::directory::SoftwareVersion;
 use crate::dispatch::Event;
+use crate::entry::collected::Truncated;
+use crate::entry::collected::collect_body;
+use crate::entry::collected::collected_stream;
 use crate::entry::error::CallerError;
 use crate::entry::idempotency;
 use crate::entry::idempotency::ClaimResult;
 use crate::entry::idempotency::idempotency_key;
 use crate::entry::idempotency::replay_response;
+use crate::entry::reply_queue::Collection;
 use crate::entry::reply_queue::ReplyReceiver;
 use crate::entry::reply_queue::reply_queue;
 use crate::entry::request::Admission;
@@ -57,10 +60,6 @@
 /// process.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 
-/// Largest body of an answer to a caller of HTTP/1.0, in bytes. Such a body is
-/// collected, because only its length can show the caller that it is complete.
-const MAX_COLLECTED_BYTES: usize = 4 << 20;
-
 /// Time after the start of the entry during which requests wait for the first
 /// settings. A responsive object store delivers them within a fraction of it.
 const FIRST_SETTINGS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -74,11 +73,6 @@
 /// Retry delay where the entry is full.
 const ENTRY_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Error for an answer that failed after its head was sent.
-#[derive(Clone, Copy, Debug, Error)]
-#[error("answer interrupted before its end")]
-struct Truncated;
-
 /// Guard that releases a held request when dropped, unless the request was
 /// taken out of it.
 struct HeldGuard {
@@ -325,8 +319,13 @@
             let body = body_stream(reply_rx);
             match knows_chunks {
                 true => response.body(BodyStream::new(body)).map_into_boxed_body(),
-                false => match collect_body(body).await {
-                    Ok(body) => response.body(body).map_into_boxed_body(),
+                false => match collect_body(body, Collection::new(&state.answers)).await {
+                    Ok((body, collection)) => {
+                        let length = body.len() as u64;
+                        response
+                            .body(SizedStream::new(length, collected_stream(body, collection)))
+                            .map_into_boxed_body()
+                    }
                     Err(Truncated) => {
                         let error = CallerError::UnknownOutcome;
                         state.dialect.error_response(&error, &id)
@@ -373,22 +372,6 @@
     })
 }
 
-/// Collects a body. Fails if it is incomplete or too large.
-async fn collect_body<S>(body: S) -> Result<Bytes, Truncated>
-where
-    S: Stream<Item = Result<Bytes, Truncated>>,
-{
-    let mut body = pin!(body);
-    let mut collected = BytesMut::new();
-    while let Some(part) = body.next().await {
-        collected.extend_from_slice(&part?);
-        if collected.len() > MAX_COLLECTED_BYTES {
-            return Err(Truncated);
-        }
-    }
-    Ok(collected.freeze())
-}
-
 /// Returns the number of bytes to reserve for the body: its declared length, or
 /// `limit` where the length is unknown.
 fn body_reservation(req: &Request, limit: u64) -> Result<u64, CallerError> {
--- a/src/entry/local_schedulers/tests/fleet.rs
+++ b/src/entry/local_schedulers/tests/fleet.rs
@@ -404,6 +404,7 @@
             prefix: Vec::new(),
             idempotent: false,
             interval: None,
+            run_start: None,
         }
     }
 
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::entry::attempt::EndEvidence;
 use crate::entry::load_metrics::LoadMetrics;
 use crate::entry::rollouts::RolloutMetrics;
 use crate::entry::zone_balance::ZoneCause;
@@ -62,6 +63,11 @@
     outcome: Outcome,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct EndLabels {
+    evidence: EndEvidence,
+}
+
 /// The counters, gauges and histograms of one entry.
 pub struct EntryMetrics {
     registry: Registry,
@@ -69,6 +75,7 @@
     upstream_requests: Family<UpstreamLabels, Counter>,
     first_byte: Family<TierLabels, Histogram>,
     duration: Family<TierLabels, Histogram>,
+    connection_ends: Family<EndLabels, Counter>,
     prefill_tokens: Family<OrganisationLabels, Counter>,
     output_tokens: Family<OrganisationLabels, Counter>,
     held_requests: Gauge,
@@ -95,6 +102,7 @@
             upstream_requests: Family::default(),
             first_byte: Family::new_with_constructor(new_histogram),
             duration: Family::new_with_constructor(new_histogram),
+            connection_ends: Family::default(),
             prefill_tokens: Family::default(),
             output_tokens: Family::default(),
             held_requests: Gauge::default(),
@@ -124,16 +132,6 @@
             "Dispatched requests that ended, by upstream and outcome",
             this.upstream_requests.clone(),
         );
-        r.register(
-            "first_byte_seconds",
-            "Time until the first byte of the answer's body",
-            this.first_byte.clone(),
-        );
-        r.register(
-            "duration_seconds",
-            "Time until the end of the answer",
-            this.duration.clone(),
-        );
         r.register(
             "prefill_tokens",
             "Prompt tokens processed for whole answers, without cached ones",
@@ -186,6 +184,7 @@
             "Upstreams that name a rate limit in their answers",
             this.limited_upstreams.clone(),
         );
+        this.register_answers(&mut registry);
         this.register_zones(&mut registry);
         rollouts.register(&mut registry);
         Self { registry, ..this }
@@ -196,6 +195,25 @@
         self.loads.clone()
     }
 
+    fn register_answers(&self, registry: &mut Registry) {
+        registry.register(
+            "first_byte_seconds",
+            "Time until the first byte of the answer's body",
+            self.first_byte.clone(),
+        );
+        registry.register(
+            "duration_seconds",
+            "Time until the end of the answer",
+            self.duration.clone(),
+        );
+        registry.register(
+            "connection_ends",
+            "Answers that ended with their connection where they may go on, by what tells \
+             whether they are complete",
+            self.connection_ends.clone(),
+        );
+    }
+
     fn register_zones(&self, registry: &mut Registry) {
         registry.register(
             "zone_requests",
@@ -274,6 +292,13 @@
         self.duration.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts an answer that ended with its connection where it may go on.
+    pub fn record_connection_end(&self, evidence: EndEvidence) {
+        self.connection_ends
+            .get_or_create(&EndLabels { evidence })
+            .inc();
+    }
+
     /// Records the bytes of answers that are held for slow callers.
     pub fn record_answer_bytes(&self, bytes: u64) {
         self.answer_bytes
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod calls;
 mod candidates;
 mod charges;
+mod collected;
 mod error;
 pub mod gossip;
 mod http;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use crate::completeness::media_type;
 use crate::directory::SoftwareVersion;
 use crate::entry::error::CallerError;
+use crate::entry::reply_queue::Collection;
 use crate::entry::reply_queue::ReplySender;
 use crate::entry::request::Job;
 use crate::entry::serve::Reply;
@@ -28,6 +29,8 @@
 /// stream that another upstream can continue is sent in complete events.
 pub struct Relay {
     reply_tx: ReplySender,
+    /// The room for what is buffered of the answer.
+    collection: Collection,
     /// Tells whether the caller is still there.
     presence: Option<CallerPresence>,
     /// The head sent to the caller.
@@ -76,6 +79,7 @@
     pub fn new(reply_tx: ReplySender, job: &Job) -> Self {
         let resumable = job.admission.route.resumable;
         Self {
+            collection: reply_tx.new_collection(),
             reply_tx,
             presence: None,
             head: None,
@@ -192,6 +196,7 @@
         if let Some(events) = &mut self.events {
             events.begin_answer();
         }
+        self.collection.resize(0);
         if self.head.is_none() {
             self.head = Some(SentHead::new(status, &headers));
             self.send(Reply::Head(status, headers)).await;
@@ -206,7 +211,8 @@
 
     /// Relays bytes of the body, as soon as there is room for them. Returns whether they
     /// contain the first events of a stream that can be resumed. Fails if one of its events is
-    /// too large to be buffered or out of order; those before it are relayed.
+    /// too large to be buffered or out of order; those before it are relayed. An event for
+    /// which there is no room fails the next call.
     pub async fn push(&mut self, now: Timestamp, bytes: Bytes) -> Result<bool, EventError> {
         self.usage.push(&bytes);
         if let Some(check) = &mut self.check {
@@ -216,6 +222,7 @@
             Some(events) => events.push(&bytes)?,
             None => bytes,
         };
+        self.reserve_buffered();
         if bytes.is_empty() {
             return Ok(false);
         }
@@ -233,6 +240,23 @@
         }
     }
 
+    /// Reserves room for what is buffered, and discards it if there is none.
+    fn reserve_buffered(&mut self) {
+        let partial = self.events.as_ref().map_or(0, EventReader::partial_len);
+        if self.collection.resize(partial + self.usage.buffered()) {
+            return;
+        }
+        // Without the token counts, the work is estimated.
+        self.usage.discard_buffered();
+        if self.collection.resize(partial) {
+            return;
+        }
+        if let Some(events) = &mut self.events {
+            events.discard_partial();
+        }
+        self.collection.resize(0);
+    }
+
     /// Returns whether the answer may lack a part although its content is complete.
     pub fn may_go_on(&self) -> bool {
         self.check
@@ -240,14 +264,26 @@
             .is_some_and(CompletenessCheck::may_go_on)
     }
 
-    /// Ends the answer if it is complete, and returns whether it is.
-    pub async fn finish(&mut self) -> bool {
+    /// Returns whether an upstream can be asked for what follows the last answer. One without
+    /// an event is the reply to such a question: nothing follows.
+    pub fn can_ask_for_rest(&self) -> bool {
+        let has_event = self.check.as_ref().is_some_and(|c| c.events() > 0);
+        let can_resume = self.events.as_ref().is_some_and(EventReader::can_resume);
+        has_event && can_resume && self.last_event().is_some()
+    }
+
+    /// Returns whether the answer is complete by what has arrived of it.
+    pub fn is_complete(&self) -> bool {
         let events = self.events.as_ref();
         let partial = events.is_some_and(|e| e.has_partial() || e.error().is_some());
         let content = self.check.as_ref();
         let is_content_complete = content.is_none_or(CompletenessCheck::is_complete);
-        let complete =
-            self.usage.is_complete() && is_content_complete && !partial && !self.owes_event;
+        self.usage.is_complete() && is_content_complete && !partial && !self.owes_event
+    }
+
+    /// Ends the answer if it is complete, and returns whether it is.
+    pub async fn finish(&mut self) -> bool {
+        let complete = self.is_complete();
         if complete {
             self.send(Reply::End).await;
         }
--- a/src/entry/reply_queue.rs
+++ b/src/entry/reply_queue.rs
@@ -10,6 +10,7 @@
 
 use crate::answer_buffer::AnswerBuffer;
 use crate::answer_buffer::AnswerTotal;
+use crate::answer_buffer::CollectedBytes;
 use crate::answer_buffer::Room;
 use crate::entry::serve::Reply;
 
@@ -64,6 +65,45 @@
     }
 }
 
+/// The room of one answer for bytes that can't be passed on yet. It is released on drop.
+pub struct Collection {
+    answers: Rc<HeldAnswers>,
+    bytes: CollectedBytes,
+}
+
+impl Collection {
+    /// Creates the room of an answer that has collected nothing.
+    pub fn new(answers: &Rc<HeldAnswers>) -> Self {
+        Self {
+            answers: Rc::clone(answers),
+            bytes: CollectedBytes::default(),
+        }
+    }
+
+    /// Sets the number of bytes that are collected in one buffer. Returns whether there is
+    /// room for them.
+    pub fn resize(&mut self, length: usize) -> bool {
+        // Buffers grow to the next power of two.
+        let memory = match length {
+            0 => 0,
+            _ => length.next_power_of_two(),
+        };
+        self.resize_memory(memory as u64)
+    }
+
+    /// Sets the memory of what is collected. Returns whether there is room for it.
+    pub fn resize_memory(&mut self, memory: u64) -> bool {
+        let bytes = &mut self.bytes;
+        self.answers.update(|total| bytes.resize(memory, total))
+    }
+}
+
+impl Drop for Collection {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
+
 struct Queue {
     answers: Rc<HeldAnswers>,
     /// The first part, if it is not a part of a body.
@@ -145,6 +185,11 @@
         queue.answers.update(|total| body.push(bytes, total));
     }
 
+    /// Returns room for what is collected of the answer before it is added.
+    pub fn new_collection(&self) -> Collection {
+        Collection::new(&self.0.answers)
+    }
+
     /// Returns whether the caller has disconnected.
     pub fn is_closed(&self) -> bool {
         self.0.is_closed.get()
--- a/src/entry/rollouts/sent.rs
+++ b/src/entry/rollouts/sent.rs
@@ -17,7 +17,8 @@
     Good,
     /// The answer failed with a status of 500 or more, was broken off, or did not come.
     Bad,
-    /// Nothing: the upstream did not run the request, or the caller left.
+    /// Nothing: the upstream did not run the request, the caller left, or whether the answer is
+    /// complete is not known yet.
     Unknown,
 }
 
@@ -31,7 +32,8 @@
             | AttemptResult::Silent => Self::Bad,
             AttemptResult::TimedOut if !has_started => Self::Bad,
             AttemptResult::Completed(_) | AttemptResult::TimedOut => Self::Good,
-            AttemptResult::NotRun(_)
+            AttemptResult::Unconfirmed
+            | AttemptResult::NotRun(_)
             | AttemptResult::HeldOff(_)
             | AttemptResult::CallerDisconnected
             | AttemptResult::NotSent
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -40,8 +40,10 @@
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
+use self::confirmation::Confirmation;
 use self::waiting::WaitResult;
 
+mod confirmation;
 mod endings;
 mod permits;
 mod waiting;
@@ -120,6 +122,8 @@
     attempts: u32,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
+    /// The questions for what follows an answer that has ended with its connection.
+    confirmation: Confirmation,
     /// The random number by which roll-outs decide on the version.
     version_draw: f64,
     /// Whether the arrival was recorded for the throttle.
@@ -179,6 +183,7 @@
             silent: None,
             attempts: 0,
             may_have_run: false,
+            confirmation: Confirmation::default(),
             version_draw,
             is_arrival_recorded: false,
             evicted_rx,
@@ -229,6 +234,14 @@
         }
         self.end_attempt(&attempt, result);
         record_result(&attempt, result).await;
+        match result {
+            AttemptResult::NotRun(refusal) => {
+                let upstream = &attempt.upstream;
+                self.confirmation.record_refused(upstream, refusal.code);
+            }
+            result if result.is_not_run() => {}
+            _ => self.record_answer_to_question(),
+        }
         match result {
             AttemptResult::Completed(outcome) => ControlFlow::Break(outcome),
             AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
@@ -250,6 +263,10 @@
                 let receipt = Receipt::NotReceived;
                 ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, receipt))
             }
+            AttemptResult::Unconfirmed => match self.ask_for_rest(&attempt.upstream) {
+                Some(actions) => ControlFlow::Continue(actions),
+                None => ControlFlow::Break(self.end_unconfirmed().await),
+            },
             AttemptResult::Interrupted | AttemptResult::Silent if self.can_fail_over() => {
                 // The dispatch handles the failure like that of an unreachable upstream.
                 let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
@@ -278,6 +295,7 @@
     fn seek_other(&mut self, attempt: Attempt) -> Vec<Action> {
         let upstream = attempt.upstream.clone();
         self.silent = Some(attempt);
+        self.confirmation.end_search();
         self.keep_to_version();
         self.begin_search();
         let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
--- a/src/entry/serve/endings.rs
+++ b/src/entry/serve/endings.rs
@@ -22,6 +22,7 @@
     /// Logs that the request is sent to `upstream`, which `scheduler` has granted.
     pub(super) fn log_sent(&self, upstream: &Name, scheduler: &SchedulerHandle) {
         let now = self.state.now();
+        let listed = self.state.directory.get(upstream);
         info!(self.state.log, "request sent";
             "request" => %self.job.logged_id(self.request),
             "upstream" => %upstream,
@@ -33,7 +34,8 @@
             "left_ms" => millis(now.until(self.deadline)),
             "view_ms" => self.state.directory.age().map(millis),
             "limit_per_second" => self.state.upstream_limits.get(upstream).map(RateLimit::per_second),
-            "version" => self.state.directory.get(upstream).and_then(|u| u.version).as_deref(),
+            "started" => listed.as_ref().and_then(|u| u.started),
+            "version" => listed.as_ref().and_then(|u| u.version.as_deref()),
             "resumes" => self.job.resumes.as_deref(),
             "last_event" => self.relay.last_event());
     }
@@ -43,6 +45,9 @@
         refusal: Option<Refusal>,
         retry_after: Duration,
     ) -> Outcome {
+        if self.confirmation.search_until().is_some() {
+            return self.end_unconfirmed().await;
+        }
         if self.may_have_run {
             return self.fail(CallerError::UpstreamFailed).await;
         }
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -118,8 +118,11 @@
                         pending_actions = self.seek_fallback(wait);
                         continue 'waiting;
                     }
-                    // The wait at the few upstreams of a canary is not that of the service.
-                    Action::RecordWait(_) if self.other_versions().is_some() => {}
+                    // The wait at the few upstreams of a canary, or at the only one that can be
+                    // asked for a rest, is not that of the service.
+                    Action::RecordWait(_)
+                        if self.other_versions().is_some()
+                            || self.confirmation.search_until().is_some() => {}
                     Action::RecordWait(wait) => {
                         self.record_home_wait();
                         if !std::mem::replace(&mut self.is_arrival_recorded, true) {
@@ -163,12 +166,7 @@
                     }
                 }
             }
-            // A request that continues a partial answer is limited only by its
-            // deadline and timeout.
-            let effective_deadline = match self.relay.has_sent_head() {
-                true => self.deadline.min(self.timeout_at()),
-                false => wait_deadline,
-            };
+            let effective_deadline = self.search_deadline(wait_deadline);
             let next_timer = self.state.instant(timers.next(effective_deadline));
             let timer = actix_rt::time::sleep_until(next_timer.into());
             let closed = self.relay.closed();
@@ -204,6 +202,17 @@
         }
     }
 
+    /// Returns the time until which an upstream is sought. A request that continues a partial
+    /// answer is limited only by its deadline and timeout, or by those of a question for its rest.
+    fn search_deadline(&self, wait_deadline: Timestamp) -> Timestamp {
+        let deadline = match self.relay.has_sent_head() {
+            true => self.deadline.min(self.timeout_at()),
+            false => wait_deadline,
+        };
+        let question = self.confirmation.search_until();
+        question.map_or(deadline, |until| deadline.min(until))
+    }
+
     /// Offers tickets to the other versions after all upstreams of a version under roll-out
     /// have refused a request that was not sent yet: few of them get its share, and the
     /// others may have room.
@@ -238,13 +247,17 @@
     }
 
     pub(super) fn candidates(&self) -> Vec<Choice> {
-        match &self.silent {
+        let mut candidates = match &self.silent {
             Some(silent) => self.candidates_without(&silent.upstream),
             None => {
                 let origin = self.relay.origin();
                 self.state.candidates(&self.job, origin, self.version_draw)
             }
+        };
+        if let Some(only) = self.confirmation.only() {
+            candidates.retain(|choice| choice.upstream == *only);
         }
+        candidates
     }
 
     /// Returns the time until the first upstream takes requests again, if all want none
@@ -297,7 +310,9 @@
     /// Looks for a zone that takes the request, for which `wait` is too long.
     fn seek_fallback(&mut self, wait: Duration) -> Vec<Action> {
         // Later requests of the class need not ask first.
-        self.state.record_wait(&self.job, wait);
+        if self.confirmation.search_until().is_none() {
+            self.state.record_wait(&self.job, wait);
+        }
         let waited = self.state.now().since(self.arrived);
         let admission = &self.job.admission;
         let fallback = admission.urgency().asking_time(waited).and_then(|time| {
@@ -346,10 +361,11 @@
         let now = self.state.now();
         let scheduler = self.state.scheduler_for(&upstream);
         let limits = &self.state.upstream_limits;
-        let ticket = self.ticket(match scheduler {
+        let interval = match scheduler {
             SchedulerHandle::Agent(_) => limits.interval(&upstream),
             SchedulerHandle::Local(_) => limits.own_interval(&upstream),
-        });
+        };
+        let ticket = self.ticket(interval, upstream_settings.started);
         self.state.add_outstanding(&upstream);
         match &scheduler {
             SchedulerHandle::Agent(link) => {
@@ -368,8 +384,9 @@
         self.schedulers.insert(upstream, scheduler);
     }
 
-    /// Returns the ticket for an upstream that takes a request per `interval`.
-    fn ticket(&self, interval: Option<Duration>) -> Ticket {
+    /// Returns the ticket for an upstream that takes a request per `interval` and of which
+    /// the registered run has started at `run_start`.
+    fn ticket(&self, interval: Option<Duration>, run_start: Option<u64>) -> Ticket {
         let admission = &self.job.admission;
         Ticket {
             request: self.request,
@@ -382,6 +399,8 @@
             prefix: self.job.prefix.clone(),
             idempotent: self.job.idempotent,
             interval,
+            // A stream that can go on elsewhere must be recorded with the version that began it.
+            run_start: run_start.filter(|_| admission.route.resumable),
         }
     }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -32,6 +32,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::Event;
+use crate::early_ends::EarlyEnds;
 use crate::entry::EntryParts;
 use crate::entry::auth::KeyTable;
 use crate::entry::gossip::EntryGossip;
@@ -142,6 +143,8 @@
     refusing_new: Cell<bool>,
     retry_budget: RefCell<RetryBudget>,
     pub(super) outliers: RefCell<Outliers>,
+    /// Upstreams whose streams have ended early.
+    pub early_ends: RefCell<EarlyEnds>,
     pub(super) admission: RefCell<AdmissionControl>,
     pub(super) zones: ZoneState,
     released: Notify,
@@ -234,6 +237,7 @@
             refusing_new: Cell::new(false),
             retry_budget: RefCell::new(RetryBudget::new().with_start(clock.now())),
             outliers: RefCell::default(),
+            early_ends: RefCell::default(),
             admission: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
--- a/src/entry/state/retries.rs
+++ b/src/entry/state/retries.rs
@@ -27,6 +27,14 @@
         retry_budget.may_retry(self.now(), service, bounds)
     }
 
+    /// Returns whether the retry budget of `service` would allow a question for the rest of a
+    /// stream.
+    pub fn may_confirm(&self, service: &Name) -> bool {
+        let bounds = self.retry_bounds();
+        let mut retry_budget = self.retry_budget.borrow_mut();
+        retry_budget.may_confirm(self.now(), service, bounds)
+    }
+
     fn retry_bounds(&self) -> RetryBounds {
         let limits = &self.active_settings.settings().limits;
         RetryBounds {
--- a/src/events.rs
+++ b/src/events.rs
@@ -24,6 +24,9 @@
     /// An event is larger than an entry buffers.
     #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
     TooLarge,
+    /// Other answers have used up the memory for incomplete events.
+    #[error("there is no room for an event of more than {0} bytes")]
+    NoRoom(usize),
     /// An event does not follow the one before it: the upstream repeats or leaves out events,
     /// or has begun the stream anew.
     #[error("the event {id} does not follow the event {last}")]
@@ -94,6 +97,19 @@
         !self.lacks_id
     }
 
+    /// Returns the number of bytes that are buffered of an incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Discards the incomplete event for lack of room. The stream can't go on.
+    pub fn discard_partial(&mut self) -> EventError {
+        let e = EventError::NoRoom(self.partial.len());
+        self.partial = BytesMut::new();
+        self.error = Some(e);
+        e
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -185,7 +201,7 @@
     /// Prepares for another answer that continues the stream, and discards the incomplete
     /// event.
     pub fn begin_answer(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
         self.error = None;
         self.is_first = true;
     }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -42,6 +42,7 @@
 use crate::events::EventError;
 use crate::headers::Header;
 use crate::headers::end_to_end;
+use crate::name::Name;
 use crate::upstream_notice::InvalidRetryAfter;
 use crate::upstream_notice::parse_retry_after;
 use crate::upstream_request::UpstreamRequest;
@@ -82,6 +83,9 @@
 /// in bytes.
 const MAX_FRAMING_BYTES: usize = 64 << 10;
 
+/// Largest accepted body of what an upstream reports of itself, in bytes.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
 /// Reason for which a request got no complete answer.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -104,6 +108,12 @@
     /// The lines around the chunks of the body are too large.
     #[error("the lines around a chunk of the upstream's answer exceed {MAX_FRAMING_BYTES} bytes")]
     FramingTooLarge,
+    /// Other answers have used up the memory for incomplete heads and reports.
+    #[error("there is no room for {0} more bytes of a head or a report")]
+    NoRoom(usize),
+    /// What an upstream reports of itself is too large.
+    #[error("the upstream's report exceeds {MAX_REPORT_BYTES} bytes")]
+    ReportTooLarge,
     /// The answer is a stream that can't be forwarded in events.
     #[error("the upstream's events cannot be forwarded: {0}")]
     Event(#[from] EventError),
@@ -114,15 +124,54 @@
     pub fn is_not_sent(&self) -> bool {
         matches!(self, Self::InvalidRequest(_) | Self::Connect(_))
     }
+
+    /// Returns whether no process listens at the address. A lost connection attempt does not
+    /// tell.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
+/// Requests `path` at `address` with GET. Returns the status and the body. `has_room` tells
+/// whether the number of bytes that it gets can be collected.
+///
+/// # Errors
+///
+/// Fails without a complete answer, if its body exceeds [`MAX_REPORT_BYTES`], or if there is
+/// no room for it.
+pub async fn get<F>(
+    address: SocketAddr,
+    path: &Name,
+    mut has_room: F,
+) -> Result<(u16, Bytes), ExchangeError>
+where
+    F: FnMut(usize) -> bool,
+{
+    let request = UpstreamRequest {
+        method: Name::new("GET"),
+        host: Some(Name::new(&address.to_string())),
+        path: path.clone(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    let mut answer = send(connect(address).await?, &request, &mut has_room).await?;
+    let mut body = BytesMut::new();
+    while let Some(bytes) = answer.next().await? {
+        if body.len() + bytes.len() > MAX_REPORT_BYTES {
+            return Err(ExchangeError::ReportTooLarge);
+        }
+        if !has_room(body.len() + bytes.len()) {
+            return Err(ExchangeError::NoRoom(body.len() + bytes.len()));
+        }
+        body.extend_from_slice(&bytes);
+    }
+    Ok((answer.head.status, body.freeze()))
 }
 
 /// Returns whether no process listens at `address`. A lost connection attempt does not
 /// tell.
 pub async fn refuses_connections(address: SocketAddr) -> bool {
-    match connect(address).await {
-        Err(ExchangeError::Connect(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-        _ => false,
-    }
+    connect(address).await.is_err_and(|e| e.is_refused())
 }
 
 /// The head of an upstream's answer.
@@ -234,11 +283,15 @@
 }
 
 /// Sends `upstream_request` on a new connection and waits for the head of the
-/// answer.
-pub async fn send(
+/// answer. `has_room` tells whether the number of bytes that it gets can be collected.
+pub async fn send<F>(
     mut stream: TcpStream,
     upstream_request: &UpstreamRequest,
-) -> Result<Answer, ExchangeError> {
+    mut has_room: F,
+) -> Result<Answer, ExchangeError>
+where
+    F: FnMut(usize) -> bool,
+{
     let mut codec = ClientCodec::default();
     // The body is not copied, so that a slow upstream does not take its memory twice.
     let head = encode_head(&mut codec, upstream_request)?;
@@ -258,6 +311,9 @@
         if head_bytes > MAX_HEAD_BYTES {
             return Err(ExchangeError::HeadTooLarge);
         }
+        if !has_room(buf.len()) {
+            return Err(ExchangeError::NoRoom(buf.len()));
+        }
         // An upstream can answer before it has read the whole request body.
         tokio::select! {
             result = writer.write_all_buf(&mut unsent), if unsent.has_remaining() => {
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -35,7 +35,7 @@
 
 async fn exchange(answer: &[u8], reset: bool) -> Result<(u16, Vec<u8>), ExchangeError> {
     let address = upstream(answer.to_vec(), reset).await;
-    let mut answer = send(connect(address).await?, &get()).await?;
+    let mut answer = send(connect(address).await?, &get(), |_| true).await?;
     let mut body = Vec::new();
     while let Some(bytes) = answer.next().await? {
         body.extend_from_slice(&bytes);
@@ -143,6 +143,7 @@
     let answer = send(
         connect(address).await.expect("a connection"),
         &upstream_request,
+        |_| true,
     )
     .await;
     match answer {
@@ -197,7 +198,7 @@
         ..get()
     };
     let stream = connect(address).await.expect("a connection");
-    let answer = send(stream, &request).await.expect("an answer");
+    let answer = send(stream, &request, |_| true).await.expect("an answer");
     assert_eq!(answer.head.status, 200);
     assert!(received.await.expect("the upstream ends") == body);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod directory;
 pub mod discovery;
 pub mod dispatch;
+pub mod early_ends;
 pub mod entry;
 pub mod event_loop;
 pub mod events;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    fn run_report_path(&self, _kind: UpstreamKind) -> Option<Name> {
+        None
+    }
+
+    fn read_run_start(&self, _report: &[u8]) -> Option<u64> {
+        None
+    }
+
     fn is_health_path(&self, path: &str) -> bool {
         matches!(path, "/healthz" | "/readyz")
     }
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -24,6 +24,7 @@
         prefix: Vec::new(),
         idempotent: false,
         interval: None,
+        run_start: None,
     }
 }
 
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -19,6 +19,10 @@
 /// the retries can use windows that begin and end at other times.
 const USED_FRACTION: f64 = 0.75;
 
+/// Fraction of the budget up to which requests are sent again only to confirm that an answer is
+/// complete.
+const CONFIRMATION_FRACTION: f64 = 0.5;
+
 /// Bounds on the retries of all entries together.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBounds {
@@ -93,6 +97,23 @@
 
     /// Returns whether a request for `service` can be retried.
     pub fn may_retry(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
+        self.has_room(now, service, bounds, 1.0)
+    }
+
+    /// Returns whether a request for `service` can be sent again only to confirm that its answer
+    /// is complete. The rest of the budget is kept for requests that have failed.
+    pub fn may_confirm(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
+        self.has_room(now, service, bounds, CONFIRMATION_FRACTION)
+    }
+
+    /// Returns whether another retry stays within this part of the budget.
+    fn has_room(
+        &mut self,
+        now: Timestamp,
+        service: &Name,
+        bounds: RetryBounds,
+        fraction: f64,
+    ) -> bool {
         let has_just_started = self
             .started
             .is_some_and(|at| now.since(at) <= bounds.window);
@@ -103,7 +124,7 @@
         let counts = self.services.entry(service.clone()).or_default();
         counts.remove_expired(now, bounds.window);
         let max_retries = bounds.max_retries_with(counts.requests.len(), slack_fraction);
-        (counts.retries.len() + 1) as f64 <= max_retries
+        (counts.retries.len() + 1) as f64 <= max_retries * fraction
     }
 }
 
--- a/src/retry_budget/tests.rs
+++ b/src/retry_budget/tests.rs
@@ -96,3 +96,26 @@
     assert_eq!((retries(at(1_000)), retries(at(10_900))), (5, 5));
     assert_eq!(retries(at(11_100)), 15);
 }
+
+// Questions whether answers are complete must leave retries for requests that have failed.
+#[test]
+fn confirmations_use_a_part_of_the_budget() {
+    let service = Name::new("portal");
+    let mut budget = RetryBudget::new();
+    for _ in 0..100 {
+        budget.record_request(at(0), &service, BOUNDS);
+    }
+    let mut confirmations = 0;
+    while budget.may_confirm(at(0), &service, BOUNDS) {
+        assert!(budget.try_retry(at(0), &service, BOUNDS));
+        confirmations += 1;
+    }
+    let mut retries = 0;
+    while budget.try_retry(at(0), &service, BOUNDS) {
+        retries += 1;
+    }
+    assert!(
+        confirmations > 0 && retries >= confirmations,
+        "{confirmations} and {retries}"
+    );
+}
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -31,6 +31,7 @@
         prefix: Vec::new(),
         idempotent: false,
         interval: None,
+        run_start: None,
     }
 }
 
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -64,6 +64,10 @@
     pub idempotent: bool,
     /// The time between two requests to the upstream, if it names a rate limit.
     pub interval: Option<Duration>,
+    /// When the only run of the upstream that may serve the request has started, in Unix
+    /// milliseconds by its own clock; `None` if any may. Another run may have another
+    /// software version than the entry knows.
+    pub run_start: Option<u64>,
 }
 
 /// An amount of work for a model engine. All counts are zero for an upstream
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Discards the buffered document or line for lack of room, as one that is too large.
+    pub fn discard_buffered(&mut self) {
+        self.overflowed = true;
+        self.buf = Vec::new();
+    }
+
     /// Returns whether an ended answer is complete: whether it contained the
     /// end marker, if its format has one.
     pub fn is_complete(&self) -> bool {
@@ -105,8 +116,7 @@
 
     fn buffer(&mut self, bytes: &[u8]) {
         if self.buf.len() + bytes.len() > MAX_BUFFERED_BYTES {
-            self.overflowed = true;
-            self.buf.clear();
+            self.discard_buffered();
             return;
         }
         if !self.overflowed {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -62,6 +62,7 @@
         idempotent: reader.get_idempotent(),
         interval: Some(Duration::from_micros(reader.get_interval_micros()))
             .filter(|i| !i.is_zero()),
+        run_start: Some(reader.get_registered_start()).filter(|s| *s != 0),
     })
 }
 
@@ -79,6 +80,7 @@
     builder.set_idempotent(ticket.idempotent);
     let interval = ticket.interval.map_or(0, |i| i.as_micros());
     builder.set_interval_micros(u64::try_from(interval).unwrap_or(u64::MAX));
+    builder.set_registered_start(ticket.run_start.unwrap_or_default());
     let mut chunks = builder.init_prefix_chunks(list_len(&ticket.prefix));
     for (i, hash) in (0..).zip(&ticket.prefix) {
         chunks.set(i, *hash);
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -393,6 +393,7 @@
             prefix: Vec::new(),
             idempotent: true,
             interval: None,
+            run_start: None,
         };
         let (offered, notices) = self.schedulers[upstream].offer(self.now, ticket);
         self.reply(request, upstream, offered);
--- a/tests/patterns/stalled_streams.rs
+++ b/tests/patterns/stalled_streams.rs
@@ -93,6 +93,7 @@
         prefix: Vec::new(),
         idempotent: true,
         interval: None,
+        run_start: None,
     }
 }
 
