Believe unconfirmed ends of streams only of services that have proved complete

Cause: an end that the retry budget allowed no question about was believed, since the process still served. The budget allows few questions in the first window of an entry. An empty reply that ends with its connection counted as a confirmation, although it can have broken off too.

An empty reply without a length or chunks needs a second one, unless none can be asked for and nothing else gives a reason for doubt. A question has a second to its head, and one that fails is asked again instead of ending the stream. In the first window, questions may use all of the small budget. `early_ends` counted by upstream and never earned trust; it is replaced.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -67,6 +67,9 @@
     pub deadline: Timestamp,
     /// The time at which the answer is aborted.
     pub timeout_at: Timestamp,
+    /// The time by which the head of the answer has to arrive; `None` if it may take until
+    /// the timeout.
+    pub reply_until: Option<Timestamp>,
     /// The time at which the request arrived.
     pub arrived: Timestamp,
     /// The random number by which roll-outs decide on the version.
@@ -161,14 +164,20 @@
         claim: &mut Option<OwnedClaim>,
     ) -> Result<RunningAnswer, AttemptResult> {
         let connected = self.connected.take();
-        let until = self.state.instant(self.timeout_at);
+        let reply_until = self.reply_until.filter(|at| *at < self.timeout_at);
+        let until = self.state.instant(reply_until.unwrap_or(self.timeout_at));
         let answered = tokio::select! {
             biased;
             () = relay.closed(), if self.job.cancellable => {
                 return Err(AttemptResult::CallerDisconnected);
             }
             answered = self.send_request(connected, relay) => answered?,
-            () = actix_rt::time::sleep_until(until.into()) => return Err(AttemptResult::TimedOut),
+            () = actix_rt::time::sleep_until(until.into()) => {
+                return Err(match reply_until {
+                    Some(_) => AttemptResult::Interrupted,
+                    None => AttemptResult::TimedOut,
+                });
+            }
         };
         self.handle_answer(answered, relay, claim).await
     }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -264,12 +264,15 @@
             .is_some_and(CompletenessCheck::may_go_on)
     }
 
-    /// Returns whether an upstream can be asked for what follows the last answer. One without
-    /// an event is the reply to such a question: nothing follows.
+    /// Returns whether an upstream can be asked for what follows the last answer.
     pub fn can_ask_for_rest(&self) -> bool {
-        let has_event = self.check.as_ref().is_some_and(|c| c.events() > 0);
         let can_resume = self.events.as_ref().is_some_and(EventReader::can_resume);
-        has_event && can_resume && self.last_event().is_some()
+        can_resume && self.last_event().is_some()
+    }
+
+    /// Returns whether the last answer has an event.
+    pub fn has_answer_events(&self) -> bool {
+        self.check.as_ref().is_some_and(|c| c.events() > 0)
     }
 
     /// Returns whether the answer is complete by what has arrived of it.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,7 +1,5 @@
 //! Serves one accepted request until the end of its answer.
 
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -33,7 +31,6 @@
 use crate::entry::zone_balance::ZoneCause;
 use crate::headers::Header;
 use crate::http_server::CallerPresence;
-use crate::ids::GrantId;
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
@@ -43,6 +40,7 @@
 use self::confirmation::Confirmation;
 use self::waiting::WaitResult;
 
+mod attempts;
 mod confirmation;
 mod endings;
 mod permits;
@@ -243,10 +241,20 @@
             _ => self.record_answer_to_question(),
         }
         match result {
-            AttemptResult::Completed(outcome) => ControlFlow::Break(outcome),
+            AttemptResult::Completed(outcome) => {
+                if self.confirmation.is_open() {
+                    self.record_end_confirmed();
+                }
+                ControlFlow::Break(outcome)
+            }
             AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
                 ControlFlow::Break(Outcome::cancelled)
             }
+            AttemptResult::TimedOut | AttemptResult::Quarantined(_)
+                if self.confirmation.is_open() =>
+            {
+                ControlFlow::Break(self.end_unconfirmed().await)
+            }
             AttemptResult::TimedOut => ControlFlow::Break(self.fail(CallerError::TimedOut).await),
             AttemptResult::Quarantined(wait) => {
                 ControlFlow::Break(self.give_up_quarantined(wait).await)
@@ -263,10 +271,10 @@
                 let receipt = Receipt::NotReceived;
                 ControlFlow::Continue(self.reschedule(&attempt.upstream, refusal, receipt))
             }
-            AttemptResult::Unconfirmed => match self.ask_for_rest(&attempt.upstream) {
-                Some(actions) => ControlFlow::Continue(actions),
-                None => ControlFlow::Break(self.end_unconfirmed().await),
-            },
+            AttemptResult::Unconfirmed => self.confirm_end(&attempt.upstream).await,
+            AttemptResult::Interrupted | AttemptResult::Silent if self.confirmation.is_open() => {
+                self.ask_or_end(&attempt.upstream).await
+            }
             AttemptResult::Interrupted | AttemptResult::Silent if self.can_fail_over() => {
                 // The dispatch handles the failure like that of an unreachable upstream.
                 let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
@@ -391,124 +399,4 @@
                 .restrict(|name| candidates.iter().any(|c| c.upstream == *name));
         }
     }
-
-    /// Returns the attempt for which `upstream` has granted room, or the actions with
-    /// which the request goes on if there can be none.
-    async fn new_attempt(
-        &mut self,
-        upstream: Name,
-        grant: GrantId,
-    ) -> Result<Attempt, Vec<Action>> {
-        let Some(scheduler) = self.schedulers.remove(&upstream) else {
-            let refusal = Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER);
-            return Err(self.reschedule(&upstream, refusal, Receipt::NotReceived));
-        };
-        self.acquire_permit(&upstream, &scheduler).await?;
-        self.state.record_sent(&self.job);
-        let attempt = self.granted_attempt(upstream, scheduler, grant);
-        match self.silent.take() {
-            Some(silent) => self.move_to(attempt, silent).await,
-            None => Ok(attempt),
-        }
-    }
-
-    /// Moves the request from a silent upstream to the one of `attempt`, which must be
-    /// reachable first.
-    async fn move_to(
-        &mut self,
-        mut attempt: Attempt,
-        silent: Attempt,
-    ) -> Result<Attempt, Vec<Action>> {
-        if let Err(result) = attempt.connect(&self.relay).await {
-            self.end_attempt(&attempt, result);
-            self.silent = Some(silent);
-            self.sent_to = self.silent.as_ref().map(|s| s.upstream.clone());
-            let refusal = match result {
-                AttemptResult::NotRun(refusal) => refusal,
-                AttemptResult::HeldOff(wait) => Refusal::new(RefusalCode::Overloaded, wait),
-                _ => Refusal::new(RefusalCode::Unreachable, FAILED_RETRY_AFTER),
-            };
-            let failed = Event::NotRun(attempt.upstream.clone(), refusal);
-            return Err(self.dispatch.handle_event(failed));
-        }
-        if !self.state.try_retry(&self.job.target) {
-            self.end_attempt(&attempt, AttemptResult::NotSent);
-            self.sent_to = Some(silent.upstream.clone());
-            return Ok(self.stay_at(silent));
-        }
-        silent.leave_silent_upstream();
-        self.end_attempt(&silent, AttemptResult::Silent);
-        attempt.is_last = self.is_last_attempt();
-        Ok(attempt)
-    }
-
-    fn is_last_attempt(&self) -> bool {
-        self.attempts + 1 >= self.job.admission.route.attempts
-    }
-
-    /// Returns the attempt at `upstream` after the grant of its scheduler was accepted.
-    fn granted_attempt(
-        &mut self,
-        upstream: Name,
-        scheduler: SchedulerHandle,
-        grant: GrantId,
-    ) -> Attempt {
-        self.state.links.unregister(&upstream, self.request);
-        self.state.mark_sent(self.request);
-        let now = self.state.now();
-        scheduler.mark_sent(now, &upstream, self.request, grant);
-        self.sent_to = Some(upstream.clone());
-        self.sent_at = now;
-        self.state.record_zone(&upstream, self.zone_cause);
-        self.log_sent(&upstream, &scheduler);
-        Attempt {
-            state: Rc::clone(&self.state),
-            request: self.request,
-            job: Rc::clone(&self.job),
-            upstream,
-            scheduler,
-            deadline: self.deadline,
-            timeout_at: self.timeout_at(),
-            arrived: self.arrived,
-            version_draw: self.version_draw,
-            is_last: self.is_last_attempt(),
-            connected: None,
-            is_broken_off: Cell::new(false),
-            running: None,
-            sent: RefCell::default(),
-        }
-    }
-
-    /// Returns the time at which an answer to the request is aborted.
-    fn timeout_at(&self) -> Timestamp {
-        self.arrived + self.state.answer_timeout(&self.job)
-    }
-
-    /// Releases what an attempt holds at its upstream, and counts it.
-    fn end_attempt(&mut self, attempt: &Attempt, result: AttemptResult) {
-        let work = match result {
-            AttemptResult::Completed(_) => self.relay.take_work(self.job.work),
-            _ => None,
-        };
-        let upstream = &attempt.upstream;
-        let now = self.state.now();
-        attempt.scheduler.finish(now, upstream, self.request, work);
-        if let Some(sent) = attempt.sent.take() {
-            sent.finish(result);
-        }
-        self.state.remove_outstanding(upstream);
-        if !result.is_not_run() {
-            self.quota_charge.commit();
-            self.may_have_run = true;
-            self.attempts += 1;
-        }
-        if let AttemptResult::Completed(_) = result {
-            let time = now.since(self.sent_at);
-            self.state.record_service_time(&self.job, upstream, time);
-        }
-        if let Some(work) = work {
-            let organisation = &self.job.admission.organisation;
-            self.state.metrics.record_tokens(organisation, work);
-        }
-    }
 }
--- a/src/entry/serve/confirmation.rs
+++ b/src/entry/serve/confirmation.rs
@@ -1,6 +1,7 @@
 //! Confirms the end of a resumable stream that has ended with its connection, by asking for
 //! what follows its last event.
 
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use slog::info;
@@ -17,9 +18,16 @@
 /// by then, and waits for the end.
 const SEARCH_TIME: Duration = Duration::from_millis(500);
 
+/// Longest time to the head of the reply to a question.
+const REPLY_TIME: Duration = Duration::from_secs(1);
+
 /// Largest number of questions of one request.
 const MAX_QUESTIONS: u32 = 8;
 
+/// The number of answers without events after which a stream counts as complete, if they have
+/// ended with their connections too: each can have broken off after its head.
+const CONFIRMING_REPLIES: usize = 2;
+
 /// The questions for what follows the events of a stream.
 #[derive(Debug, Default)]
 pub(super) struct Confirmation {
@@ -28,15 +36,20 @@
     search_until: Option<Timestamp>,
     /// The only upstream that is asked; `None` if any can be.
     only: Option<Name>,
-    /// The last event before the last question.
+    /// The last event before the last question, while no more events have followed.
     asked_after: Option<u64>,
-    /// The upstream that has ended the stream.
-    ended_by: Option<Name>,
+    /// The upstreams that have ended the stream after its last event. The first one has sent
+    /// that event, unless the caller had it before.
+    ended_by: Vec<Name>,
+    /// The number of answers that have ended with their connection before any event, since the
+    /// last event.
+    empty_replies: usize,
     /// The number of questions.
     questions: u32,
-    /// Whether no end of the stream is believed without a confirmation: more events have
-    /// followed an earlier one, or the upstream that has ended it is gone.
-    is_doubted: bool,
+    /// Whether more events have followed an end of the stream.
+    has_ended_early: bool,
+    /// Whether an upstream that has ended the stream after its last event is gone.
+    is_sender_gone: bool,
 }
 
 impl Confirmation {
@@ -50,22 +63,40 @@
         self.only.as_ref()
     }
 
+    /// Returns whether a question was asked and no event has followed.
+    pub(super) fn is_open(&self) -> bool {
+        self.asked_after.is_some()
+    }
+
+    /// Records that `upstream` has ended the stream with its connection.
+    fn record_end(&mut self, upstream: &Name, has_events: bool) {
+        match has_events {
+            true => {
+                self.ended_by.clear();
+                self.empty_replies = 0;
+                self.is_sender_gone = false;
+            }
+            false => self.empty_replies += 1,
+        }
+        self.ended_by.push(upstream.clone());
+    }
+
     /// Records that an upstream may have run the question, after which the caller has the
-    /// events up to `last_event`. Returns the upstream that has ended the stream, if more events
-    /// have followed.
-    pub(super) fn record_sent(&mut self, last_event: Option<u64>) -> Option<Name> {
-        self.search_until = None;
-        self.only = None;
-        let asked_after = self.asked_after.take();
-        let has_ended_early = asked_after.is_some() && last_event > asked_after;
-        self.is_doubted |= has_ended_early;
-        self.ended_by.clone().filter(|_| has_ended_early)
+    /// events up to `last_event`. Returns whether more events have followed the end.
+    fn record_sent(&mut self, last_event: Option<u64>) -> bool {
+        self.end_search();
+        let has_ended_early = self.is_open() && last_event != self.asked_after;
+        if has_ended_early {
+            self.has_ended_early = true;
+            self.asked_after = None;
+        }
+        has_ended_early
     }
 
     /// Records that `upstream` did not get the question for this reason.
     pub(super) fn record_refused(&mut self, upstream: &Name, code: RefusalCode) {
         let is_gone = matches!(code, RefusalCode::Stale | RefusalCode::Unreachable);
-        self.is_doubted |= is_gone && self.ended_by.as_ref() == Some(upstream);
+        self.is_sender_gone |= is_gone && self.ended_by.contains(upstream);
     }
 
     /// Ends the search for an upstream that can be asked, since the one that is asked has
@@ -83,13 +114,42 @@
 }
 
 impl RequestTask {
+    /// Handles the end of an answer of `upstream` with its connection: the rest is asked for
+    /// until the end is confirmed, or can't be. Returns the outcome of the request, or the
+    /// actions with which it goes on.
+    pub(super) async fn confirm_end(
+        &mut self,
+        upstream: &Name,
+    ) -> ControlFlow<Outcome, Vec<Action>> {
+        let has_events = self.relay.has_answer_events();
+        self.confirmation.record_end(upstream, has_events);
+        let needed = match self.is_end_trusted() {
+            true => 1,
+            false => CONFIRMING_REPLIES,
+        };
+        if self.confirmation.empty_replies >= needed {
+            return ControlFlow::Break(self.end_confirmed().await);
+        }
+        self.ask_or_end(upstream).await
+    }
+
+    /// Asks again after a question to `upstream` has failed, or ends the stream.
+    pub(super) async fn ask_or_end(
+        &mut self,
+        upstream: &Name,
+    ) -> ControlFlow<Outcome, Vec<Action>> {
+        match self.ask_for_rest(upstream) {
+            Some(actions) => ControlFlow::Continue(actions),
+            None => ControlFlow::Break(self.end_unconfirmed().await),
+        }
+    }
+
     /// Asks for what follows an answer that `upstream` has ended with its connection. Returns
     /// `None` if that can't be asked.
     ///
     /// Another upstream is asked while the route has attempts, since it fails independently.
     /// Otherwise the same one is: attempts limit the number of upstreams.
-    pub(super) fn ask_for_rest(&mut self, upstream: &Name) -> Option<Vec<Action>> {
-        self.confirmation.ended_by = Some(upstream.clone());
+    fn ask_for_rest(&mut self, upstream: &Name) -> Option<Vec<Action>> {
         if !self.can_fail_over()
             || self.confirmation.questions >= MAX_QUESTIONS
             || !self.state.may_confirm(&self.job.target)
@@ -124,36 +184,74 @@
         Some(self.dispatch.start())
     }
 
+    /// Returns the time until which an upstream that is asked for the rest has to reply.
+    pub(super) fn reply_until(&self) -> Option<Timestamp> {
+        let is_question = self.confirmation.is_open();
+        is_question.then(|| self.state.now() + REPLY_TIME)
+    }
+
     /// Records that an upstream may have run the question, if one was asked.
     pub(super) fn record_answer_to_question(&mut self) {
-        let last_event = self.relay.last_event();
-        if let Some(upstream) = self.confirmation.record_sent(last_event) {
-            info!(self.state.log, "stream of the upstream had ended early";
+        if self.confirmation.record_sent(self.relay.last_event()) {
+            info!(self.state.log, "stream had ended early";
                 "request" => %self.job.logged_id(self.request),
-                "upstream" => %upstream);
-            let now = self.state.now();
-            self.state.early_ends.borrow_mut().record(now, upstream);
+                "ended_by" => ?self.confirmation.ended_by,
+                "last_event" => self.relay.last_event());
+            let mut stream_ends = self.state.stream_ends.borrow_mut();
+            stream_ends.record_early(self.state.now(), &self.job.target);
         }
     }
 
-    /// Returns whether the end of the stream needs a confirmation. Where streams of an upstream
-    /// have ended early, the retry budget is soon used up by questions.
-    fn is_end_doubted(&self) -> bool {
-        let early_ends = self.state.early_ends.borrow();
-        let now = self.state.now();
-        let ended_by = self.confirmation.ended_by.as_ref();
-        self.confirmation.is_doubted || ended_by.is_some_and(|u| early_ends.contains(now, u))
+    /// Records that nothing has followed the last event of a stream.
+    pub(super) fn record_end_confirmed(&self) {
+        let mut stream_ends = self.state.stream_ends.borrow_mut();
+        stream_ends.record_confirmed(&self.job.target);
+    }
+
+    /// Returns whether the last end of the stream counts as complete without a confirmation.
+    fn is_end_trusted(&self) -> bool {
+        let stream_ends = self.state.stream_ends.borrow();
+        !self.confirmation.has_ended_early
+            && !self.confirmation.is_sender_gone
+            && stream_ends.is_trusted(self.state.now(), &self.job.target)
     }
 
-    /// Ends a stream that nobody could be asked about. Its end is believed unless there is a
-    /// reason for doubt: the upstream that has sent it served after it, as the registered run or
-    /// as one that does not tell its run.
+    /// Returns whether nothing followed when the caller or the entry asked once, and neither the
+    /// stream nor the service has given a reason to ask again.
+    fn is_confirmed_once(&self) -> bool {
+        let stream_ends = self.state.stream_ends.borrow();
+        self.confirmation.empty_replies > 0
+            && !self.confirmation.has_ended_early
+            && !self.confirmation.is_sender_gone
+            && !stream_ends.is_doubted(self.state.now(), &self.job.target)
+    }
+
+    /// Ends a stream that nobody could be asked about. A caller that is told of a whole stream
+    /// does not come back, while it can resume one that is cut off. So the end is believed only
+    /// for what is known of other ends of the service, or of this one.
     pub(super) async fn end_unconfirmed(&mut self) -> Outcome {
-        if self.is_end_doubted() || !self.relay.finish().await {
+        if self.is_confirmed_once() {
+            return self.end_confirmed().await;
+        }
+        match self.is_end_trusted() {
+            true => self.end_stream().await,
+            false => self.fail(CallerError::UpstreamFailed).await,
+        }
+    }
+
+    async fn end_confirmed(&mut self) -> Outcome {
+        self.record_end_confirmed();
+        self.end_stream().await
+    }
+
+    /// Tells the caller that the stream is complete, unless a part of it is known to lack.
+    async fn end_stream(&mut self) -> Outcome {
+        if !self.relay.finish().await {
             return self.fail(CallerError::UpstreamFailed).await;
         }
         info!(self.state.log, "end of the stream is believed";
             "request" => %self.job.logged_id(self.request),
+            "empty_replies" => self.confirmation.empty_replies,
             "last_event" => self.relay.last_event());
         self.state.streams.end(self.job.stream(self.request));
         match self.state.now() > self.deadline {
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -20,7 +20,7 @@
 const USED_FRACTION: f64 = 0.75;
 
 /// Fraction of the budget up to which requests are sent again only to confirm that an answer is
-/// complete.
+/// complete. In the first window, when the budget is small, all of it can be used.
 const CONFIRMATION_FRACTION: f64 = 0.5;
 
 /// Bounds on the retries of all entries together.
@@ -101,9 +101,18 @@
     }
 
     /// Returns whether a request for `service` can be sent again only to confirm that its answer
-    /// is complete. The rest of the budget is kept for requests that have failed.
+    /// is complete. A part of the budget is kept for requests that have failed.
     pub fn may_confirm(&mut self, now: Timestamp, service: &Name, bounds: RetryBounds) -> bool {
-        self.has_room(now, service, bounds, CONFIRMATION_FRACTION)
+        let fraction = match self.has_just_started(now, bounds) {
+            true => 1.0,
+            false => CONFIRMATION_FRACTION,
+        };
+        self.has_room(now, service, bounds, fraction)
+    }
+
+    fn has_just_started(&self, now: Timestamp, bounds: RetryBounds) -> bool {
+        self.started
+            .is_some_and(|at| now.since(at) <= bounds.window)
     }
 
     /// Returns whether another retry stays within this part of the budget.
@@ -114,10 +123,7 @@
         bounds: RetryBounds,
         fraction: f64,
     ) -> bool {
-        let has_just_started = self
-            .started
-            .is_some_and(|at| now.since(at) <= bounds.window);
-        let slack_fraction = match has_just_started {
+        let slack_fraction = match self.has_just_started(now, bounds) {
             true => 1.0 - USED_FRACTION,
             false => USED_FRACTION,
         };
