Read a silent upstream while its request moves to another

What was found by review: while an entry connects to another upstream and asks it for its run, which can take two seconds at a frozen one, what the silent upstream sends is not read. Change: the move ends as soon as the silent upstream sends something. No test shows the delay by itself; `silent_engine_that_goes_on_during_a_move_doubles_no_event` covers the path.

--- a/src/entry/serve/attempts.rs
+++ b/src/entry/serve/attempts.rs
@@ -40,13 +40,18 @@
     }
 
     /// Moves the request from a silent upstream to the one of `attempt`, which must be
-    /// reachable first.
+    /// reachable first. The silent one may go on meanwhile.
     async fn move_to(
         &mut self,
         mut attempt: Attempt,
-        silent: Attempt,
+        mut silent: Attempt,
     ) -> Result<Attempt, Vec<Action>> {
-        if let Err(result) = attempt.connect(&self.relay).await {
+        let connected = tokio::select! {
+            biased;
+            () = silent.wait_for_bytes() => return Ok(self.return_to(silent, &attempt)),
+            connected = attempt.connect(&self.relay) => connected,
+        };
+        if let Err(result) = connected {
             self.end_attempt(&attempt, result);
             self.silent = Some(silent);
             self.sent_to = self.silent.as_ref().map(|s| s.upstream.clone());
