Accept rests of streams that show other steps of their ids

Callers lost streams (LOST): rests that were right were refused where engines of one service number their events by tokens, with other steps or with steps that vary.

Cause: since the first event of a rest was refused if it was further from the last one than the step of the ids before, which says nothing of another engine's steps.

Change: such an event is withheld, and those after it judge it. A larger step, one that is nearer without being the last, or a first distance of no whole steps before another event shows other steps: all are returned. Three usual steps, the end of the answer, or more than 256 KiB refuse the rest as before. The cost is that events of such a rest reach the caller up to four events later, and that a gap is found up to three events later.

Not told apart, and refused: right rests that end before they show another step. Not told apart, and accepted, as new against: rests that lack events in several places, or that lack some and whose steps vary after that.

--- a/src/events.rs
+++ b/src/events.rs
@@ -9,10 +9,14 @@
 use bytes::BytesMut;
 use thiserror::Error;
 
+use self::gap::GapCheck;
+use self::gap::Verdict;
+
+mod gap;
 #[cfg(test)]
 mod tests;
 
-/// Largest incomplete event that is buffered, in bytes.
+/// Most bytes that are buffered of an incomplete event and of the events withheld before it.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Field name of an event's id.
@@ -60,12 +64,28 @@
     }
 }
 
+/// Whether an event continues the stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Order {
+    /// It follows the event before.
+    Follows,
+    /// The events after it must tell whether others were left out before.
+    Doubted,
+    /// It does not follow the event before.
+    Broken,
+}
+
 /// Splits a stream of bytes into complete events and tracks the last event id. The ids of
-/// the events must increase.
+/// the events must increase. The first events of an answer that may have a gap before them
+/// are withheld until those after them tell (see `gap`).
 #[derive(Debug, Default)]
 pub struct EventReader {
-    /// The incomplete event; at most `MAX_EVENT_BYTES` between two calls.
+    /// The withheld events and the incomplete one; at most `MAX_EVENT_BYTES` between two calls.
     partial: BytesMut,
+    /// The number of bytes of the withheld events.
+    withheld: usize,
+    /// Tells whether the withheld events have a gap before them; `None` if there are none.
+    gap_check: Option<GapCheck>,
     last_id: Option<u64>,
     /// Whether the last complete event has no id, so that `last_id` is an earlier one's.
     lacks_id: bool,
@@ -86,7 +106,7 @@
         }
     }
 
-    /// Returns the id of the last complete event.
+    /// Returns the id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
@@ -97,26 +117,32 @@
         !self.lacks_id
     }
 
-    /// Returns the number of bytes that are buffered of an incomplete event.
+    /// Returns the number of bytes that are buffered of withheld events and an incomplete one.
     pub fn partial_len(&self) -> usize {
         self.partial.len()
     }
 
-    /// Discards the incomplete event for lack of room. The stream can't go on.
+    /// Discards what is buffered for lack of room. The stream can't go on.
     pub fn discard_partial(&mut self) -> EventError {
         let e = EventError::NoRoom(self.partial.len());
-        self.partial = BytesMut::new();
+        self.clear_partial();
         self.error = Some(e);
         e
     }
 
-    /// Returns whether an incomplete event is buffered.
+    fn clear_partial(&mut self) {
+        self.partial = BytesMut::new();
+        self.withheld = 0;
+        self.gap_check = None;
+    }
+
+    /// Returns whether withheld events or an incomplete one are buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
     }
 
     /// Appends bytes and returns the events that are now complete and in order. If one is
-    /// not, the next call fails.
+    /// not, the next call fails. Nothing is returned while events are withheld.
     ///
     /// # Errors
     ///
@@ -126,44 +152,61 @@
         if let Some(e) = self.error {
             return Err(e);
         }
-        let scanned = self.partial.len().saturating_sub(3);
+        let scanned = self.partial.len().saturating_sub(3).max(self.withheld);
         self.partial.extend_from_slice(bytes);
-        let end = last_event_end(&self.partial, scanned).unwrap_or(0);
+        let end = last_event_end(&self.partial, scanned).unwrap_or(self.withheld);
         if self.partial.len() - end > MAX_EVENT_BYTES {
-            self.partial = BytesMut::new();
+            self.clear_partial();
             return Err(EventError::TooLarge);
         }
-        if end == 0 {
-            return Ok(Bytes::new());
+        let mut complete = self.partial.split_to(end);
+        let in_order = self.read_ids(&complete, self.withheld);
+        if self.gap_check.is_some() {
+            complete.unsplit(std::mem::take(&mut self.partial));
+            self.partial = complete;
+            self.withheld = end;
+            if self.partial.len() > MAX_EVENT_BYTES {
+                self.error = self.error();
+                self.clear_partial();
+            }
+            return self.error.map_or(Ok(Bytes::new()), Err);
         }
-        let mut complete = self.partial.split_to(end).freeze();
-        let in_order = self.read_ids(&complete);
+        self.withheld = 0;
         complete.truncate(in_order);
         match self.error {
             Some(e) if complete.is_empty() => Err(e),
-            _ => Ok(complete),
+            _ => Ok(complete.freeze()),
         }
     }
 
-    /// Returns why no more events are returned, if there is a reason.
+    /// Returns why events that have arrived are not returned, if there is a reason.
     pub fn error(&self) -> Option<EventError> {
-        self.error
+        let doubted = || {
+            let id = self.gap_check?.first();
+            let last = self.last_id?;
+            Some(EventError::OutOfOrder { last, id })
+        };
+        self.error.or_else(doubted)
     }
 
-    /// Reads the ids of complete events. Returns the number of bytes of those before the
-    /// first one that is out of order.
-    fn read_ids(&mut self, complete: &[u8]) -> usize {
+    /// Reads the ids of complete events after the first `withheld` bytes of them. Returns the
+    /// number of bytes of those before the first one that is out of order or withheld.
+    fn read_ids(&mut self, complete: &[u8], withheld: usize) -> usize {
         let mut is_event = false;
         let mut id = None;
-        let (mut at, mut in_order) = (0, 0);
-        for line in complete.split_inclusive(|b| *b == b'\n') {
+        let (mut at, mut in_order) = (withheld, 0);
+        for line in complete[withheld..].split_inclusive(|b| *b == b'\n') {
             at += line.len();
             match line.trim_ascii_end() {
                 [] => {
-                    if std::mem::take(&mut is_event) && !self.record_event(id.take()) {
+                    if std::mem::take(&mut is_event)
+                        && self.record_event(id.take()) == Order::Broken
+                    {
                         return in_order;
                     }
-                    in_order = at;
+                    if self.gap_check.is_none() {
+                        in_order = at;
+                    }
                 }
                 // Comments are not a part of an event.
                 [b':', ..] => {}
@@ -173,35 +216,66 @@
                 }
             }
         }
-        complete.len()
+        in_order
     }
 
-    /// Records an event. Returns whether it is in order.
-    fn record_event(&mut self, id: Option<u64>) -> bool {
+    /// Records an event that follows the one before or is withheld.
+    fn record_event(&mut self, id: Option<u64>) -> Order {
         let is_first = std::mem::take(&mut self.is_first);
+        if self.gap_check.is_some() {
+            return id.map_or(Order::Doubted, |id| self.check_gap(id));
+        }
         self.lacks_id = id.is_none();
         let Some(id) = id else {
-            return true;
+            return Order::Follows;
         };
         if let Some(last) = self.last_id {
-            let difference = id.checked_sub(last).filter(|d| *d > 0);
-            // The last event of a stream may be shorter than the others.
-            let is_next = |d: u64| !is_first || !matches!(self.step, Step::Always(s) if d > s);
-            let Some(difference) = difference.filter(|d| is_next(*d)) else {
-                self.error = Some(EventError::OutOfOrder { last, id });
+            let Some(difference) = id.checked_sub(last).filter(|d| *d > 0) else {
                 self.lacks_id = false;
-                return false;
+                return self.break_off(last, id);
             };
+            if let (true, Step::Always(step)) = (is_first, self.step) {
+                self.gap_check = GapCheck::new(step, last, id);
+            }
+            if self.gap_check.is_some() {
+                return Order::Doubted;
+            }
             self.step = self.step.with(difference);
         }
         self.last_id = Some(id);
-        true
+        Order::Follows
     }
 
-    /// Prepares for another answer that continues the stream, and discards the incomplete
-    /// event.
+    /// Records an event after the withheld ones, which are in order with it or not.
+    fn check_gap(&mut self, id: u64) -> Order {
+        let Some((check, last)) = self.gap_check.as_mut().zip(self.last_id) else {
+            return Order::Follows;
+        };
+        let first = check.first();
+        match check.push(id) {
+            Verdict::Open => Order::Doubted,
+            Verdict::InOrder => {
+                self.gap_check = None;
+                self.step = Step::Varies;
+                self.lacks_id = false;
+                self.last_id = Some(id);
+                Order::Follows
+            }
+            Verdict::Gap => {
+                self.gap_check = None;
+                self.break_off(last, first)
+            }
+        }
+    }
+
+    fn break_off(&mut self, last: u64, id: u64) -> Order {
+        self.error = Some(EventError::OutOfOrder { last, id });
+        Order::Broken
+    }
+
+    /// Prepares for another answer that continues the stream, and discards what is buffered.
     pub fn begin_answer(&mut self) {
-        self.partial = BytesMut::new();
+        self.clear_partial();
         self.error = None;
         self.is_first = true;
     }
