Read answers into buffers of the size of what has arrived

Cause: at the peak of 200 unfinished answers, 12.5 MB were in 382 buffers of 32 KiB. The codec of a body with a length or chunks replaces a read buffer with less than 2 KiB of room by one of 32 KiB after each part. An answer kept one for reading, and a part that waited for its caller kept another, of which only the length of the part was counted.

Change: bytes are read to the stack, and a buffer is made for what has arrived with 2 KiB of room, so that the codec leaves it. An empty buffer is released while the upstream sends nothing. Parts of up to 4 KiB that wait for their caller are copied into full blocks of 4 KiB, whose memory is counted; before, parts of 4 KiB and more kept their read buffers.

--- a/src/answer_buffer.rs
+++ b/src/answer_buffer.rs
@@ -21,9 +21,10 @@
 /// kilobytes.
 pub const MAX_ANSWER_BYTES: u64 = 1 << 20;
 
-/// The size of a block that collects small parts, in bytes. Events have some ten bytes,
-/// less than the memory that a part of its own needs.
-const BLOCK_BYTES: usize = 8 << 10;
+/// The size of a block that collects parts of at most this size, in bytes. Events have some
+/// ten bytes, less than the memory that a part of its own needs, and a part keeps the whole
+/// buffer in which it was read.
+const BLOCK_BYTES: usize = 4 << 10;
 
 /// Whether the next part of an answer can be held.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -154,7 +155,7 @@
 enum Part {
     /// Bytes as they were read.
     Read(Bytes),
-    /// Several small parts; the block has a fixed capacity.
+    /// Several parts, which can end in the next block; the block has a fixed capacity.
     Block(BytesMut),
 }
 
@@ -194,21 +195,23 @@
     }
 
     /// Appends bytes, for which there must be room.
-    pub fn push(&mut self, bytes: Bytes, total: &mut AnswerTotal) {
-        if let Some(Part::Block(block)) = self.parts.back_mut()
-            && fits(block, bytes.len())
-        {
-            block.extend_from_slice(&bytes);
+    pub fn push(&mut self, mut bytes: Bytes, total: &mut AnswerTotal) {
+        if !self.is_collected(bytes.len()) {
+            self.push_part(Part::Read(bytes), total);
             return;
         }
-        let part = match self.needs_block(bytes.len()) {
-            true => {
-                let mut block = BytesMut::with_capacity(BLOCK_BYTES);
-                block.extend_from_slice(&bytes);
-                Part::Block(block)
-            }
-            false => Part::Read(bytes),
-        };
+        if let Some(Part::Block(block)) = self.parts.back_mut() {
+            let fitting = bytes.split_to(room_in(block).min(bytes.len()));
+            block.extend_from_slice(&fitting);
+        }
+        if !bytes.is_empty() {
+            let mut block = BytesMut::with_capacity(BLOCK_BYTES);
+            block.extend_from_slice(&bytes);
+            self.push_part(Part::Block(block), total);
+        }
+    }
+
+    fn push_part(&mut self, part: Part, total: &mut AnswerTotal) {
         self.held += part.memory();
         total.held += part.memory();
         self.parts.push_back(part);
@@ -217,16 +220,16 @@
     /// Returns the memory that `length` more bytes need.
     fn memory_for(&self, length: usize) -> u64 {
         match self.parts.back() {
-            Some(Part::Block(block)) if fits(block, length) => 0,
-            Some(_) if self.needs_block(length) => BLOCK_BYTES as u64,
-            Some(_) | None => length as u64,
+            _ if !self.is_collected(length) => length as u64,
+            Some(Part::Block(block)) if length <= room_in(block) => 0,
+            Some(_) | None => BLOCK_BYTES as u64,
         }
     }
 
-    /// Returns whether a part of `length` bytes begins a block. The only part of a buffer
-    /// does not: its caller will take it at once.
-    fn needs_block(&self, length: usize) -> bool {
-        length < BLOCK_BYTES / 2 && !self.is_empty()
+    /// Returns whether a part of `length` bytes is copied into blocks. The only part of a
+    /// buffer is not: its caller will take it at once.
+    fn is_collected(&self, length: usize) -> bool {
+        length <= BLOCK_BYTES && !self.is_empty()
     }
 
     /// Takes the next bytes, which are not held any more.
@@ -247,6 +250,7 @@
     }
 }
 
-fn fits(block: &BytesMut, length: usize) -> bool {
-    block.capacity() - block.len() >= length
+/// Returns the number of bytes that fit in the rest of a block.
+fn room_in(block: &BytesMut) -> usize {
+    block.capacity() - block.len()
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -5,8 +5,13 @@
 //! not reused, so neither surplus bytes after an answer nor an upstream that
 //! closes an idle connection can affect another request.
 
+use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -32,8 +37,9 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
-use tokio::io::AsyncReadExt;
+use tokio::io::AsyncRead;
 use tokio::io::AsyncWriteExt;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
@@ -76,6 +82,14 @@
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The largest number of bytes that are read at once.
+const READ_BYTES: usize = 4 << 10;
+
+/// The room that a read buffer of a body with a length or chunks keeps after the bytes that
+/// were read. The codec replaces a buffer with less by one of 32 KiB after each part, and a
+/// part that waits for its caller keeps its buffer.
+const SPARE_BYTES: usize = 2 << 10;
+
 /// Largest accepted head of an answer with the informational ones before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -319,7 +333,7 @@
             result = writer.write_all_buf(&mut unsent), if unsent.has_remaining() => {
                 result.map_err(ExchangeError::Broken)?;
             }
-            read = reader.read_buf(&mut buf) => {
+            read = receive(&mut reader, &mut buf, 0) => {
                 match read.map_err(ExchangeError::Broken)? {
                     0 => return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into())),
                     read => head_bytes += read,
@@ -395,7 +409,15 @@
             if matches!(self.body, Body::Ended) {
                 return Ok(None);
             }
-            let read = self.stream.read_buf(&mut self.buf).await;
+            if self.buf.is_empty() {
+                // Releases the memory while the upstream sends nothing.
+                self.buf = BytesMut::new();
+            }
+            let spare = match &self.body {
+                Body::Framed(_) => SPARE_BYTES,
+                Body::UntilClose | Body::Ended => 0,
+            };
+            let read = receive(&mut self.stream, &mut self.buf, spare).await;
             if read.map_err(ExchangeError::Broken)? == 0 {
                 let complete = matches!(self.body, Body::UntilClose);
                 self.body = Body::Ended;
@@ -408,6 +430,27 @@
     }
 }
 
+/// Appends the next bytes to `buf`, and returns their number; 0 at the end of the connection.
+/// The memory is reserved when they are there, for them and `spare` more bytes. Can be
+/// cancelled without losing any.
+async fn receive<R>(reader: &mut R, buf: &mut BytesMut, spare: usize) -> io::Result<usize>
+where
+    R: AsyncRead + Unpin,
+{
+    poll_fn(|cx| {
+        let mut bytes = [const { MaybeUninit::uninit() }; READ_BYTES];
+        let mut read = ReadBuf::uninit(&mut bytes);
+        ready!(Pin::new(&mut *reader).poll_read(cx, &mut read))?;
+        let bytes = read.filled();
+        if !bytes.is_empty() {
+            buf.reserve(bytes.len() + spare);
+            buf.extend_from_slice(bytes);
+        }
+        Poll::Ready(Ok(bytes.len()))
+    })
+    .await
+}
+
 /// Returns whether the body of an answer ends when the connection is closed
 /// (RFC 9112, section 6.3).
 fn ends_with_connection(upstream_request: &UpstreamRequest, head: &ResponseHead) -> bool {
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
 use super::*;
