Test endless bytes in what standalone agents read

No test had an engine write without end when its standalone agent reads `/load` or `/v1/models`. Three tests do so in heads, bodies and the lines around chunks, with the bound of platform/tests/endless_agents.rs.

--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod cuts;
 mod end_to_end;
 mod endless;
+mod endless_agents;
 mod failures;
 mod fleet;
 mod histories;
