Serve connections that the kernel has accepted before the listener closes

Cause: closing the listener resets the connections that wait for it. Change: a server that stops takes the waiting connections before it closes the listener, and stopping waits for that. Connections that arrive between the last look and the close are still reset.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::iter;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -85,6 +86,8 @@
 struct State {
     connections: Cell<usize>,
     stopping: Cell<bool>,
+    /// Whether the listener is closed.
+    has_stopped: Cell<bool>,
     changed: Notify,
 }
 
@@ -116,11 +119,13 @@
         self.address
     }
 
-    /// Waits until no connection is open.
+    /// Waits until no connection is open, nor accepted any more if the server is stopping.
     pub async fn wait_for_connections_to_close(&self) {
         loop {
             let changed = self.state.changed.notified();
-            if self.state.connections.get() == 0 {
+            let state = &self.state;
+            let is_stopping = state.stopping.get() && !state.has_stopped.get();
+            if state.connections.get() == 0 && !is_stopping {
                 return;
             }
             changed.await;
@@ -148,33 +153,55 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    loop {
-        let Some(stream) = next_connection(&listener, &bounds, &state).await else {
-            return;
-        };
-        let guard = ConnectionGuard::new(&state);
-        let peer = stream.peer_addr().ok();
-        // Without it, answers are only delayed.
-        let _ = stream.set_nodelay(true);
-        if let Some(bytes) = bounds().send_buffer {
-            // Without it, the kernel may hold more for a slow caller.
-            let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
-        }
-        let stream = SharedStream::new(stream);
-        let socket = stream.socket();
-        let (presence, handler) = (stream.presence(), handler.clone());
-        let handler = move |req: Request| {
-            req.extensions_mut().insert(presence.clone());
-            handler(req)
-        };
-        let connection = serve_connection(stream, peer, bounds(), handler, Rc::clone(&state));
-        actix_rt::spawn(async move {
-            let _guard = guard;
-            if connection.await == ConnectionState::HalfOpen {
-                linger(&socket).await;
-            }
-        });
+    while let Some(stream) = next_connection(&listener, &bounds, &state).await {
+        spawn_connection(stream, bounds(), handler.clone(), &state);
     }
+    // Connections that the kernel has accepted already would be reset.
+    for stream in waiting_connections(listener) {
+        spawn_connection(stream, bounds(), handler.clone(), &state);
+    }
+    state.has_stopped.set(true);
+    state.changed.notify_waiters();
+}
+
+/// Returns the connections that wait for the listener, which is closed at the end.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    iter::from_fn(move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
+/// Serves the requests of a connection in a task of its own.
+fn spawn_connection<F, Fut>(stream: TcpStream, bounds: HttpBounds, handler: F, state: &Rc<State>)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let guard = ConnectionGuard::new(state);
+    let peer = stream.peer_addr().ok();
+    // Without it, answers are only delayed.
+    let _ = stream.set_nodelay(true);
+    if let Some(bytes) = bounds.send_buffer {
+        // Without it, the kernel may hold more for a slow caller.
+        let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
+    }
+    let stream = SharedStream::new(stream);
+    let socket = stream.socket();
+    let presence = stream.presence();
+    let handler = move |req: Request| {
+        req.extensions_mut().insert(presence.clone());
+        handler(req)
+    };
+    let connection = serve_connection(stream, peer, bounds, handler, Rc::clone(state));
+    actix_rt::spawn(async move {
+        let _guard = guard;
+        if connection.await == ConnectionState::HalfOpen {
+            linger(&socket).await;
+        }
+    });
 }
 
 /// What is left of a connection that is no longer served.
