Doubt all ends of a service of which a stream has ended early

Cause of the early ends that were left: the end of a stream that the retry budget allows no question about was believed unless the same upstream had ended one early.

Change: an end is believed unless this stream or another one of the service has ended early in the last minute.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -241,12 +241,7 @@
             _ => self.record_answer_to_question(),
         }
         match result {
-            AttemptResult::Completed(outcome) => {
-                if self.confirmation.is_open() {
-                    self.record_end_confirmed();
-                }
-                ControlFlow::Break(outcome)
-            }
+            AttemptResult::Completed(outcome) => ControlFlow::Break(outcome),
             AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
                 ControlFlow::Break(Outcome::cancelled)
             }
--- a/src/entry/serve/confirmation.rs
+++ b/src/entry/serve/confirmation.rs
@@ -123,12 +123,8 @@
     ) -> ControlFlow<Outcome, Vec<Action>> {
         let has_events = self.relay.has_answer_events();
         self.confirmation.record_end(upstream, has_events);
-        let needed = match self.is_end_trusted() {
-            true => 1,
-            false => CONFIRMING_REPLIES,
-        };
-        if self.confirmation.empty_replies >= needed {
-            return ControlFlow::Break(self.end_confirmed().await);
+        if self.confirmation.empty_replies >= CONFIRMING_REPLIES {
+            return ControlFlow::Break(self.end_stream().await);
         }
         self.ask_or_end(upstream).await
     }
@@ -197,53 +193,30 @@
                 "request" => %self.job.logged_id(self.request),
                 "ended_by" => ?self.confirmation.ended_by,
                 "last_event" => self.relay.last_event());
-            let mut stream_ends = self.state.stream_ends.borrow_mut();
-            stream_ends.record_early(self.state.now(), &self.job.target);
+            let mut early_ends = self.state.early_ends.borrow_mut();
+            early_ends.record(self.state.now(), &self.job.target);
         }
     }
 
-    /// Records that nothing has followed the last event of a stream.
-    pub(super) fn record_end_confirmed(&self) {
-        let mut stream_ends = self.state.stream_ends.borrow_mut();
-        stream_ends.record_confirmed(&self.job.target);
-    }
-
-    /// Returns whether the last end of the stream counts as complete without a confirmation.
-    fn is_end_trusted(&self) -> bool {
-        let stream_ends = self.state.stream_ends.borrow();
-        !self.confirmation.has_ended_early
-            && !self.confirmation.is_sender_gone
-            && stream_ends.is_trusted(self.state.now(), &self.job.target)
-    }
-
-    /// Returns whether nothing followed when the caller or the entry asked once, and neither the
-    /// stream nor the service has given a reason to ask again.
-    fn is_confirmed_once(&self) -> bool {
-        let stream_ends = self.state.stream_ends.borrow();
-        self.confirmation.empty_replies > 0
-            && !self.confirmation.has_ended_early
-            && !self.confirmation.is_sender_gone
-            && !stream_ends.is_doubted(self.state.now(), &self.job.target)
+    /// Returns whether there is a reason to believe no end of the stream without a confirmation.
+    fn is_end_doubted(&self) -> bool {
+        let early_ends = self.state.early_ends.borrow();
+        self.confirmation.has_ended_early
+            || self.confirmation.is_sender_gone
+            || early_ends.contains(self.state.now(), &self.job.target)
     }
 
-    /// Ends a stream that nobody could be asked about. A caller that is told of a whole stream
-    /// does not come back, while it can resume one that is cut off. So the end is believed only
-    /// for what is known of other ends of the service, or of this one.
+    /// Ends a stream that nobody could be asked about. Its end is believed unless there is a
+    /// reason for doubt: the upstream that has sent it served after it, as the registered run or
+    /// as one that does not tell its run. A doubted stream is cut off, so that its caller resumes
+    /// it; one that is told of a whole stream does not come back.
     pub(super) async fn end_unconfirmed(&mut self) -> Outcome {
-        if self.is_confirmed_once() {
-            return self.end_confirmed().await;
-        }
-        match self.is_end_trusted() {
-            true => self.end_stream().await,
-            false => self.fail(CallerError::UpstreamFailed).await,
+        match self.is_end_doubted() {
+            true => self.fail(CallerError::UpstreamFailed).await,
+            false => self.end_stream().await,
         }
     }
 
-    async fn end_confirmed(&mut self) -> Outcome {
-        self.record_end_confirmed();
-        self.end_stream().await
-    }
-
     /// Tells the caller that the stream is complete, unless a part of it is known to lack.
     async fn end_stream(&mut self) -> Outcome {
         if !self.relay.finish().await {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -32,6 +32,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::Event;
+use crate::early_ends::EarlyEnds;
 use crate::entry::EntryParts;
 use crate::entry::auth::KeyTable;
 use crate::entry::gossip::EntryGossip;
@@ -66,7 +67,6 @@
 use crate::quota::Quota;
 use crate::retry_budget::RetryBudget;
 use crate::settings::Settings;
-use crate::stream_ends::StreamEnds;
 use crate::ticket::Refusal;
 use crate::ticket::RefusalCode;
 
@@ -143,8 +143,8 @@
     refusing_new: Cell<bool>,
     retry_budget: RefCell<RetryBudget>,
     pub(super) outliers: RefCell<Outliers>,
-    /// What is known of streams that have ended with their connection.
-    pub stream_ends: RefCell<StreamEnds>,
+    /// Services whose streams have ended early.
+    pub early_ends: RefCell<EarlyEnds>,
     pub(super) admission: RefCell<AdmissionControl>,
     pub(super) zones: ZoneState,
     released: Notify,
@@ -237,7 +237,7 @@
             refusing_new: Cell::new(false),
             retry_budget: RefCell::new(RetryBudget::new().with_start(clock.now())),
             outliers: RefCell::default(),
-            stream_ends: RefCell::default(),
+            early_ends: RefCell::default(),
             admission: RefCell::default(),
             released: Notify::new(),
             burn: RefCell::default(),
