Cut off a stream if the question for its rest has failed

Cause: the end was believed when no further question was possible, although the failure had told nothing. Change: the stream is cut off then, unless another reply had no events.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -245,11 +245,6 @@
             AttemptResult::CallerDisconnected | AttemptResult::NotSent => {
                 ControlFlow::Break(Outcome::cancelled)
             }
-            AttemptResult::TimedOut | AttemptResult::Quarantined(_)
-                if self.confirmation.is_open() =>
-            {
-                ControlFlow::Break(self.end_unconfirmed().await)
-            }
             AttemptResult::TimedOut => ControlFlow::Break(self.fail(CallerError::TimedOut).await),
             AttemptResult::Quarantined(wait) => {
                 ControlFlow::Break(self.give_up_quarantined(wait).await)
@@ -268,7 +263,7 @@
             }
             AttemptResult::Unconfirmed => self.confirm_end(&attempt.upstream).await,
             AttemptResult::Interrupted | AttemptResult::Silent if self.confirmation.is_open() => {
-                self.ask_or_end(&attempt.upstream).await
+                self.ask_again(&attempt.upstream).await
             }
             AttemptResult::Interrupted | AttemptResult::Silent if self.can_fail_over() => {
                 // The dispatch handles the failure like that of an unreachable upstream.
--- a/src/entry/serve/confirmation.rs
+++ b/src/entry/serve/confirmation.rs
@@ -126,20 +126,25 @@
         if self.confirmation.empty_replies >= CONFIRMING_REPLIES {
             return ControlFlow::Break(self.end_stream().await);
         }
-        self.ask_or_end(upstream).await
-    }
-
-    /// Asks again after a question to `upstream` has failed, or ends the stream.
-    pub(super) async fn ask_or_end(
-        &mut self,
-        upstream: &Name,
-    ) -> ControlFlow<Outcome, Vec<Action>> {
         match self.ask_for_rest(upstream) {
             Some(actions) => ControlFlow::Continue(actions),
             None => ControlFlow::Break(self.end_unconfirmed().await),
         }
     }
 
+    /// Asks again after a question to `upstream` has failed. If that is not possible, the stream
+    /// is cut off unless another reply had no events: a failure is no word that nothing follows.
+    pub(super) async fn ask_again(&mut self, upstream: &Name) -> ControlFlow<Outcome, Vec<Action>> {
+        if let Some(actions) = self.ask_for_rest(upstream) {
+            return ControlFlow::Continue(actions);
+        }
+        let outcome = match self.confirmation.empty_replies {
+            0 => self.fail(CallerError::UpstreamFailed).await,
+            _ => self.end_unconfirmed().await,
+        };
+        ControlFlow::Break(outcome)
+    }
+
     /// Asks for what follows an answer that `upstream` has ended with its connection. Returns
     /// `None` if that can't be asked.
     ///
