--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -1,6 +1,8 @@
 //! The cases.
 
 mod eclipse;
+mod few_links;
+mod first_part;
 mod limits;
 mod lost_entry;
 mod rebirth;
@@ -40,6 +42,8 @@
         "unreadable" => unreadable::run(&world, is_troubled),
         "limits" => limits::run(&world, is_troubled),
         "stop" => stop::run(&world, is_troubled),
+        "first-part" => first_part::run(&world, is_troubled),
+        "few-links" => few_links::run(&world, is_troubled),
         "split" => split::run(&world, is_troubled),
         "eclipse" => eclipse::run(&world, is_troubled),
         _ => Verdict::CouldNotRun,
@@ -51,7 +55,9 @@
     };
     world.say(text);
     system::end_all();
-    let _ = std::fs::remove_dir_all(&world.network.folder);
+    if std::env::var("KEEP_FOLDER").is_err() {
+        let _ = std::fs::remove_dir_all(&world.network.folder);
+    }
     verdict
 }
 
@@ -96,6 +102,7 @@
             id: format!("i-{machine:02}"),
             address: self.network.app(machine),
             service: service.to_owned(),
+            zone: "a".to_owned(),
             version: version.to_owned(),
             is_engine,
             events: 50,
@@ -111,7 +118,7 @@
     /// Starts entries and waits until they are ready, and some time longer.
     pub fn start_entries(&self, machines: &[u8]) -> bool {
         for machine in machines {
-            self.network.start_entry(*machine, self.store.address);
+            self.network.start_entry(*machine, "a", self.store.address);
         }
         let ready = machines.iter().all(|m| self.network.wait_until_ready(*m));
         std::thread::sleep(Duration::from_secs(4));
@@ -153,9 +160,11 @@
         path: path.to_owned(),
         id: id.to_owned(),
         deadline: Duration::from_secs(15),
+        gap: Duration::from_secs(15),
         resumes: None,
         is_prompt: true,
-        body: b"a prompt".to_vec(),
+        part: None,
+        body: format!("the prompt of {id}").into_bytes(),
     }
 }
 
--- a/review/stand-2/src/cases/eclipse.rs
+++ b/review/stand-2/src/cases/eclipse.rs
@@ -1,5 +1,5 @@
-//! LOST: entries of another writer in the store, of a service that isn't named, at the addresses
-//! of sound replicas.
+//! A probe that is no case of the review. LOST: entries of another writer in the store, of a service
+//! that isn't named, at the addresses of sound replicas.
 
 use std::time::Duration;
 use std::time::SystemTime;
@@ -27,7 +27,7 @@
         let spec = world.spec(machine, "huvo11a", version, true);
         world
             .network
-            .start_agent(machine, "huvo11a", world.store.address);
+            .start_agent(machine, "a", "huvo11a", world.store.address);
         world.start_server(spec)
     };
     let _servers: Vec<_> = OLD.into_iter().map(|m| start(m, "v1")).collect();
--- a/review/stand-2/src/cases/limits.rs
+++ b/review/stand-2/src/cases/limits.rs
@@ -1,6 +1,5 @@
 //! A probe that is no case of the review. CONFIG: a version of the configuration raises
-//! `maxBodyBytes` to 32 MiB and takes a key away.
-//! It never comes into force.
+//! `maxBodyBytes` to 32 MiB and takes a key away. It never comes into force.
 
 use std::time::Duration;
 
@@ -46,8 +45,10 @@
         path: "/puxa403/2f".to_owned(),
         id: id.to_owned(),
         deadline: Duration::from_secs(3),
+        gap: Duration::from_secs(3),
         resumes: None,
         is_prompt: false,
+        part: None,
         body: b"an entry of the log".to_vec(),
     };
     if !is_served(world, world.network.front(1), &request("warm")) {
--- a/review/stand-2/src/cases/lost_entry.rs
+++ b/review/stand-2/src/cases/lost_entry.rs
@@ -1,5 +1,5 @@
-//! A probe that is no case of the review. LOST: one of two entries is killed. The other one refuses to go on with the streams of a
-//! plain service, which it has no record of.
+//! A probe that is no case of the review. LOST: one of two entries is killed. The other one refuses
+//! to go on with the streams of a plain service, which it has no record of.
 
 use std::time::Duration;
 
--- a/review/stand-2/src/cases/routes.rs
+++ b/review/stand-2/src/cases/routes.rs
@@ -31,8 +31,10 @@
         path: path.to_owned(),
         id: id.to_owned(),
         deadline: Duration::from_secs(3),
+        gap: Duration::from_secs(3),
         resumes: None,
         is_prompt: false,
+        part: None,
         body: b"an entry of the log".to_vec(),
     }
 }
--- a/review/stand-2/src/cases/split.rs
+++ b/review/stand-2/src/cases/split.rs
@@ -1,6 +1,6 @@
-//! LOST: a version of the configuration changes the weights of a split route. A stream that is
-//! taken up again goes to a service that is drawn anew, which doesn't run the version that began
-//! it.
+//! A probe that is no case of the review. LOST: a version of the configuration changes the weights of
+//! a split route. A stream that is taken up again goes to a service that is drawn anew, which doesn't
+//! run the version that began it.
 
 use std::time::Duration;
 
@@ -43,7 +43,7 @@
     ] {
         world
             .network
-            .start_agent(machine, service, world.store.address);
+            .start_agent(machine, "a", service, world.store.address);
         servers.push(world.start_server(world.spec(machine, service, version, true)));
     }
     if !world.start_entries(&ENTRIES) {
--- a/review/stand-2/src/client.rs
+++ b/review/stand-2/src/client.rs
@@ -1,11 +1,13 @@
 //! A stand-in for a requester.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::http::read_body;
 use crate::http::read_chunk;
@@ -23,10 +25,14 @@
     pub id: String,
     /// The time that the requester waits.
     pub deadline: Duration,
+    /// The longest time without a byte of the answer.
+    pub gap: Duration,
     /// The request that brought the first event, and the last event, of the stream that is
     /// taken up again.
     pub resumes: Option<(String, u64)>,
     pub is_prompt: bool,
+    /// A part of the prompt between the first and the last one.
+    pub part: Option<&'static str>,
     pub body: Vec<u8>,
 }
 
@@ -63,8 +69,40 @@
     /// Sends the request on a channel of its own, and closes the channel after `break_after`
     /// events.
     pub fn send(&self, to: SocketAddr, break_after: Option<usize>, record: &Record) -> Got {
+        let is_enough = |got: &Got| break_after.is_some_and(|count| got.events.len() >= count);
+        self.send_until(to, is_enough, record)
+    }
+
+    /// Sends the request like `send`. Unless `keep` returns true for the stamp of the answer,
+    /// closes the channel at `close_at` and returns `None`.
+    pub fn send_if<F>(
+        &self,
+        to: SocketAddr,
+        keep: F,
+        close_at: Instant,
+        record: &Record,
+    ) -> Option<Got>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let kept = Cell::new(None);
+        let is_unwanted = |got: &Got| {
+            let is_kept = kept
+                .get()
+                .unwrap_or_else(|| keep(got.stamp.as_deref().unwrap_or("")));
+            kept.set(Some(is_kept));
+            !is_kept && Instant::now() >= close_at
+        };
+        let got = self.send_until(to, is_unwanted, record);
+        kept.get().unwrap_or_default().then_some(got)
+    }
+
+    fn send_until<F>(&self, to: SocketAddr, is_enough: F, record: &Record) -> Got
+    where
+        F: Fn(&Got) -> bool,
+    {
         let mut got = Got::default();
-        let result = self.exchange(to, break_after, &mut got);
+        let result = self.exchange(to, is_enough, &mut got);
         let error = result.err().map(|e| e.to_string()).unwrap_or_default();
         record.line(&format!(
             "requester {} to {to}: {} {} resumes {:?}, got {}, {} events, complete {}, stamp {} {error}",
@@ -80,15 +118,13 @@
         got
     }
 
-    fn exchange(
-        &self,
-        to: SocketAddr,
-        break_after: Option<usize>,
-        got: &mut Got,
-    ) -> std::io::Result<()> {
+    fn exchange<F>(&self, to: SocketAddr, is_enough: F, got: &mut Got) -> std::io::Result<()>
+    where
+        F: Fn(&Got) -> bool,
+    {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(self.deadline))?;
+        stream.set_read_timeout(Some(self.gap))?;
         let mut head = format!(
             "{} {} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {}\r\nDeadline-Ms: {}\r\n\
              Authorization: Bearer {KEY}\r\n",
@@ -102,7 +138,8 @@
                 .id
                 .bytes()
                 .fold(7_u32, |h, b| h.wrapping_mul(31) ^ u32::from(b));
-            let part = format!("Prompt-Prefix: 5c1e07a2:60,{part:08x}:100\r\n");
+            let middle = self.part.map(|p| format!("{p}:40,")).unwrap_or_default();
+            let part = format!("Prompt-Prefix: 5c1e07a2:60,{middle}{part:08x}:100\r\n");
             head.push_str("Model: m\r\nToken-Count: 160,60\r\n");
             head.push_str(&part);
         }
@@ -137,7 +174,7 @@
                 got.events
                     .extend(parse_event(&String::from_utf8_lossy(&event)));
             }
-            if break_after.is_some_and(|count| got.events.len() >= count) {
+            if !got.events.is_empty() && is_enough(got) {
                 return Ok(());
             }
         }
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -29,6 +29,9 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 pub const SLOTS: i64 = 12;
 
+/// A part of prompts on which replicas crash when they begin to write an answer.
+pub const CRASHING_PART: &str = "0badf00d";
+
 /// Requests that wait beside those in slots.
 const QUEUED: i64 = 12;
 
@@ -43,6 +46,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub service: String,
+    pub zone: String,
     pub version: String,
     /// Whether it is a model replica, which has `GET /report`.
     pub is_engine: bool,
@@ -122,7 +126,7 @@
         while self.is_alive() {
             seq += 1;
             let registration = json!({
-                "backend": spec.service, "addr": spec.address.to_string(), "zone": "a",
+                "backend": spec.service, "addr": spec.address.to_string(), "zone": spec.zone,
                 "version": spec.version, "slots": SLOTS, "state": "ready", "coldLeftMs": 0,
                 "born": self.born, "seq": seq,
             });
@@ -246,7 +250,15 @@
             spec.id,
             self.load()
         );
-        for number in after + 1..=spec.events {
+        // The last part of the path can name the number of events.
+        let named = head.word(1).rsplit('/').next();
+        let events = named.and_then(|n| n.parse().ok()).unwrap_or(spec.events);
+        let parts = head.get("prompt-prefix").unwrap_or("");
+        if parts.split(',').any(|p| p.starts_with(CRASHING_PART)) {
+            self.crash();
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        for number in after + 1..=events {
             let event = format!(
                 "id: {number}\ndata: {} {} {}\n\n",
                 spec.service, spec.version, spec.id
--- a/review/stand-2/src/system.rs
+++ b/review/stand-2/src/system.rs
@@ -78,13 +78,13 @@
     }
 
     /// Starts an entry.
-    pub fn start_entry(&self, machine: u8, store: SocketAddr) {
+    pub fn start_entry(&self, machine: u8, zone: &str, store: SocketAddr) {
         let ip = self.ip(machine);
         let text = format!(
-            "node = \"edge-a-{machine}\"\nrole = \"entry\"\nclass = \"edge\"\nserves = [\"edge\"]\n\
-             ip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\nportRange = [{}, {}]\nseeds = []\n\
+            "node = \"edge-{zone}-{machine}\"\nrole = \"entry\"\nclass = \"edge\"\nserves = [\"edge\"]\n\
+             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"r\"\nportRange = [{}, {}]\nseeds = []\n\
              bootstrap = true\ncountsAsLoss = false\ndiscovery = \"platform\"\nentry = \"vip\"\n\
-             heartbeatMs = 1200\n{CONTRACTS}[zones]\na = \"r\"\n[listen]\nfront = \"{}\"\n\
+             heartbeatMs = 1200\n{CONTRACTS}[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\nd = \"r\"\n[listen]\nfront = \"{}\"\n\
              ready = \"{}\"\n[limits]\ncpuShare = 0.19\ncores = 1\nramMb = 110\nmaxFds = 4100\n\
              linkMbps = 1000.0\ndiskMb = 0\n{BOUNDS}[platform]\naddr = \"{store}\"\n{PLATFORM}",
             self.port + 5,
@@ -92,25 +92,25 @@
             self.front(machine),
             self.ready(machine),
         );
-        self.start("entry", &format!("edge-a-{machine}"), &text);
+        self.start("entry", &format!("edge-{machine}"), &text);
     }
 
     /// Starts the agent on the machine of a replica.
-    pub fn start_agent(&self, machine: u8, service: &str, store: SocketAddr) {
+    pub fn start_agent(&self, machine: u8, zone: &str, service: &str, store: SocketAddr) {
         let ip = self.ip(machine);
         let text = format!(
-            "node = \"side-a-{machine}\"\nrole = \"agent\"\nclass = \"side\"\nserves = [\"side\"]\n\
-             ip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\nportRange = [{}, {}]\nseeds = []\n\
+            "node = \"side-{zone}-{machine}\"\nrole = \"agent\"\nclass = \"side\"\nserves = [\"side\"]\n\
+             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"r\"\nportRange = [{}, {}]\nseeds = []\n\
              bootstrap = true\ncountsAsLoss = false\ndiscovery = \"platform\"\nentry = \"vip\"\n\
              heartbeatMs = 1200\n{CONTRACTS}app = \"{}\"\nbackend = \"{service}\"\n\
-             [zones]\na = \"r\"\n[listen]\n[limits]\ncpuShare = 0.2\ncores = 1\nramMb = 192\n\
+             [zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\nd = \"r\"\n[listen]\n[limits]\ncpuShare = 0.2\ncores = 1\nramMb = 192\n\
              maxFds = 4096\nlinkMbps = 2000.0\ndiskMb = 0\n{BOUNDS}\
              [platform]\naddr = \"{store}\"\n{PLATFORM}",
             self.port + 5,
             self.port + 9,
             self.app(machine),
         );
-        self.start("agent", &format!("side-a-{machine}"), &text);
+        self.start("agent", &format!("side-{machine}"), &text);
     }
 
     fn start(&self, role: &str, node: &str, settings: &str) {
@@ -138,7 +138,7 @@
     /// Kills the entry of a machine.
     pub fn kill_entry(&self, machine: u8) {
         let mut processes = PROCESSES.lock().expect("processes");
-        if let Some(mut process) = processes.remove(&format!("edge-a-{machine}")) {
+        if let Some(mut process) = processes.remove(&format!("edge-{machine}")) {
             let _ = process.kill();
             let _ = process.wait();
         }
@@ -147,7 +147,7 @@
     /// Sends SIGTERM to the entry of a machine.
     pub fn terminate_entry(&self, machine: u8) {
         let processes = PROCESSES.lock().expect("processes");
-        if let Some(process) = processes.get(&format!("edge-a-{machine}")) {
+        if let Some(process) = processes.get(&format!("edge-{machine}")) {
             let kill = format!("kill -TERM {}", process.id());
             let _ = Command::new("sh").args(["-c", &kill]).status();
         }
@@ -156,7 +156,7 @@
     /// Returns whether the entry of a machine runs.
     pub fn runs_entry(&self, machine: u8) -> bool {
         let mut processes = PROCESSES.lock().expect("processes");
-        let process = processes.get_mut(&format!("edge-a-{machine}"));
+        let process = processes.get_mut(&format!("edge-{machine}"));
         process.is_some_and(|p| matches!(p.try_wait(), Ok(None)))
     }
 
