--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -10,6 +10,7 @@
 mod routes;
 mod split;
 mod stop;
+mod tenant;
 mod unreadable;
 
 use std::net::SocketAddr;
@@ -41,6 +42,7 @@
         "lost-entry" => lost_entry::run(&world, is_troubled),
         "unreadable" => unreadable::run(&world, is_troubled),
         "limits" => limits::run(&world, is_troubled),
+        "tenant" => tenant::run(&world, is_troubled),
         "stop" => stop::run(&world, is_troubled),
         "first-part" => first_part::run(&world, is_troubled),
         "few-links" => few_links::run(&world, is_troubled),
--- a/review/stand-2/src/record.rs
+++ b/review/stand-2/src/record.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 pub struct Record {
+    path: String,
     file: Mutex<File>,
     started: Instant,
 }
@@ -13,6 +14,7 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         Self {
+            path: path.to_owned(),
             file: Mutex::new(File::create(path).expect("a writable record")),
             started: Instant::now(),
         }
@@ -23,4 +25,9 @@
         let mut file = self.file.lock().expect("a record");
         let _ = writeln!(file, "{millis:>6} {text}");
     }
+
+    /// Returns whether the record has a line with this text.
+    pub fn contains(&self, text: &str) -> bool {
+        std::fs::read_to_string(&self.path).is_ok_and(|record| record.contains(text))
+    }
 }
