--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod early_ends;
 mod eclipse;
 mod few_links;
 mod first_part;
@@ -47,6 +48,7 @@
         "first-part" => first_part::run(&world, is_troubled),
         "few-links" => few_links::run(&world, is_troubled),
         "split" => split::run(&world, is_troubled),
+        "early-ends" => early_ends::run(&world, is_troubled),
         "eclipse" => eclipse::run(&world, is_troubled),
         _ => Verdict::CouldNotRun,
     };
@@ -109,6 +111,8 @@
             is_engine,
             events: 50,
             pause: Duration::from_millis(100),
+            is_unframed: false,
+            break_one_in: 0,
         }
     }
 
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -13,6 +13,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -53,6 +54,10 @@
     /// The events of a whole stream, and the time between two of them.
     pub events: u64,
     pub pause: Duration,
+    /// Whether streams have neither a length nor chunks, and end with their channel.
+    pub is_unframed: bool,
+    /// One in so many streams is broken off between two events; none if 0.
+    pub break_one_in: u64,
 }
 
 pub struct Server {
@@ -61,6 +66,8 @@
     is_alive: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     running: AtomicI64,
+    /// The streams so far.
+    streams: AtomicU64,
     store: Arc<Store>,
     record: Arc<Record>,
 }
@@ -92,6 +99,7 @@
             is_alive: AtomicBool::new(true),
             connections: Mutex::default(),
             running: AtomicI64::new(0),
+            streams: AtomicU64::new(0),
             store: Arc::clone(store),
             record: Arc::clone(record),
         });
@@ -244,8 +252,12 @@
             spec.version,
             after + 1
         ));
+        let framing = match spec.is_unframed {
+            true => "",
+            false => "Transfer-Encoding: chunked\r\n",
+        };
         let mut answer = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\
              Request-Id: {id}\r\nServer-Stamp: {}.{id}\r\n{}Weight-Versions: 1\r\n\r\n",
             spec.id,
             self.load()
@@ -258,12 +270,26 @@
             self.crash();
             return Err(ErrorKind::ConnectionAborted.into());
         }
-        for number in after + 1..=events {
+        let streams = self.streams.fetch_add(1, Ordering::SeqCst) + 1;
+        let is_broken = spec.break_one_in > 0 && streams.is_multiple_of(spec.break_one_in);
+        let last = if is_broken {
+            after.max(events / 2)
+        } else {
+            events
+        };
+        if is_broken && after < last {
+            let line = format!("replica {} breaks off {id} after event {last}", spec.id);
+            self.record.line(&line);
+        }
+        for number in after + 1..=last {
             let event = format!(
                 "id: {number}\ndata: {} {} {}\n\n",
                 spec.service, spec.version, spec.id
             );
-            answer.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+            match spec.is_unframed {
+                true => answer.push_str(&event),
+                false => answer.push_str(&format!("{:x}\r\n{event}\r\n", event.len())),
+            }
             writer.write_all(answer.as_bytes())?;
             answer.clear();
             let until = Instant::now() + spec.pause;
@@ -274,6 +300,11 @@
                 std::thread::sleep(Duration::from_millis(10).min(spec.pause));
             }
         }
+        if spec.is_unframed {
+            writer.write_all(answer.as_bytes())?;
+            writer.shutdown(Shutdown::Write)?;
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
         answer.push_str("0\r\n\r\n");
         writer.write_all(answer.as_bytes())
     }
