Connect to more agents where few upstreams can run a request

Cause: an entry sends requests only to the sixteen upstreams of a service that it has selected by hashing names, whatever a request needs. A stream needs its version; selected upstreams can leave, fail, hold requests off or be cut off.

Change: where an entry reaches fewer than four sound upstreams that can run a request, it connects to the agents of others, at most 16 of a service and 128 in all, and closes these connections after 10 s without use. Leaving upstreams are not selected; an agent that leaves a ticket unanswered for half a second counts like an ejected upstream. A resumed stream waits for the connections.

Ruled out: a subset for each version (all entries would link to the last upstreams of a version), sending without the agent's grant, more links for all.

--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -16,8 +16,13 @@
 use crate::routing::Candidate;
 use crate::settings::Policy;
 use crate::settings::Upstream;
+use crate::spare_links::CONNECT_TIME;
+use crate::spare_links::Reach;
 use crate::upstream_load;
 
+/// The interval at which a request looks for connections that are being opened.
+const CONNECT_POLL: Duration = Duration::from_millis(10);
+
 /// The number of prompt chunks in the prefix index of one upstream.
 const PREFIX_INDEX_CHUNKS: usize = 4096;
 
@@ -48,42 +53,63 @@
                 .map_or(0, |a| a.matching_chunks(&job.prefix)),
             outstanding: outstanding.get(name).copied().unwrap_or_default(),
         };
-        let is_usable = |name: &Name, u: &Upstream| {
-            self.links.may_use(name, u)
-                && !leaving.contains(name)
+        let is_sound = |name: &Name, _: &Upstream| {
+            !leaving.contains(name)
                 && !outliers.is_replaced(now, name)
                 && self.notices.wait(name).is_none()
         };
-        let serving = upstreams
+        let is_usable =
+            |name: &Name, u: &Upstream| self.links.may_use(name, u) && is_sound(name, u);
+        let serving: Vec<(&Name, &Upstream)> = upstreams
             .iter()
             .filter(|(_, u)| serves(u, kind, &job.target) && !u.leaving)
-            .filter(|(_, u)| version.is_none_or(|v| u.version == *v));
+            .filter(|(_, u)| version.is_none_or(|v| u.version == *v))
+            .collect();
         let rule = match version {
             Some(_) => None,
             None => self.rollouts.rule(&job.target, draw),
         };
-        let usable: Vec<&Name> = match rule {
-            None => serving
-                .filter(|(name, u)| is_usable(name, u))
-                .map(|(name, _)| name)
-                .collect(),
-            Some(rule) => {
-                let serving = serving.map(|(name, u)| Serving {
-                    name,
-                    version: &u.version,
-                    is_cold: u.cold_left.is_some_and(|left| !left.is_zero()),
-                    is_usable: is_usable(name, u),
-                    is_ejected: outliers.is_ejected(now, name),
-                });
-                rule.narrow(&serving.collect::<Vec<Serving<'_>>>())
-            }
+        let narrow = |is_usable: &dyn Fn(&Name, &Upstream) -> bool| -> Vec<&Name> {
+            let Some(rule) = &rule else {
+                let usable = serving.iter().filter(|(name, u)| is_usable(name, u));
+                return usable.map(|(name, _)| *name).collect();
+            };
+            let serving = serving.iter().map(|(name, u)| Serving {
+                name,
+                version: &u.version,
+                is_cold: u.cold_left.is_some_and(|left| !left.is_zero()),
+                is_usable: is_usable(name, u),
+                is_ejected: outliers.is_ejected(now, name),
+            });
+            rule.narrow(&serving.collect::<Vec<Serving<'_>>>())
+        };
+        let is_healthy = |name: &Name| {
+            let reach = upstreams.get(name).map(|u| self.links.reach(name, u));
+            !outliers.is_ejected(now, name) && reach != Some(Reach::Silent)
         };
-        let (ejected, healthy): (Vec<Candidate>, Vec<Candidate>) = usable
+        let (healthy, unhealthy): (Vec<&Name>, Vec<&Name>) = narrow(&is_usable)
             .into_iter()
+            .partition(|name| is_healthy(name));
+        // The few upstreams of a canary are meant to get little.
+        let needed = match rule {
+            Some(_) => 1,
+            None => self.links.min_choices(),
+        };
+        let healthy = self.links.choose(needed, healthy, || {
+            let mut sound = narrow(&is_sound);
+            sound.retain(|name| is_healthy(name));
+            sound
+        });
+        // An unhealthy upstream is better than none.
+        let usable = if healthy.is_empty() {
+            unhealthy
+        } else {
+            healthy
+        };
+        let candidates = usable.into_iter();
+        let candidates: Vec<Candidate> = candidates
             .filter_map(|name| Some(candidate(name, upstreams.get(name)?)))
-            .partition(|c| outliers.is_ejected(now, &c.upstream));
-        // An ejected upstream is better than none.
-        let candidates = if healthy.is_empty() { ejected } else { healthy };
+            .collect();
         // The policy `round-robin` starts at the candidate that this number gives.
         let sequence = self.last_sequence.get();
         let policy = settings.limits.policy;
@@ -173,6 +199,33 @@
         running.any(|u| serves(u, kind, &job.target) && u.version == *version)
     }
 
+    /// Opens the connections that a request for this version needs, and waits for them for
+    /// some time.
+    pub async fn wait_for_connections(&self, job: &Job, version: &SoftwareVersion) {
+        let connected = async {
+            // The candidates are not needed yet.
+            while self.candidates(job, Some(version), 0.0).len() < self.links.min_choices()
+                && self.is_connecting(job, version)
+            {
+                actix_rt::time::sleep(CONNECT_POLL).await;
+            }
+        };
+        // Without a connection, the request waits for one as for a grant.
+        let _ = actix_rt::time::timeout(CONNECT_TIME, connected).await;
+    }
+
+    /// Returns whether connections to agents of this version are being opened.
+    fn is_connecting(&self, job: &Job, version: &SoftwareVersion) -> bool {
+        let upstreams = self.directory.upstreams();
+        let kind = job.admission.route.kind;
+        let mut running = upstreams
+            .iter()
+            .filter(|(_, u)| !u.leaving && u.version == *version);
+        running.any(|(name, u)| {
+            serves(u, kind, &job.target) && self.links.reach(name, u) == Reach::Connecting
+        })
+    }
+
     /// Waits until an upstream is listed that can run `job`, for the longest time that
     /// the job can wait.
     pub async fn wait_for_upstreams(&self, job: &Job) {
@@ -214,6 +267,13 @@
         away.remove_idle(self.now());
     }
 
+    /// Closes the connections to further agents that are not needed any more.
+    pub fn close_idle_spare_links(&self) {
+        let outstanding = self.outstanding.borrow();
+        let is_used = |name: &Name| outstanding.get(name).is_some_and(|count| *count > 0);
+        self.links.close_idle_spares(is_used);
+    }
+
     /// Sets the hosts that are about to be removed.
     pub fn set_leaving(&self, leaving: BTreeSet<Name>) {
         self.leaving_hosts.replace(leaving);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -277,7 +277,9 @@
     let found = state.streams.find(&job.target, stream, timeout).await;
     let origin = found.filter(|version| state.has_version(job, version));
     let unavailable = CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER);
-    origin.map(Some).ok_or(unavailable)
+    let origin = origin.ok_or(unavailable)?;
+    state.wait_for_connections(job, &origin).await;
+    Ok(Some(origin))
 }
 
 /// Claims the idempotency key of a request; `None` where no claim is needed.
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -32,8 +32,11 @@
 use crate::agent_client::connect;
 use crate::almondramp_capnp::desk;
 use crate::almondramp_capnp::gate;
+use crate::clock::Clock;
+use crate::clock::Timestamp;
 use crate::config::EntryConfig;
 use crate::directory::Directory;
+use crate::directory::Upstreams;
 use crate::dispatch::Event;
 use crate::entry::transfer_turns::TransferTurns;
 use crate::event_loop;
@@ -45,6 +48,11 @@
 use crate::name::Name;
 use crate::settings::Upstream;
 use crate::site_key::SiteKey;
+use crate::spare_links::CONNECT_TIME;
+use crate::spare_links::MIN_CHOICES;
+use crate::spare_links::Reach;
+use crate::spare_links::SpareCandidate;
+use crate::spare_links::SpareLinks;
 use crate::subset;
 use crate::units::millis;
 
@@ -80,6 +88,9 @@
 /// from an agent, so that a slow link doesn't carry them twice.
 const STORE_DELIVERY_TIME: Duration = Duration::from_secs(1);
 
+/// The longest time for which an agent may leave a ticket unanswered.
+const TICKET_REPLY_TIME: Duration = Duration::from_millis(500);
+
 /// An established connection to an agent.
 #[derive(Clone)]
 pub struct Link {
@@ -91,11 +102,16 @@
     pub usage: Rc<LinkUsage>,
 }
 
-/// Tracks the use of a connection, to adapt its heartbeats.
+/// Tracks the use of a connection, to adapt its heartbeats, and whether the agent replies.
 #[derive(Default)]
 pub struct LinkUsage {
     last_used: Cell<Option<Instant>>,
     resumed: Notify,
+    /// Tickets without a reply.
+    unanswered: Cell<u32>,
+    /// When the agent last replied, or else got the first of these tickets. Unused while
+    /// there are none.
+    waiting_since: Cell<Option<Instant>>,
 }
 
 impl LinkUsage {
@@ -109,6 +125,26 @@
         }
     }
 
+    /// Records a ticket.
+    pub fn record_offer(&self) {
+        self.touch();
+        if self.unanswered.get() == 0 {
+            self.waiting_since.set(Some(Instant::now()));
+        }
+        self.unanswered.set(self.unanswered.get() + 1);
+    }
+
+    /// Records the reply to a ticket.
+    pub fn record_reply(&self) {
+        self.unanswered.set(self.unanswered.get().saturating_sub(1));
+        self.waiting_since.set(Some(Instant::now()));
+    }
+
+    fn is_silent(&self) -> bool {
+        let since = self.waiting_since.get();
+        self.unanswered.get() > 0 && since.is_some_and(|at| at.elapsed() >= TICKET_REPLY_TIME)
+    }
+
     fn is_recent(&self) -> bool {
         self.last_used
             .get()
@@ -131,8 +167,17 @@
     last_id: Cell<u64>,
     /// The established connections.
     connected: RefCell<BTreeMap<Name, Link>>,
-    /// The upstreams whose agents this entry connects to.
+    /// The upstreams whose agents this entry always connects to.
     selected: RefCell<BTreeSet<Name>>,
+    /// Whether these are all that have agents.
+    selects_all: Cell<bool>,
+    /// The others to whose agents it connects.
+    spares: RefCell<SpareLinks>,
+    /// Notified when `spares` has changed.
+    spares_changed: Notify,
+    /// Since when there is no connection to an agent to which this entry connects.
+    disconnected_since: RefCell<BTreeMap<Name, Timestamp>>,
+    clock: Clock,
     /// The turns of the connections over which settings are fetched, and sent.
     fetch_turns: TransferTurns,
     send_turns: TransferTurns,
@@ -150,6 +195,7 @@
         log: Logger,
     ) -> Self {
         Self {
+            spares: RefCell::new(SpareLinks::new(config.name.clone())),
             config,
             incarnation,
             active_settings,
@@ -158,6 +204,10 @@
             last_id: Cell::new(0),
             connected: RefCell::default(),
             selected: RefCell::default(),
+            selects_all: Cell::new(true),
+            spares_changed: Notify::new(),
+            disconnected_since: RefCell::default(),
+            clock: Clock::new(),
             fetch_turns: TransferTurns::new(),
             send_turns: TransferTurns::new(),
             listeners: RefCell::default(),
@@ -170,11 +220,114 @@
     }
 
     /// Returns whether this entry may send requests to `upstream`: the upstream
-    /// has no agent, or the entry is selected to connect to its agent. Without
-    /// this restriction, every entry that isn't connected to the agent would
-    /// send the upstream requests that the agent does not know of.
+    /// has no agent, or the entry connects to its agent. Without this
+    /// restriction, every entry that isn't connected to the agent would
+    /// send the upstream requests that the agent does not know of. For the same
+    /// reason, a spare connection has to be open, or to have failed.
     pub fn may_use(&self, name: &Name, upstream: &Upstream) -> bool {
-        upstream.agent.is_none() || self.selected.borrow().contains(name)
+        upstream.agent.is_none()
+            || self.selected.borrow().contains(name)
+            || (self.is_spare(name) && self.reach(name, upstream) != Reach::Connecting)
+    }
+
+    /// Returns whether the connection to the agent of `upstream` is a spare one.
+    pub fn is_spare(&self, upstream: &Name) -> bool {
+        self.spares.borrow().contains(upstream)
+    }
+
+    /// Returns how this entry reaches an upstream.
+    pub fn reach(&self, name: &Name, upstream: &Upstream) -> Reach {
+        if upstream.agent.is_none() {
+            return Reach::Open;
+        }
+        if !self.selected.borrow().contains(name) && !self.is_spare(name) {
+            return Reach::Unselected;
+        }
+        if let Some(link) = self.connected.borrow().get(name) {
+            return match link.usage.is_silent() {
+                true => Reach::Silent,
+                false => Reach::Open,
+            };
+        }
+        let since = self.disconnected_since.borrow().get(name).copied();
+        let is_new = since.is_none_or(|at| self.clock.now().since(at) < CONNECT_TIME);
+        match is_new {
+            true => Reach::Connecting,
+            false => Reach::Lost,
+        }
+    }
+
+    /// Returns the number of upstreams that this entry should reach for a request.
+    pub fn min_choices(&self) -> usize {
+        MIN_CHOICES.min(self.active_settings.settings().limits.links as usize)
+    }
+
+    /// Returns those of `usable` upstreams that a request should go to. Where the entry
+    /// reaches fewer than `needed` of them without spare connections, these are used, and
+    /// opened to more of the upstreams that `sound` returns: all that could run the request
+    /// if the entry were connected to their agents.
+    pub fn choose<'a, F>(&self, needed: usize, mut usable: Vec<&'a Name>, sound: F) -> Vec<&'a Name>
+    where
+        F: FnOnce() -> Vec<&'a Name>,
+    {
+        if self.selects_all.get() {
+            return usable;
+        }
+        let upstreams = self.directory.upstreams();
+        let reached = self.spare_candidates(&upstreams, &usable);
+        let reached = self.spares.borrow().reached(&reached);
+        if reached >= needed {
+            usable.retain(|name| !self.is_spare(name));
+            return usable;
+        }
+        let sound = sound();
+        let candidates = self.spare_candidates(&upstreams, &sound);
+        let limit = self.active_settings.settings().limits.links as usize;
+        let mut spares = self.spares.borrow_mut();
+        let before = spares.len();
+        if spares.extend(self.clock.now(), needed, limit, &candidates) {
+            info!(self.log, "connecting to more agents";
+                "reached" => reached,
+                "needed" => needed,
+                "sound" => candidates.len(),
+                "added" => spares.len() - before,
+                "spares" => spares.len());
+            self.spares_changed.notify_one();
+        }
+        usable
+    }
+
+    fn spare_candidates<'a>(
+        &self,
+        upstreams: &'a Upstreams,
+        names: &[&Name],
+    ) -> Vec<SpareCandidate<'a>> {
+        let listed = names
+            .iter()
+            .filter_map(|name| upstreams.get_key_value(*name));
+        let candidates = listed.map(|(name, upstream)| SpareCandidate {
+            name,
+            same_zone: upstream.zone == self.config.zone,
+            reach: self.reach(name, upstream),
+        });
+        candidates.collect()
+    }
+
+    /// Closes the spare connections that have been idle for long. `is_used` tells whether
+    /// requests wait or run at an upstream.
+    pub fn close_idle_spares<F>(&self, is_used: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        let mut spares = self.spares.borrow_mut();
+        if spares.remove_idle(self.clock.now(), is_used) {
+            self.spares_changed.notify_one();
+        }
+    }
+
+    /// Returns the number of spare connections.
+    pub fn spare_count(&self) -> usize {
+        self.spares.borrow().len()
     }
 
     /// Returns the number of established connections.
@@ -208,30 +361,32 @@
             let links = self.active_settings.settings().limits.links as usize;
             let selected =
                 subset::select_upstreams(&self.config.name, &self.config.zone, &upstreams, links);
-            let targets: BTreeMap<_, _> = upstreams
-                .iter()
-                .filter(|(name, _)| selected.contains(*name))
-                .filter_map(|(name, u)| Some(((name.clone(), u.agent?), ())))
-                .collect();
+            let targets = self.targets(&upstreams, &selected, &tasks);
+            let mut staying = upstreams.iter().filter(|(_, u)| !u.leaving);
+            let selects_all = staying.all(|(name, u)| u.agent.is_none() || selected.contains(name));
+            self.selects_all.set(selects_all);
             self.selected.replace(selected);
             tasks.retain(|key, task| {
-                let keep = targets.contains_key(key);
+                let keep = targets.contains(key);
                 if !keep {
                     task.abort();
                     self.handle_disconnect(&key.0);
+                    self.disconnected_since.borrow_mut().remove(&key.0);
                 }
                 keep
             });
-            for key in targets.into_keys() {
+            for key in targets {
                 let (name, address) = key.clone();
-                let this = Rc::clone(&self);
-                tasks
-                    .entry(key)
-                    .or_insert_with(|| actix_rt::spawn(this.maintain(name, address)));
+                tasks.entry(key).or_insert_with(|| {
+                    let mut disconnected = self.disconnected_since.borrow_mut();
+                    disconnected.insert(name.clone(), self.clock.now());
+                    actix_rt::spawn(Rc::clone(&self).maintain(name, address))
+                });
             }
             let changed = tokio::select! {
                 changed = changes.changed() => changed,
                 changed = revisions.changed() => changed,
+                () = self.spares_changed.notified() => Ok(()),
             };
             if changed.is_err() {
                 return;
@@ -239,6 +394,25 @@
         }
     }
 
+    /// Returns the agents to connect to: those of the selected upstreams and the spare ones, and
+    /// the connected ones of upstreams that are leaving, where requests may still run. Drops the
+    /// spare connections that are no longer any.
+    fn targets(
+        &self,
+        upstreams: &Upstreams,
+        selected: &BTreeSet<Name>,
+        tasks: &BTreeMap<(Name, SocketAddr), JoinHandle<()>>,
+    ) -> BTreeSet<(Name, SocketAddr)> {
+        let mut spares = self.spares.borrow_mut();
+        spares.retain(|name| upstreams.contains_key(name) && !selected.contains(name));
+        let targets = upstreams.iter().filter_map(|(name, u)| {
+            let key = (name.clone(), u.agent?);
+            let is_leaving = u.leaving && tasks.contains_key(&key);
+            (selected.contains(name) || spares.contains(name) || is_leaving).then_some(key)
+        });
+        targets.collect()
+    }
+
     /// Maintains one connection and reconnects, with backoff, when it is lost.
     async fn maintain(self: Rc<Self>, upstream: Name, address: SocketAddr) {
         let mut backoff = RECONNECT_MIN;
@@ -455,6 +629,9 @@
         let Some(link) = self.connected.borrow_mut().remove(upstream) else {
             return;
         };
+        let mut disconnected = self.disconnected_since.borrow_mut();
+        disconnected.insert(upstream.clone(), self.clock.now());
+        drop(disconnected);
         let requests = self.listeners.borrow_mut().remove(upstream);
         for events in requests.unwrap_or_default().into_values() {
             // Fails only if the request has already ended.
--- a/src/entry/local_schedulers.rs
+++ b/src/entry/local_schedulers.rs
@@ -208,14 +208,17 @@
     now: Timestamp,
     events: &UnboundedSender<Event>,
 ) {
-    link.usage.touch();
+    link.usage.record_offer();
     let waiter = TicketListener::new(upstream.clone(), events.clone());
     let offering = calls::offer(&link.scheduler, ticket, now, waiter);
     let events = events.clone();
     let upstream = upstream.clone();
     let id = link.id;
+    let usage = Rc::clone(&link.usage);
     actix_rt::spawn(async move {
-        let event = match offering.await {
+        let offered = offering.await;
+        usage.record_reply();
+        let event = match offered {
             Ok(offered) => Event::OfferReplied(upstream, offered),
             Err(_) => Event::ConnectionLost(upstream, id),
         };
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -81,6 +81,7 @@
     held_requests: Gauge,
     answer_bytes: Gauge,
     links: Gauge,
+    spare_links: Gauge,
     revision: Gauge,
     directory_age: Gauge<f64, AtomicU64>,
     settings_age: Gauge<f64, AtomicU64>,
@@ -108,6 +109,7 @@
             held_requests: Gauge::default(),
             answer_bytes: Gauge::default(),
             links: Gauge::default(),
+            spare_links: Gauge::default(),
             revision: Gauge::default(),
             directory_age: Gauge::default(),
             settings_age: Gauge::default(),
@@ -149,6 +151,11 @@
             this.answer_bytes.clone(),
         );
         r.register("links", "Connections to agents", this.links.clone());
+        r.register(
+            "spare_links",
+            "Agents to which the entry connects on demand",
+            this.spare_links.clone(),
+        );
         r.register(
             "settings_revision",
             "Revision in force",
@@ -306,13 +313,18 @@
     }
 
     /// Sets the gauges to the current state of the entry.
-    pub fn record_state(&self, held: usize, links: usize, revision: u64) {
+    pub fn record_state(&self, held: usize, revision: u64) {
         self.held_requests.set(held as i64);
-        self.links.set(links as i64);
         self.revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the connections to agents: those that are open, and the spare ones.
+    pub fn record_links(&self, open: usize, spares: usize) {
+        self.links.set(open as i64);
+        self.spare_links.set(spares as i64);
+    }
+
     /// Sets the gauges of the directory: the time since the platform last confirmed
     /// it, and the number of upstreams kept without a registration.
     pub fn record_directory(&self, age: Option<Duration>, kept: usize) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -103,6 +103,9 @@
 /// The interval at which the local schedulers expire waiting tickets.
 const LOCAL_SCHEDULER_TICK: Duration = Duration::from_millis(20);
 
+/// The interval at which idle spare connections to agents are closed.
+const SPARE_LINKS_TICK: Duration = Duration::from_secs(1);
+
 /// The minimum time for which a stopping entry accepts requests, so that load
 /// balancers can detect the stop. A balancer probes once a second and acts on
 /// the second failed probe.
@@ -217,6 +220,7 @@
             actix_rt::spawn(tick_local_schedulers(Rc::clone(&state)));
             actix_rt::spawn(zone_balance::balance_zones(Rc::clone(&state)));
             actix_rt::spawn(purge_removed_upstreams(Rc::clone(&state)));
+            actix_rt::spawn(close_idle_spare_links(Rc::clone(&state)));
             actix_rt::spawn(Rc::clone(&state.streams).run());
             actix_rt::spawn(Rc::clone(&state.upstream_limits).run());
             actix_rt::spawn(Rc::clone(&state.rollouts).run());
@@ -319,6 +323,13 @@
     }
 }
 
+async fn close_idle_spare_links(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(SPARE_LINKS_TICK).await;
+        state.close_idle_spare_links();
+    }
+}
+
 /// Serves callers. `stop` waits for the requests in flight.
 #[derive(Default)]
 struct CallerService {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -458,8 +458,9 @@
     pub fn render_metrics(&self) -> String {
         let held = self.held_requests.borrow().len();
         let revision = self.active_settings.revision().0;
+        self.metrics.record_state(held, revision);
         self.metrics
-            .record_state(held, self.links.count(), revision);
+            .record_links(self.links.count(), self.links.spare_count());
         self.metrics
             .record_directory(self.directory.age(), self.directory.kept());
         self.metrics.record_settings_age(self.active_settings.age());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,8 @@
 //!    [`held_requests`] limits the number of requests at the entry, [`quota`]
 //!    enforces the quota of the organisation, and [`claims`] reserves the
 //!    idempotency key.
-//! 3. [`routing`] orders the upstreams of the [`directory`]. [`dispatch`] decides
+//! 3. [`routing`] orders the upstreams of the [`directory`] that the entry uses: its [`subset`]
+//!    and, where few of that can run the request, [`spare_links`]. [`dispatch`] decides
 //!    which schedulers are offered a [`ticket`] and which grant is accepted.
 //!    [`admission`] refuses requests without offering them where the recent waits
 //!    or lasting overload show that they would wait in vain.
@@ -118,6 +119,7 @@
 pub mod settings_service;
 pub mod silence;
 pub mod site_key;
+pub mod spare_links;
 pub mod stored_settings;
 pub mod stream_holders;
 pub mod stream_origins;
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -5,7 +5,8 @@
 //! rendezvous hashing of the names of entry and upstream. Each agent thus gets a
 //! similar number of entries, and a change of the fleet moves few connections.
 //! If a model or service has no more agents than that, the entry connects to all
-//! of them.
+//! of them. Where a request can run at few of the selected upstreams, [`crate::spare_links`]
+//! adds to them.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,7 +21,7 @@
 /// Returns the upstreams to which `entry` in `zone` connects through their
 /// agents: at most `links` for each model and service. If there are more, half of
 /// `links` come from its own zone, as far as it has that many, and the rest from
-/// any zone.
+/// any zone. Upstreams that are leaving get no requests and are not selected.
 pub fn select_upstreams(
     entry: &Name,
     zone: &Name,
@@ -28,7 +29,7 @@
     links: usize,
 ) -> BTreeSet<Name> {
     let mut by_service: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
-    for (name, upstream) in upstreams {
+    for (name, upstream) in upstreams.iter().filter(|(_, u)| !u.leaving) {
         for service in &upstream.serves {
             by_service.entry(service).or_default().push(name);
         }
@@ -53,6 +54,7 @@
     selected
 }
 
-fn rendezvous_hash(entry: &Name, upstream: &Name) -> Digest {
+/// Returns the position of `upstream` in the order of `entry`.
+pub(crate) fn rendezvous_hash(entry: &Name, upstream: &Name) -> Digest {
     Digest::new(&[entry.as_bytes(), upstream.as_bytes()])
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod operators;
 mod platform;
 mod refusals;
+mod spare_links;
 mod support;
 mod truncation;
 mod versions;
