Send the rest of a request beside its answer, and doubt ends beside it

Cause: once the head of an answer was there, the rest of the request was dropped unsent, and the end of the connection was taken for the end of the body, whatever was left of the request. A reset was seen, since nothing was written any more that could have consumed the error.

Change: the rest is sent while the body is read. An answer that ends with its connection is complete only if the upstream has taken the whole request; a failed write is remembered, since the kernel reports a reset once and the end of the connection then. A write that fails before the head no longer hides an answer that is there.

Evidence: on the program of before, `early_answers` failed in the new cases (ShutDown: 200, complete, with the part; ReadOn: incomplete), on plain routes; resets and closes with unread bytes were seen before too. Now the cases pass on four kinds of routes, kept and new connections, on the platform and standalone.

Open: an upstream that ends its side in order, with the whole request in its buffers and unread, can't be told from one that has read it.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -34,6 +34,7 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use bytes::buf::Chain;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
@@ -247,6 +248,9 @@
     /// What marks the end of the body.
     pub framing: Framing,
     stream: TcpStream,
+    /// What has not been sent of the request. An upstream can answer before it has read all.
+    unsent: Chain<BytesMut, Bytes>,
+    upload: Upload,
     buf: BytesMut,
     body: Body,
     /// The number of bytes read since the last part of the body; at most
@@ -254,11 +258,34 @@
     framing_bytes: usize,
 }
 
+/// What became of the request while its answer is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Upload {
+    Sending,
+    Sent,
+    /// The connection failed. The kernel reports that once, and then the end of the connection
+    /// to whoever reads.
+    Failed,
+}
+
+impl Upload {
+    /// Returns the state after the rest of the request was written.
+    fn after(written: &io::Result<()>) -> Self {
+        match written {
+            Ok(()) => Self::Sent,
+            Err(_) => Self::Failed,
+        }
+    }
+}
+
 enum Body {
     /// The body ends by its length or its last chunk.
     Framed(ClientPayloadCodec),
     /// The body ends when the connection is closed.
     UntilClose,
+    /// The upstream has ended its side of the connection, and the rest of the request tells
+    /// whether it has closed it.
+    Closing,
     /// The body has been read completely, or reading it has failed.
     Ended,
 }
@@ -317,6 +344,7 @@
         prepare_for_large_body(&stream).map_err(ExchangeError::Connect)?;
     }
     let (mut reader, mut writer) = stream.split();
+    let mut upload = Upload::Sending;
     let mut head_bytes = 0;
     let head = loop {
         if let Some(head) = decode_head(&mut codec, &mut buf)? {
@@ -328,10 +356,10 @@
         if !has_room(buf.len()) {
             return Err(ExchangeError::NoRoom(buf.len()));
         }
-        // An upstream can answer before it has read the whole request body.
+        // An upstream can answer before it has read the whole request body, or without it.
         tokio::select! {
-            result = writer.write_all_buf(&mut unsent), if unsent.has_remaining() => {
-                result.map_err(ExchangeError::Broken)?;
+            result = writer.write_all_buf(&mut unsent), if upload == Upload::Sending => {
+                upload = Upload::after(&result);
             }
             read = receive(&mut reader, &mut buf, 0) => {
                 match read.map_err(ExchangeError::Broken)? {
@@ -341,7 +369,7 @@
             }
         }
     };
-    if is_large {
+    if is_large && upload == Upload::Sent {
         let set = set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
         set.map_err(ExchangeError::Broken)?;
     }
@@ -354,9 +382,7 @@
             (framing, Body::Framed(codec.into_payload_codec()))
         }
         // The codec treats an answer without a length as one without a body.
-        MessageType::None | MessageType::Stream
-            if ends_with_connection(upstream_request, &head) =>
-        {
+        MessageType::None | MessageType::Stream if ends_with_connection(upstream_request, &head) => {
             (Framing::Connection, Body::UntilClose)
         }
         MessageType::None | MessageType::Stream => (Framing::NoBody, Body::Ended),
@@ -368,6 +394,8 @@
             headers: end_to_end(head.headers(), &[]),
         },
         stream,
+        unsent,
+        upload,
         buf,
         body,
         framing_bytes: 0,
@@ -375,12 +403,14 @@
 }
 
 impl Answer {
-    /// Returns the next bytes of the body, or `None` at its end.
+    /// Returns the next bytes of the body, or `None` at its end, and sends what is left of the
+    /// request meanwhile. Can be cancelled without losing any.
     ///
     /// # Errors
     ///
     /// Fails if the body is not valid HTTP, or if the connection fails before
-    /// the body is complete.
+    /// the body is complete. A body that ends with its connection is complete only if the
+    /// upstream has taken the whole request.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
             match &mut self.body {
@@ -389,6 +419,11 @@
                     return Ok(Some(self.buf.split().freeze()));
                 }
                 Body::UntilClose => {}
+                Body::Closing => {
+                    self.finish_upload().await;
+                    self.body = Body::Ended;
+                    return self.check_close().map(|()| None);
+                }
                 Body::Framed(codec) => {
                     let unread = self.buf.len();
                     let decoded = codec.decode(&mut self.buf);
@@ -413,21 +448,62 @@
                 // Releases the memory while the upstream sends nothing.
                 self.buf = BytesMut::new();
             }
-            let spare = match &self.body {
-                Body::Framed(_) => SPARE_BYTES,
-                Body::UntilClose | Body::Ended => 0,
-            };
-            let read = receive(&mut self.stream, &mut self.buf, spare).await;
-            if read.map_err(ExchangeError::Broken)? == 0 {
-                let complete = matches!(self.body, Body::UntilClose);
-                self.body = Body::Ended;
-                return match complete {
-                    true => Ok(None),
-                    false => Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into())),
+            if self.read().await? == 0 {
+                let ends = matches!(self.body, Body::UntilClose);
+                self.body = match ends {
+                    true => Body::Closing,
+                    false => Body::Ended,
                 };
+                if !ends {
+                    return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
+                }
+            }
+        }
+    }
+
+    /// Reads the next bytes, and sends what is left of the request until there are any. Returns
+    /// their number; 0 at the end of the connection.
+    async fn read(&mut self) -> Result<usize, ExchangeError> {
+        let spare = match &self.body {
+            Body::Framed(_) => SPARE_BYTES,
+            Body::UntilClose | Body::Closing | Body::Ended => 0,
+        };
+        loop {
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                biased;
+                read = receive(&mut reader, &mut self.buf, spare) => {
+                    return read.map_err(ExchangeError::Broken);
+                }
+                sent = writer.write_all_buf(&mut self.unsent), if self.upload == Upload::Sending => {
+                    self.upload = Upload::after(&sent);
+                }
+            }
+            if self.upload == Upload::Sent {
+                // A failure shows when the connection is read.
+                let _ = set_unacknowledged_timeout(&self.stream, UNACKNOWLEDGED_TIMEOUT);
             }
         }
     }
+
+    /// Sends what is left of the request.
+    async fn finish_upload(&mut self) {
+        if self.upload == Upload::Sending {
+            let sent = self.stream.write_all_buf(&mut self.unsent).await;
+            self.upload = Upload::after(&sent);
+        }
+    }
+
+    /// Checks that the upstream has ended the connection in order, and not beside the request.
+    fn check_close(&self) -> Result<(), ExchangeError> {
+        if self.upload == Upload::Failed {
+            return Err(ExchangeError::Broken(io::ErrorKind::ConnectionReset.into()));
+        }
+        match self.stream.take_error() {
+            Ok(None) => Ok(()),
+            Ok(Some(e)) | Err(e) => Err(ExchangeError::Broken(e)),
+        }
+    }
 }
 
 /// Appends the next bytes to `buf`, and returns their number; 0 at the end of the connection.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! demo. Each serves its published protocol on its own thread and can inject
 //! faults.
 
+mod early_upstream;
 mod endless_upstream;
 mod engine;
 mod impatient_upstream;
@@ -11,6 +12,7 @@
 mod platform;
 mod ports;
 mod process;
+mod raw_caller;
 mod raw_upstream;
 mod relay;
 mod server;
@@ -18,6 +20,8 @@
 mod site;
 mod slow_upstream;
 
+pub use early_upstream::EarlyEnd;
+pub use early_upstream::start_early_upstream;
 pub use endless_upstream::EndlessUpstream;
 pub use engine::Engine;
 pub use engine::EngineConfig;
@@ -39,6 +43,8 @@
 pub use process::Launcher;
 pub use process::Process;
 pub use process::run_daemon_if_requested;
+pub use raw_caller::RawAnswer;
+pub use raw_caller::RawCaller;
 pub use raw_upstream::ConnectionEnd;
 pub use raw_upstream::header;
 pub use raw_upstream::read_request;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod checker;
 mod cuts;
+mod early_answers;
 mod end_to_end;
 mod endless;
 mod endless_agents;
