Reject answers whose status is not defined

A status of 000, which other systems passed on, did not: the codec rejects those below 100, and the caller gets 502. What followed a 101 was read as another answer.

Cause: the codec accepts all statuses from 100 on, and 1xx were skipped. Change: above 599, and 101, which nobody asked for, an answer is invalid, as with other bytes that are no HTTP.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -94,6 +94,9 @@
 /// Largest accepted head of an answer with the informational ones before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// The largest status code that is defined.
+const MAX_STATUS: u16 = 599;
+
 /// Largest accepted size of the lines between two parts of a body or after the last one,
 /// in bytes.
 const MAX_FRAMING_BYTES: usize = 64 << 10;
@@ -117,6 +120,9 @@
     /// The answer of the upstream is not valid HTTP.
     #[error("the upstream's answer is not valid HTTP: {0}")]
     InvalidAnswer(String),
+    /// The status code of the answer is not defined, or was not asked for.
+    #[error("the upstream's answer has the invalid status {0}")]
+    InvalidStatus(u16),
     /// The head of the answer is too large.
     #[error("the head of the upstream's answer exceeds {MAX_HEAD_BYTES} bytes")]
     HeadTooLarge,
@@ -583,7 +589,15 @@
     loop {
         let decoded = codec.decode(buf);
         match decoded.map_err(|e| ExchangeError::InvalidAnswer(e.to_string()))? {
+            // An upgrade was not asked for, so what follows would be of no known protocol.
+            Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                return Err(ExchangeError::InvalidStatus(head.status.as_u16()));
+            }
             Some(head) if head.status.is_informational() => {}
+            // Others are not defined (RFC 9110, section 15). The codec rejects those below 100.
+            Some(head) if head.status.as_u16() > MAX_STATUS => {
+                return Err(ExchangeError::InvalidStatus(head.status.as_u16()));
+            }
             Some(head) => return Ok(Some(head)),
             None => return Ok(None),
         }
--- a/tests/it/early_answers.rs
+++ b/tests/it/early_answers.rs
@@ -90,3 +90,28 @@
         }
     }
 }
+
+// Issue 66, MIXED: answers with statuses that are not defined reached the caller as answers.
+#[actix_rt::test]
+async fn answer_with_an_invalid_status_does_not_reach_the_caller() {
+    for (path, headers, body) in ROUTES {
+        for status in [
+            "000 OK",
+            "000",
+            "099 OK",
+            "101 Switching Protocols",
+            "600 OK",
+            "999 OK",
+        ] {
+            let env = env(
+                &format!("HTTP/1.1 {status}\r\n{headers}"),
+                body,
+                EarlyEnd::Close,
+            )
+            .await;
+            for answer in post_some(&env, path, 10).await {
+                assert_eq!(answer.status, 502, "{path} {status}: {answer:?}");
+            }
+        }
+    }
+}
