End answers without a body with their head

Cause: the answer was passed on as a chunked body, of which the HTTP library leaves out the header, but not the chunks, with these statuses. The exchange read a body by the length or chunks that such an answer named.

Change: an answer with 204 or 304, or to HEAD, ends with its head, whatever its headers say, and the response has no body.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -10,6 +10,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::Version;
+use actix_http::body;
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::body::SizedStream;
@@ -320,6 +321,8 @@
             }
             let body = body_stream(reply_rx);
             match knows_chunks {
+                // The end of a chunked body would be taken for the next response.
+                _ if ends_with_head(status) => end_without_body(state, response, body, &id).await,
                 true => response.body(BodyStream::new(body)).map_into_boxed_body(),
                 false => match collect_body(body, Collection::new(&state.answers)).await {
                     Ok((body, collection)) => {
@@ -357,6 +360,29 @@
     builder
 }
 
+/// Returns whether responses with this status have no body (RFC 9110, section 6.4.1).
+fn ends_with_head(status: u16) -> bool {
+    matches!(status, 204 | 304)
+}
+
+/// Returns a response without a body after the end of its empty answer.
+async fn end_without_body<S>(
+    state: &EntryState,
+    mut response: actix_http::ResponseBuilder,
+    body: S,
+    id: &str,
+) -> Response<BoxBody>
+where
+    S: Stream<Item = Result<Bytes, Truncated>>,
+{
+    match collect_body(body, Collection::new(&state.answers)).await {
+        Ok(_) => response.body(body::None::new()).map_into_boxed_body(),
+        Err(Truncated) => state
+            .dialect
+            .error_response(&CallerError::UnknownOutcome, id),
+    }
+}
+
 /// Streams the body of an answer. An incomplete body ends with an error, which
 /// closes the connection before the end of the body.
 fn body_stream(reply_rx: ReplyReceiver) -> impl Stream<Item = Result<Bytes, Truncated>> {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -380,6 +380,7 @@
         set.map_err(ExchangeError::Broken)?;
     }
     let (framing, body) = match codec.message_type() {
+        _ if has_no_body(upstream_request, &head) => (Framing::NoBody, Body::Ended),
         MessageType::Payload => {
             let framing = match head.headers().contains_key(TRANSFER_ENCODING) {
                 true => Framing::Chunks,
@@ -388,7 +389,7 @@
             (framing, Body::Framed(codec.into_payload_codec()))
         }
         // The codec treats an answer without a length as one without a body.
-        MessageType::None | MessageType::Stream if ends_with_connection(upstream_request, &head) => {
+        MessageType::None | MessageType::Stream if !head.headers().contains_key(CONTENT_LENGTH) => {
             (Framing::Connection, Body::UntilClose)
         }
         MessageType::None | MessageType::Stream => (Framing::NoBody, Body::Ended),
@@ -533,15 +534,13 @@
     .await
 }
 
-/// Returns whether the body of an answer ends when the connection is closed
-/// (RFC 9112, section 6.3).
-fn ends_with_connection(upstream_request: &UpstreamRequest, head: &ResponseHead) -> bool {
-    let has_no_body = upstream_request.method.as_str() == "HEAD"
+/// Returns whether an answer ends with its head, whatever its headers say (RFC 9112, section 6.3).
+fn has_no_body(upstream_request: &UpstreamRequest, head: &ResponseHead) -> bool {
+    upstream_request.method.as_str() == "HEAD"
         || matches!(
             head.status,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-    !has_no_body && !head.headers().contains_key(CONTENT_LENGTH)
+        )
 }
 
 fn encode_head(
--- a/tests/it/early_answers.rs
+++ b/tests/it/early_answers.rs
@@ -115,3 +115,19 @@
         }
     }
 }
+
+// Issue 66, MIXED: what followed an answer without a body was sent before the next answer.
+#[actix_rt::test]
+async fn bytes_after_an_answer_without_a_body_do_not_reach_the_caller() {
+    for status in ["204 No Content", "304 Not Modified"] {
+        for length in ["", "content-length: 4\r\n"] {
+            let head = format!("HTTP/1.1 {status}\r\n{length}");
+            let env = env(&head, "body", EarlyEnd::ReadOn).await;
+            let answers = post_some(&env, "/portal/logs", 10).await;
+            assert_eq!(answers.len(), 2, "{head:?}: {answers:?}");
+            for answer in answers {
+                assert!(status.starts_with(&answer.status.to_string()), "{answer:?}");
+            }
+        }
+    }
+}
