--- a/standins/src/early_upstream.rs
+++ b/standins/src/early_upstream.rs
@@ -50,7 +50,7 @@
 }
 
 async fn answer(mut stream: TcpStream, head: Rc<str>, body: Rc<[u8]>, end: EarlyEnd) {
-    let (request, mut left) = read_head(&mut stream).await;
+    let (request, left) = read_request_head(&mut stream).await;
     if request.starts_with("get /report") {
         let report = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
         // The caller may have closed the connection.
@@ -79,21 +79,28 @@
         }
         EarlyEnd::ReadOn => {
             actix_rt::time::sleep(PART_DELAY).await;
-            let mut buf = vec![0; 16 << 10];
-            while left > 0 {
-                match stream.read(&mut buf).await {
-                    Ok(read) if read > 0 => left = left.saturating_sub(read),
-                    Ok(_) | Err(_) => return,
-                }
+            if read_request_rest(&mut stream, left).await {
+                let _ = stream.write_all(&body[early.len()..]).await;
             }
-            let _ = stream.write_all(&body[early.len()..]).await;
         }
     }
 }
 
+/// Reads so many bytes of a request's body. Returns whether all came.
+pub async fn read_request_rest(stream: &mut TcpStream, mut left: usize) -> bool {
+    let mut buf = vec![0; 16 << 10];
+    while left > 0 {
+        match stream.read(&mut buf).await {
+            Ok(read) if read > 0 => left = left.saturating_sub(read),
+            Ok(_) | Err(_) => return false,
+        }
+    }
+    true
+}
+
 /// Reads the head of a request. Returns it in lower case, with the number of bytes of the body that
 /// have not been read.
-async fn read_head(stream: &mut TcpStream) -> (String, usize) {
+pub async fn read_request_head(stream: &mut TcpStream) -> (String, usize) {
     let mut request = Vec::new();
     let mut buf = [0; 512];
     loop {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -21,6 +21,8 @@
 mod slow_upstream;
 
 pub use early_upstream::EarlyEnd;
+pub use early_upstream::read_request_head;
+pub use early_upstream::read_request_rest;
 pub use early_upstream::start_early_upstream;
 pub use endless_upstream::EndlessUpstream;
 pub use engine::Engine;
