Let requests that resume streams wait longer for room

Cause: a request that resumes a stream was refused if it was expected to wait for more than two fifths of its objective, like a fresh one. Few upstreams may run its version, and many streams come back at once when others of it die; a refusal costs the caller the part of the answer that it has, and often its only other try. Besides, its long wait at these few counted as that of the service, so new requests could be refused.

Change: up to three objectives, and two as an expected wait; callers of the platform leave after four.

--- a/src/admission/urgency.rs
+++ b/src/admission/urgency.rs
@@ -13,6 +13,11 @@
 /// for processing the prompt.
 const MAX_EXPECTED_WAIT_OBJECTIVES: f64 = 0.4;
 
+/// The same times for a request that resumes a stream. Its caller has a part of the answer, which
+/// is lost if it is refused: it has used a try, and few upstreams may run the version.
+const RESUMED_MAX_WAIT_OBJECTIVES: f64 = 3.0;
+const RESUMED_EXPECTED_WAIT_OBJECTIVES: f64 = 2.0;
+
 /// Part of the objective after arrival within which a refusal costs the caller nothing.
 const FREE_REFUSAL_DIVISOR: u32 = 8;
 
@@ -29,6 +34,8 @@
     pub deadline: Duration,
     /// How long the caller has been trying: zero at its first attempt.
     pub tried_for: Duration,
+    /// Whether the request resumes a stream.
+    pub resumes: bool,
 }
 
 impl Urgency {
@@ -46,8 +53,11 @@
 
     /// Returns the maximum time that the request waits for a grant.
     pub fn max_wait(&self) -> Duration {
-        let of_objective = self.objective.mul_f64(MAX_WAIT_OBJECTIVES);
-        of_objective.min(self.deadline)
+        let objectives = match self.resumes {
+            true => RESUMED_MAX_WAIT_OBJECTIVES,
+            false => MAX_WAIT_OBJECTIVES,
+        };
+        self.objective.mul_f64(objectives).min(self.deadline)
     }
 
     /// Returns the time in which other zones can be asked after `waited`, so that a refusal is not
@@ -61,6 +71,10 @@
     /// Returns the longest expected wait for a grant. If the request is expected to
     /// wait longer, it is refused instead of queued.
     pub fn max_expected_wait(&self) -> Duration {
-        self.objective.mul_f64(MAX_EXPECTED_WAIT_OBJECTIVES)
+        let objectives = match self.resumes {
+            true => RESUMED_EXPECTED_WAIT_OBJECTIVES,
+            false => MAX_EXPECTED_WAIT_OBJECTIVES,
+        };
+        self.objective.mul_f64(objectives)
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -40,7 +40,6 @@
 use crate::entry::reply_queue::reply_queue;
 use crate::entry::request::Admission;
 use crate::entry::request::Job;
-use crate::entry::request::resumes_stream;
 use crate::entry::serve::AcceptedRequest;
 use crate::entry::serve::Reply;
 use crate::entry::serve::RequestTask;
@@ -182,7 +181,7 @@
         random_below,
     )?;
     let sends_deadline = dialect.deadline(req.head())?.is_some();
-    let resumes = resumes_stream(&admission.route, req.head());
+    let resumes = admission.resumes;
     if sends_deadline && dialect.deadline_counts_down() && !resumes {
         admission.tried_for = state.record_caller(&admission.route_name, admission.deadline);
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -62,6 +62,8 @@
     pub route_name: Name,
     /// How long the caller has been trying: zero at its first attempt.
     pub tried_for: Duration,
+    /// Whether the request resumes a stream.
+    pub resumes: bool,
     /// The tier of the request.
     pub tier: Name,
     /// The scheduling rank; 0 is the highest.
@@ -153,6 +155,7 @@
             route: Rc::clone(route),
             route_name: route_name.clone(),
             tried_for: Duration::ZERO,
+            resumes: resumes_stream(route, head),
             tier,
             deadline,
             objective,
@@ -167,6 +170,7 @@
             objective: self.objective,
             deadline: self.deadline,
             tried_for: self.tried_for,
+            resumes: self.resumes,
         }
     }
 
@@ -376,7 +380,7 @@
 
 /// Returns whether a request on `route` with this head resumes a stream that an upstream
 /// has begun.
-pub fn resumes_stream(route: &Route, head: &RequestHead) -> bool {
+fn resumes_stream(route: &Route, head: &RequestHead) -> bool {
     route.resumable && parse_last_event(head).is_some()
 }
 
--- a/src/entry/serve/waiting.rs
+++ b/src/entry/serve/waiting.rs
@@ -118,10 +118,11 @@
                         pending_actions = self.seek_fallback(wait);
                         continue 'waiting;
                     }
-                    // The wait at the few upstreams of a canary, or at the only one that can be
-                    // asked for a rest, is not that of the service.
+                    // The wait at the few upstreams of a canary or of the version of a stream, or at
+                    // the only one that can be asked for a rest, is not that of the service.
                     Action::RecordWait(_)
                         if self.other_versions().is_some()
+                            || self.job.admission.resumes
                             || self.confirmation.search_until().is_some() => {}
                     Action::RecordWait(wait) => {
                         self.record_home_wait();
--- a/tests/patterns/model.rs
+++ b/tests/patterns/model.rs
@@ -253,6 +253,7 @@
             objective: kind.objective,
             deadline,
             tried_for: control.record_caller(self.now, &route, deadline),
+            resumes: false,
         };
         if !urgency.is_overdue() {
             let meter = self.zones.meter(entry);
