Hold no more memory for a running request than before

Cause: the futures of each request had grown, by an answer that holds the rest of the request, by the wait for connections, and by responses without a body. Change: the rest of a request, the answer and the two rare waits are boxed, and the rest is freed once it was sent.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -94,7 +94,8 @@
 
 /// The answer of an upstream, of which the head has arrived.
 struct Answered {
-    answer: Answer,
+    /// Boxed, since the futures that hold it would be larger otherwise.
+    answer: Box<Answer>,
     upstream: Upstream,
     /// When the request was sent.
     sent_at: Timestamp,
@@ -259,7 +260,7 @@
         let answer = exchange::send(stream, &upstream_request, has_room).await;
         let answer = answer.map_err(|e| self.fail_exchange(&e, AnswerProgress::None))?;
         Ok(Answered {
-            answer,
+            answer: Box::new(answer),
             upstream,
             sent_at,
         })
--- a/src/entry/attempt/running.rs
+++ b/src/entry/attempt/running.rs
@@ -46,7 +46,7 @@
     pub(super) has_body_started: bool,
     pub(super) silence: SilenceWatch,
     pub(super) cutoff: Cutoff,
-    answer: Answer,
+    answer: Box<Answer>,
     /// What the upstream has sent after a silence, until it is relayed.
     pending: Option<NextBytes>,
 }
@@ -55,7 +55,7 @@
     /// Creates the state of an answer whose head was relayed. `timeout_at` is the time
     /// at which it is aborted.
     pub(super) fn new(
-        answer: Answer,
+        answer: Box<Answer>,
         upstream: Upstream,
         now: Timestamp,
         timeout_at: Timestamp,
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -278,7 +278,8 @@
     let origin = found.filter(|version| state.has_version(job, version));
     let unavailable = CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER);
     let origin = origin.ok_or(unavailable)?;
-    state.wait_for_connections(job, &origin).await;
+    // Boxed, since the future of each request would be larger otherwise.
+    Box::pin(state.wait_for_connections(job, &origin)).await;
     Ok(Some(origin))
 }
 
@@ -321,7 +322,10 @@
             let body = body_stream(reply_rx);
             match knows_chunks {
                 // The end of a chunked body would be taken for the next response.
-                _ if ends_with_head(status) => end_without_body(state, response, body, &id).await,
+                _ if ends_with_head(status) => {
+                    // Boxed, since the future of each request would be larger otherwise.
+                    Box::pin(end_without_body(state, response, body, &id)).await
+                }
                 true => response.body(BodyStream::new(body)).map_into_boxed_body(),
                 false => match collect_body(body, Collection::new(&state.answers)).await {
                     Ok((body, collection)) => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -264,7 +264,7 @@
         prepare_for_large_body(&stream).map_err(ExchangeError::Connect)?;
     }
     let (mut reader, mut writer) = stream.split();
-    let mut upload = Upload::Sending;
+    let mut written = None;
     let mut head_bytes = 0;
     let head = loop {
         if let Some(head) = decode_head(&mut codec, &mut buf)? {
@@ -278,8 +278,8 @@
         }
         // An upstream can answer before it has read the whole request body, or without it.
         tokio::select! {
-            result = writer.write_all_buf(&mut unsent), if upload == Upload::Sending => {
-                upload = Upload::after(&result);
+            result = writer.write_all_buf(&mut unsent), if written.is_none() => {
+                written = Some(result);
             }
             read = receive(&mut reader, &mut buf, 0) => {
                 match read.map_err(ExchangeError::Broken)? {
@@ -289,7 +289,11 @@
             }
         }
     };
-    if is_large && upload == Upload::Sent {
+    let upload = match &written {
+        Some(written) => Upload::after(written),
+        None => Upload::Sending(Box::new(unsent)),
+    };
+    if is_large && matches!(upload, Upload::Sent) {
         let set = set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
         set.map_err(ExchangeError::Broken)?;
     }
@@ -315,7 +319,6 @@
             headers: end_to_end(head.headers(), &[]),
         },
         stream,
-        unsent,
         upload,
         buf,
         body,
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -65,8 +65,6 @@
     /// What marks the end of the body.
     pub framing: Framing,
     pub(super) stream: TcpStream,
-    /// What has not been sent of the request. An upstream can answer before it has read all.
-    pub(super) unsent: Chain<BytesMut, Bytes>,
     pub(super) upload: Upload,
     pub(super) buf: BytesMut,
     pub(super) body: Body,
@@ -76,9 +74,10 @@
 }
 
 /// What became of the request while its answer is read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Upload {
-    Sending,
+    /// This is left of it. An upstream can answer before it has read all. Boxed, since the futures
+    /// that hold an answer would be larger otherwise.
+    Sending(Box<Chain<BytesMut, Bytes>>),
     Sent,
     /// The connection failed. The kernel reports that once, and then the end of the connection
     /// to whoever reads.
@@ -173,35 +172,34 @@
             Body::Framed(_) => SPARE_BYTES,
             Body::UntilClose | Body::Closing | Body::Ended => 0,
         };
-        loop {
+        while let Upload::Sending(unsent) = &mut self.upload {
             let (mut reader, mut writer) = self.stream.split();
-            tokio::select! {
+            let sent = tokio::select! {
                 biased;
                 read = receive(&mut reader, &mut self.buf, spare) => {
                     return read.map_err(ExchangeError::Broken);
                 }
-                sent = writer.write_all_buf(&mut self.unsent), if self.upload == Upload::Sending => {
-                    self.upload = Upload::after(&sent);
-                }
-            }
-            if self.upload == Upload::Sent {
-                // A failure shows when the connection is read.
-                let _ = set_unacknowledged_timeout(&self.stream, UNACKNOWLEDGED_TIMEOUT);
-            }
+                sent = writer.write_all_buf(&mut **unsent) => sent,
+            };
+            self.upload = Upload::after(&sent);
+            // A failure shows when the connection is read.
+            let _ = set_unacknowledged_timeout(&self.stream, UNACKNOWLEDGED_TIMEOUT);
         }
+        let read = receive(&mut self.stream, &mut self.buf, spare).await;
+        read.map_err(ExchangeError::Broken)
     }
 
     /// Sends what is left of the request.
     async fn finish_upload(&mut self) {
-        if self.upload == Upload::Sending {
-            let sent = self.stream.write_all_buf(&mut self.unsent).await;
+        if let Upload::Sending(unsent) = &mut self.upload {
+            let sent = self.stream.write_all_buf(&mut **unsent).await;
             self.upload = Upload::after(&sent);
         }
     }
 
     /// Checks that the upstream has ended the connection in order, and not beside the request.
     fn check_close(&self) -> Result<(), ExchangeError> {
-        if self.upload == Upload::Failed {
+        if matches!(self.upload, Upload::Failed) {
             return Err(ExchangeError::Broken(io::ErrorKind::ConnectionReset.into()));
         }
         match self.stream.take_error() {
