Test clients that do not behave, at every port

What callers saw: an entry was killed for want of memory by clients that send requests ahead on a few connections and leave their answers unread.

Crowds play the class: requests sent ahead, heads and bodies without end, connections that are only held. Each test starts the built programs on loopback and checks that the process lives, that its peak memory stays within the memory of its host and its descriptors within those for sockets, and that an ordinary request is answered afterwards, on a connection from before and on a new one. Crowds and bounds follow from the limits in the tests' own settings.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! demo. Each serves its published protocol on its own thread and can inject
 //! faults.
 
+mod crowd;
 mod early_upstream;
 mod endless_upstream;
 mod engine;
@@ -20,6 +21,8 @@
 mod site;
 mod slow_upstream;
 
+pub use crowd::Crowd;
+pub use crowd::Step;
 pub use early_upstream::EarlyEnd;
 pub use early_upstream::read_request_head;
 pub use early_upstream::read_request_rest;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -104,6 +104,22 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the most memory that the process has had resident, in bytes; `None` if it
+    /// has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.id());
+        let status = std::fs::read_to_string(path).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
+    /// Returns the number of descriptors that the process has open; `None` if it has ended.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        let path = format!("/proc/{}/fd", self.id());
+        std::fs::read_dir(path).ok().map(Iterator::count)
+    }
+
     /// Kills the process with SIGKILL and waits for it.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -61,6 +61,8 @@
     pub relays: bool,
     /// Whether entries know each other.
     pub peers: bool,
+    /// The memory that each entry may use, in bytes; `None` if it is not limited.
+    pub entry_memory: Option<u64>,
     /// The executable of the daemons.
     pub launcher: Launcher,
 }
@@ -75,6 +77,7 @@
             platform: None,
             relays: false,
             peers: false,
+            entry_memory: None,
             launcher,
         }
     }
@@ -171,7 +174,7 @@
         };
         let peers: Vec<SocketAddr> = peers.into_iter().map(datagram_address).collect();
         for (i, zone) in spec.entry_zones.iter().enumerate() {
-            site.start_entry(i, zone, &peers);
+            site.start_entry(i, zone, &peers, spec.entry_memory);
         }
         site
     }
@@ -268,7 +271,13 @@
         self.folder.path().join("site.key")
     }
 
-    fn start_entry(&mut self, number: usize, zone: &Name, peers: &[SocketAddr]) {
+    fn start_entry(
+        &mut self,
+        number: usize,
+        zone: &Name,
+        peers: &[SocketAddr],
+        memory: Option<u64>,
+    ) {
         let (listen, admin) = (self.ports.reserve(), self.ports.reserve());
         let source = match &self.platform {
             Some(url) => {
@@ -283,9 +292,10 @@
             }
             None => String::new(),
         };
+        let memory = memory.map_or_else(String::new, |bytes| format!("memory = \"{bytes}B\"\n"));
         let text = format!(
             "name = \"entry-{number}\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
-             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{known_peers}{source}"
+             admin = \"{admin}\"\nsite_key_file = \"site.key\"\n{memory}{known_peers}{source}"
         );
         let config = self.config_path(&format!("entry-{number}"));
         write(&config, &text);
