Read little of peers that agents do not know

What happened: an agent took the memory for messages of up to 32 MiB when a peer announced them, before the peer had proved that it holds the site key, and accepted any number of such peers. A few connections ended an agent or used up its descriptors, and its upstream was lost to all callers.

Cause: the limit on messages is that of links between processes of the site, and unauthenticated connections were not counted.

Change: of a peer that has not authenticated itself, 16 KiB are read, and a longer message is refused by its header, before memory is taken for it. 64 such connections are kept; for a further one the oldest is closed, so that entries still connect.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! The agent: schedules all requests to the upstream on its host.
 
+mod handshake_reader;
 mod listener;
 mod load;
 mod metrics;
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -231,6 +231,18 @@
     world.expect_ordinary_answers().await;
 }
 
+// Memory is taken for a message that is only announced.
+#[actix_rt::test]
+async fn messages_that_strangers_announce_at_the_links_of_an_agent() {
+    let _alone = ALONE.lock().await;
+    let mut world = World::new().await;
+    let mut announced = vec![0, 0, 0, 0];
+    announced.extend(4_000_000_u32.to_le_bytes());
+    let steps = [Step::Send(announced.into())];
+    let _crowd = play(world.agent(), world.agent_address(), CLIENTS, &steps).await;
+    world.expect_ordinary_answers().await;
+}
+
 #[actix_rt::test]
 async fn connections_of_strangers_at_the_links_of_an_agent() {
     let _alone = ALONE.lock().await;
