Take one request at a time of a connection

What callers saw: an entry was killed for want of memory, with all requests in progress, by clients that sent requests ahead on a few connections and did not read the answers.

Cause: the HTTP server's dispatcher decodes all requests in a read buffer of up to 128 KiB while one is in progress, appends answers without a body to its write buffer whatever its size, and reads bodies that no handler reads yet. Nothing of that was counted: the budget took a connection to cost 26 KiB. Heads had up to 128 KiB each, and a timeout only if they were the first of their connection.

Change: the stream under the dispatcher tells it of one request at a time. A read ends with a head, or where a body may end; a body is read as far as its handler wants it; the next request is read when the kernel has taken the whole answer. So neither decoded heads nor answers can gather, and what is sent ahead stays in the kernel, but for 2 KiB. The end of the connection is still seen behind unread bytes. Long heads reserve their memory in a budget of the process before they are read, wait for it, and are then refused with 503. limits.head (64 KiB) limits each, and every head has a timeout. A connection whose handler did not want a long body is closed after the answer.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -16,6 +16,7 @@
 use crate::entry::load_metrics::LoadMetrics;
 use crate::entry::rollouts::RolloutMetrics;
 use crate::entry::zone_balance::ZoneCause;
+use crate::http_server::RefusedConnections;
 use crate::metrics;
 use crate::name::Name;
 use crate::outcome::Outcome;
@@ -78,6 +79,7 @@
     connection_ends: Family<EndLabels, Counter>,
     prefill_tokens: Family<OrganisationLabels, Counter>,
     output_tokens: Family<OrganisationLabels, Counter>,
+    refused_connections: RefusedConnections,
     held_requests: Gauge,
     answer_bytes: Gauge,
     links: Gauge,
@@ -106,6 +108,7 @@
             connection_ends: Family::default(),
             prefill_tokens: Family::default(),
             output_tokens: Family::default(),
+            refused_connections: RefusedConnections::default(),
             held_requests: Gauge::default(),
             answer_bytes: Gauge::default(),
             links: Gauge::default(),
@@ -197,12 +200,22 @@
         Self { registry, ..this }
     }
 
+    /// Returns the counter of connections that were closed without a request.
+    pub fn refused_connections(&self) -> RefusedConnections {
+        self.refused_connections.clone()
+    }
+
     /// Returns the metrics of the loads that upstreams report.
     pub fn loads(&self) -> LoadMetrics {
         self.loads.clone()
     }
 
     fn register_answers(&self, registry: &mut Registry) {
+        registry.register(
+            "refused_connections",
+            "Connections of callers that were closed without a request, by reason",
+            self.refused_connections.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time until the first byte of the answer's body",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -358,7 +358,9 @@
             let bounds = move || caller_bounds(memory, &active_settings.settings().limits);
             let handler_state = Rc::clone(&state);
             let handler = move |req: Request| http::handle(Rc::clone(&handler_state), req);
-            let server = HttpServer::bind(state.config.listen, bounds, handler).await;
+            let refused = state.metrics.refused_connections();
+            let server =
+                HttpServer::bind_counting(state.config.listen, bounds, handler, refused).await;
             let server = server.map_err(|e| KernelError::Failed {
                 name: self.name(),
                 source: Box::new(e),
@@ -418,10 +420,13 @@
 fn caller_bounds(memory: MemoryBudget, limits: &Limits) -> HttpBounds {
     HttpBounds {
         connections: memory.within(limits).connections,
+        head: usize::try_from(limits.head).unwrap_or(usize::MAX),
+        heads: memory.head_bytes,
         head_timeout: limits.caller_timeout,
         write_timeout: limits.caller_write_timeout,
         keep_alive: limits.caller_idle,
         send_buffer: memory.send_buffer,
+        receive_buffer: memory.receive_buffer,
     }
 }
 
--- a/src/health.rs
+++ b/src/health.rs
@@ -23,10 +23,13 @@
 
 const BOUNDS: HttpBounds = HttpBounds {
     connections: 64,
+    head: 16 << 10,
+    heads: 64 << 10,
     head_timeout: Duration::from_secs(5),
     keep_alive: Duration::from_secs(5),
     write_timeout: Duration::from_secs(5),
     send_buffer: None,
+    receive_buffer: None,
 };
 
 /// Time for which open connections can finish when the daemon stops.
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,6 +1,9 @@
-//! An HTTP server on one thread, with limits on connections and on slow callers.
+//! An HTTP server on one thread, with limits on connections and on slow callers. It takes one
+//! request at a time from each connection.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
@@ -21,6 +24,9 @@
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -30,15 +36,25 @@
 use tokio_io_timeout::TimeoutStream;
 
 use self::caller_stream::CallerStream;
+use self::caller_stream::HeadBounds;
+use self::caller_stream::PollClosed;
+use self::exchange::AnswerBody;
+use self::exchange::Exchange;
+use self::head_budget::HeadBudget;
+use self::head_budget::HeadReservation;
 use self::linger::linger;
 use self::shared_stream::SharedStream;
 
 mod caller_stream;
+mod exchange;
+mod head_budget;
 mod linger;
 mod shared_stream;
 #[cfg(test)]
 mod tests;
+mod turn;
 
+pub use exchange::Refusal;
 pub use shared_stream::CallerPresence;
 
 /// The pause after a failed `accept`, for example if no file descriptor is free.
@@ -57,12 +73,21 @@
 /// after the next answer: idle ones would keep others out.
 const CROWDED_FRACTION: f64 = 0.5;
 
+/// The time after which a connection that waits for room looks for it again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Limits on the connections of one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HttpBounds {
     /// The maximum number of open connections. Further ones wait in the listen
     /// queue.
     pub connections: usize,
+    /// The length above which the head of a request is refused before it is complete, in
+    /// bytes.
+    pub head: usize,
+    /// The maximum memory for long heads, over all connections, in bytes. Connections that
+    /// exceed it are not read until others have been answered.
+    pub heads: u64,
     /// The maximum time for a caller to send the head of a request.
     pub head_timeout: Duration,
     /// The time after which an idle connection is closed.
@@ -72,6 +97,18 @@
     /// The size of a connection's send buffer in the kernel, in bytes; `None` if the kernel
     /// decides.
     pub send_buffer: Option<usize>,
+    /// The size of a connection's receive buffer in the kernel, in bytes; `None` if the kernel
+    /// decides.
+    pub receive_buffer: Option<usize>,
+}
+
+/// Connections that a server has closed, by reason.
+pub type RefusedConnections = Family<RefusalLabels, Counter>;
+
+/// The labels of [`RefusedConnections`].
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RefusalLabels {
+    reason: Refusal,
 }
 
 type Io<S> = Pin<Box<TimeoutStream<CallerStream<S>>>>;
@@ -84,7 +121,11 @@
 
 #[derive(Default)]
 struct State {
-    connections: Cell<usize>,
+    /// The open connections, in the order in which they were accepted.
+    connections: RefCell<BTreeMap<u64, Rc<Exchange>>>,
+    accepted: Cell<u64>,
+    heads: Rc<HeadBudget>,
+    refused: RefusedConnections,
     stopping: Cell<bool>,
     /// Whether the listener is closed.
     has_stopped: Cell<bool>,
@@ -92,8 +133,12 @@
 }
 
 impl State {
+    fn connections(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
     fn is_crowded(&self, bounds: &HttpBounds) -> bool {
-        self.connections.get() as f64 > bounds.connections as f64 * CROWDED_FRACTION
+        self.connections() as f64 > bounds.connections as f64 * CROWDED_FRACTION
     }
 }
 
@@ -102,6 +147,23 @@
     /// called for each connection. Requests have a [`CallerPresence`] among their
     /// extensions.
     pub async fn bind<B, F, Fut>(address: SocketAddr, bounds: B, handler: F) -> io::Result<Self>
+    where
+        B: Fn() -> HttpBounds + 'static,
+        F: Fn(Request) -> Fut + Clone + 'static,
+        Fut: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let refused = RefusedConnections::default();
+        Self::bind_counting(address, bounds, handler, refused).await
+    }
+
+    /// Binds like [`HttpServer::bind`], and counts in `refused` the connections that are
+    /// closed without serving their callers.
+    pub async fn bind_counting<B, F, Fut>(
+        address: SocketAddr,
+        bounds: B,
+        handler: F,
+        refused: RefusedConnections,
+    ) -> io::Result<Self>
     where
         B: Fn() -> HttpBounds + 'static,
         F: Fn(Request) -> Fut + Clone + 'static,
@@ -109,7 +171,10 @@
     {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let state = Rc::new(State::default());
+        let state = Rc::new(State {
+            refused,
+            ..State::default()
+        });
         actix_rt::spawn(serve(listener, bounds, handler, Rc::clone(&state)));
         Ok(Self { address, state })
     }
@@ -125,7 +190,7 @@
             let changed = self.state.changed.notified();
             let state = &self.state;
             let is_stopping = state.stopping.get() && !state.has_stopped.get();
-            if state.connections.get() == 0 && !is_stopping {
+            if state.connections() == 0 && !is_stopping {
                 return;
             }
             changed.await;
@@ -153,7 +218,8 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    while let Some(stream) = next_connection(&listener, &bounds, &state).await {
+    while let Some(stream) = next_connection(&listener, &state).await {
+        wait_for_room(&bounds, &state).await;
         spawn_connection(stream, bounds(), handler.clone(), &state);
     }
     // Connections that the kernel has accepted already would be reset.
@@ -180,14 +246,17 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let guard = ConnectionGuard::new(state);
+    let exchange = Exchange::new();
+    let guard = ConnectionGuard::new(state, &exchange);
     let peer = stream.peer_addr().ok();
-    // Without it, answers are only delayed.
+    // Without these options, answers are only delayed, and the kernel may hold more.
     let _ = stream.set_nodelay(true);
     if let Some(bytes) = bounds.send_buffer {
-        // Without it, the kernel may hold more for a slow caller.
         let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
     }
+    if let Some(bytes) = bounds.receive_buffer {
+        let _ = SockRef::from(&stream).set_recv_buffer_size(bytes);
+    }
     let stream = SharedStream::new(stream);
     let socket = stream.socket();
     let presence = stream.presence();
@@ -195,11 +264,32 @@
         req.extensions_mut().insert(presence.clone());
         handler(req)
     };
-    let connection = serve_connection(stream, peer, bounds, handler, Rc::clone(state));
+    let state = Rc::clone(state);
+    let connection = serve_connection(
+        stream,
+        peer,
+        bounds,
+        handler,
+        Rc::clone(&state),
+        Rc::clone(&exchange),
+    );
     actix_rt::spawn(async move {
         let _guard = guard;
-        if connection.await == ConnectionState::HalfOpen {
-            linger(&socket).await;
+        match connection.await {
+            ConnectionState::HalfOpen => linger(&socket).await,
+            ConnectionState::Refused(refusal) => {
+                let labels = RefusalLabels { reason: refusal };
+                state.refused.get_or_create(&labels).inc();
+                if exchange.head_bytes() > 0 {
+                    // The send buffer has room, since all answers have been written.
+                    let _ = socket.try_write(refusal.response());
+                }
+                // The connection is needed for others.
+                if refusal != Refusal::Crowded {
+                    linger(&socket).await;
+                }
+            }
+            ConnectionState::Ended => {}
         }
     });
 }
@@ -209,6 +299,8 @@
 enum ConnectionState {
     /// The caller may still send, and may not have read the last answer.
     HalfOpen,
+    /// The server refuses what the caller sends, and has not answered.
+    Refused(Refusal),
     /// The caller has left, or the connection has failed.
     Ended,
 }
@@ -220,25 +312,38 @@
     bounds: HttpBounds,
     handler: F,
     state: Rc<State>,
+    exchange: Rc<Exchange>,
 ) -> ConnectionState
 where
-    S: AsyncRead + AsyncWrite + Unpin + 'static,
+    S: AsyncRead + AsyncWrite + PollClosed + Unpin + 'static,
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let stream = CallerStream::new(stream);
+    let heads = HeadBounds {
+        length: bounds.head,
+        total: bounds.heads,
+        timeout: bounds.head_timeout + STALL_ALLOWANCE,
+    };
+    let reservation = HeadReservation::new(&state.heads);
+    let stream = CallerStream::new(stream, Rc::clone(&exchange), heads, reservation);
     let has_left = stream.has_left();
     let has_caller_left = Rc::clone(&has_left);
-    let service = fn_service(move |req: Request| {
+    let served = Rc::clone(&exchange);
+    let service = fn_service(move |mut req: Request| {
+        let exchange = Rc::clone(&served);
+        exchange.begin(&mut req);
         let response = while_caller_stays(handler(req), Rc::clone(&has_left));
         let state = Rc::clone(&state);
         async move {
             let mut response = response.await;
-            if state.is_crowded(&bounds) {
+            exchange.discard_rest().await;
+            if state.is_crowded(&bounds) || !exchange.is_whole() {
                 response
                     .head_mut()
                     .set_connection_type(ConnectionType::Close);
             }
+            let response =
+                response.map_body(|_, body| BoxBody::new(AnswerBody::new(body, &exchange)));
             Ok::<_, Infallible>(response)
         }
     });
@@ -254,7 +359,11 @@
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(bounds.write_timeout));
     // A failed connection affects only its own caller.
-    match handler.call((Box::pin(stream), peer)).await {
+    let served = handler.call((Box::pin(stream), peer)).await;
+    if let Some(refusal) = exchange.refusal() {
+        return ConnectionState::Refused(refusal);
+    }
+    match served {
         Ok(()) | Err(DispatchError::Parse(_)) if !has_caller_left.get() => {
             ConnectionState::HalfOpen
         }
@@ -284,21 +393,13 @@
     .await
 }
 
-/// Returns the next connection as soon as the limit on connections allows one;
-/// `None` when the server is stopping.
-async fn next_connection<B>(listener: &TcpListener, bounds: &B, state: &State) -> Option<TcpStream>
-where
-    B: Fn() -> HttpBounds,
-{
+/// Returns the next connection; `None` when the server is stopping.
+async fn next_connection(listener: &TcpListener, state: &State) -> Option<TcpStream> {
     loop {
         let changed = state.changed.notified();
         if state.stopping.get() {
             return None;
         }
-        if state.connections.get() >= bounds().connections {
-            changed.await;
-            continue;
-        }
         tokio::select! {
             () = changed => {}
             accepted = listener.accept() => match accepted {
@@ -309,19 +410,44 @@
     }
 }
 
+/// Waits until the limit on connections allows another one or the server is stopping, and
+/// closes idle connections meanwhile.
+async fn wait_for_room<B>(bounds: &B, state: &State)
+where
+    B: Fn() -> HttpBounds,
+{
+    loop {
+        let changed = state.changed.notified();
+        if state.stopping.get() || state.connections() < bounds().connections {
+            return;
+        }
+        // Fails if no connection has closed meanwhile.
+        let _ = actix_rt::time::timeout(ROOM_INTERVAL, changed).await;
+    }
+}
+
 /// Counts an open connection until it is dropped.
-struct ConnectionGuard(Rc<State>);
+struct ConnectionGuard {
+    state: Rc<State>,
+    id: u64,
+}
 
 impl ConnectionGuard {
-    fn new(state: &Rc<State>) -> Self {
-        state.connections.set(state.connections.get() + 1);
-        Self(Rc::clone(state))
+    fn new(state: &Rc<State>, exchange: &Rc<Exchange>) -> Self {
+        let id = state.accepted.get();
+        state.accepted.set(id + 1);
+        let mut connections = state.connections.borrow_mut();
+        connections.insert(id, Rc::clone(exchange));
+        Self {
+            state: Rc::clone(state),
+            id,
+        }
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-        self.0.changed.notify_waiters();
+        self.state.connections.borrow_mut().remove(&self.id);
+        self.state.changed.notify_waiters();
     }
 }
--- a/src/http_server/shared_stream.rs
+++ b/src/http_server/shared_stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::ErrorKind;
 use std::io::IoSlice;
+use std::io::Read;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -19,13 +20,20 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::caller_stream::PollClosed;
+
 /// A connection whose owner reads and writes it.
 pub(super) struct SharedStream {
     stream: Rc<TcpStream>,
     /// Whether the last read returned bytes that its owner may not have handled yet.
     has_just_read: bool,
+    /// Whether there may be unread bytes that the event loop does not tell of any more.
+    has_unread: bool,
 }
 
+/// The size of a read of such bytes.
+const UNREAD_BYTES: usize = 2 << 10;
+
 /// Looks whether the caller at the other end of a connection is still there.
 #[derive(Clone, Debug)]
 pub struct CallerPresence(Weak<TcpStream>);
@@ -35,6 +43,7 @@
         Self {
             stream: Rc::new(stream),
             has_just_read: false,
+            has_unread: false,
         }
     }
 
@@ -73,7 +82,20 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let has_just_read = std::mem::take(&mut self.has_just_read);
+        if self.has_unread && !has_just_read {
+            match self.read_unread(buf) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.has_unread = false,
+                read => {
+                    self.has_just_read = read.as_ref().is_ok_and(|count| *count > 0);
+                    return Poll::Ready(read.map(drop));
+                }
+            }
+        }
         loop {
+            if has_just_read && self.has_unread {
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             ready!(self.stream.poll_read_ready(cx))?;
             if has_just_read {
                 // The end of the connection stays ready when `clear_readable` is called, and
@@ -98,7 +120,28 @@
     }
 }
 
+impl PollClosed for SharedStream {
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.stream.poll_read_ready(cx).is_pending() {
+            return Poll::Pending;
+        }
+        // The end of the connection, or a reset, stays ready; bytes do not.
+        self.clear_readable();
+        self.has_unread = true;
+        self.stream.poll_read_ready(cx).map(drop)
+    }
+}
+
 impl SharedStream {
+    /// Reads bytes of which the event loop has told before.
+    fn read_unread(&mut self, buf: &mut ReadBuf<'_>) -> io::Result<usize> {
+        let mut bytes = [0; UNREAD_BYTES];
+        let room = buf.remaining().min(bytes.len());
+        let count = (&*SockRef::from(&*self.stream)).read(&mut bytes[..room])?;
+        buf.put_slice(&bytes[..count]);
+        Ok(count)
+    }
+
     /// Lets the next read wait for an event, as after each read that leaves room in its
     /// buffer.
     fn clear_readable(&self) {
--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -12,12 +12,21 @@
 
 const BOUNDS: HttpBounds = HttpBounds {
     connections: 10,
+    head: 64 << 10,
+    heads: 64 << 20,
     head_timeout: Duration::from_secs(60),
     keep_alive: Duration::from_secs(60),
     write_timeout: Duration::from_secs(60),
     send_buffer: None,
+    receive_buffer: None,
 };
 
+impl PollClosed for tokio::io::DuplexStream {
+    fn poll_closed(&mut self, _cx: &mut std::task::Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+}
+
 /// Number of tasks that are always ready.
 const BUSY_TASKS: usize = 100;
 
@@ -62,7 +71,14 @@
             pending::<Response<BoxBody>>().await
         }
     };
-    let connection = serve_connection(stream, None, BOUNDS, handler, Rc::default());
+    let connection = serve_connection(
+        stream,
+        None,
+        BOUNDS,
+        handler,
+        Rc::default(),
+        Exchange::new(),
+    );
     actix_rt::spawn(connection);
     let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
     caller.write_all(request).await.expect("connection is open");
@@ -234,3 +250,158 @@
     let closed = actix_rt::time::timeout(Duration::from_secs(3), closed).await;
     assert!(closed.is_ok());
 }
+
+/// Starts a server that answers 204 without a body, or after the time in the path, and counts
+/// its requests.
+async fn start_counter(bounds: HttpBounds) -> (HttpServer, Rc<Cell<usize>>) {
+    let count = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&count);
+    let handler = move |req: Request| {
+        counted.set(counted.get() + 1);
+        let wait = req.path().trim_matches('/').parse().unwrap_or(0);
+        async move {
+            actix_rt::time::sleep(Duration::from_millis(wait)).await;
+            let mut response = Response::new(StatusCode::OK);
+            let name = actix_http::header::HeaderName::from_static("x-path");
+            let value = req.path().parse().expect("a header value");
+            response.headers_mut().insert(name, value);
+            response
+        }
+    };
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind(any_port, move || bounds, handler).await;
+    (server.expect("a listening server"), count)
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+// Requests that were sent ahead were decoded without a bound, and their answers gathered in
+// the write buffer.
+#[actix_rt::test]
+async fn requests_sent_ahead_wait_until_answers_are_read() {
+    let bounds = HttpBounds {
+        send_buffer: Some(4 << 10),
+        receive_buffer: Some(4 << 10),
+        ..BOUNDS
+    };
+    let (server, count) = start_counter(bounds).await;
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4 << 10).expect("an option");
+    socket.set_send_buffer_size(4 << 10).expect("an option");
+    let caller = socket.connect(server.address()).await;
+    let mut caller = caller.expect("a connection");
+    let ahead = get("/0").repeat(100_000);
+    let mut sent = 0;
+    let quiet = Duration::from_millis(500);
+    let bytes = ahead.as_bytes();
+    while let Ok(written) = actix_rt::time::timeout(quiet, caller.write(&bytes[sent..])).await {
+        sent += written.expect("an open connection");
+        assert!(sent < bytes.len(), "everything was taken");
+    }
+    // What the buffers of both sides hold of answers of some 60 bytes.
+    assert!(count.get() < 10_000, "{} requests were served", count.get());
+}
+
+// A sound caller that sends a few requests ahead gets whole answers in order.
+#[actix_rt::test]
+async fn requests_sent_ahead_are_answered_in_order() {
+    let (server, count) = start_counter(BOUNDS).await;
+    let caller = TcpStream::connect(server.address()).await;
+    let mut caller = caller.expect("a connection");
+    let waits = [50, 0, 20, 1, 0, 30];
+    for wait in waits {
+        let body = "POST /0 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody";
+        let sent = get(&format!("/{wait}")) + body;
+        caller.write_all(sent.as_bytes()).await.expect("it is open");
+    }
+    let mut answers = String::new();
+    while answers.matches("x-path").count() < 2 * waits.len() {
+        let mut buf = [0; 1_024];
+        let read = caller.read(&mut buf).await.expect("it is open");
+        assert!(read > 0, "closed after {answers}");
+        answers += std::str::from_utf8(&buf[..read]).expect("text");
+    }
+    let paths: Vec<&str> = answers
+        .lines()
+        .filter_map(|l| l.strip_prefix("x-path: "))
+        .collect();
+    let expected: Vec<String> = waits
+        .iter()
+        .flat_map(|wait| [format!("/{wait}"), "/0".to_owned()])
+        .collect();
+    assert_eq!(paths, expected);
+    assert_eq!(count.get(), 2 * waits.len());
+}
+
+// The end of a connection lies behind the requests that its caller has sent ahead.
+#[actix_rt::test]
+async fn departure_is_noticed_behind_requests_sent_ahead() {
+    for ahead in [0, 1, 1_000] {
+        let dropped = Rc::new(Cell::new(false));
+        let started = Rc::new(Cell::new(false));
+        let (was_dropped, has_started) = (Rc::clone(&dropped), Rc::clone(&started));
+        let handler = move |_| {
+            let flag = DropFlag(Rc::clone(&was_dropped));
+            has_started.set(true);
+            async move {
+                let _flag = flag;
+                pending::<Response<BoxBody>>().await
+            }
+        };
+        let any_port = "127.0.0.1:0".parse().expect("an address");
+        let server = HttpServer::bind(any_port, || BOUNDS, handler).await;
+        let server = server.expect("a listening server");
+        let mut caller = TcpStream::connect(server.address())
+            .await
+            .expect("a connection");
+        let requests = get("/").repeat(1 + ahead);
+        let written = caller.write_all(requests.as_bytes());
+        // Not all of them fit in the buffers.
+        let _ = actix_rt::time::timeout(Duration::from_millis(300), written).await;
+        while !started.get() {
+            tokio::task::yield_now().await;
+        }
+        assert!(!dropped.get());
+        drop(caller);
+        let closed = server.wait_for_connections_to_close();
+        let closed = actix_rt::time::timeout(Duration::from_secs(5), closed).await;
+        assert!(closed.is_ok(), "{ahead} sent ahead");
+        assert!(dropped.get(), "{ahead} sent ahead");
+    }
+}
+
+// Only the first head of a connection had a timeout.
+#[actix_rt::test]
+async fn head_that_is_not_ended_on_a_kept_connection_is_refused() {
+    let bounds = HttpBounds {
+        // The allowance for stalls comes on top.
+        head_timeout: Duration::from_millis(100),
+        ..BOUNDS
+    };
+    let (server, _) = start_counter(bounds).await;
+    let caller = TcpStream::connect(server.address()).await;
+    let mut caller = caller.expect("a connection");
+    let sent = get("/0") + "GET /unfinished HT";
+    caller.write_all(sent.as_bytes()).await.expect("it is open");
+    let mut answers = String::new();
+    let read = caller.read_to_string(&mut answers);
+    let read = actix_rt::time::timeout(STALL_ALLOWANCE * 3, read).await;
+    assert!(read.is_ok(), "the connection stays open: {answers}");
+    assert!(answers.contains("HTTP/1.1 408"), "{answers}");
+}
+
+#[actix_rt::test]
+async fn head_that_is_too_long_is_refused() {
+    let (server, count) = start_counter(BOUNDS).await;
+    let caller = TcpStream::connect(server.address()).await;
+    let mut caller = caller.expect("a connection");
+    let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(BOUNDS.head + (8 << 10)));
+    // The rest is not read.
+    let _ = caller.write_all(long.as_bytes()).await;
+    let mut answer = String::new();
+    let _ = caller.read_to_string(&mut answer).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(count.get(), 0);
+}
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -14,21 +14,24 @@
 const BASE_BYTES: u64 = 24 << 20;
 
 /// Memory of a connection: buffers for reading and writing, and the task, in bytes. A
-/// connection on which nothing was sent takes 24,084 (`memory_slopes` in `platform/tests/`).
-pub const CONNECTION_BYTES: u64 = 26 << 10;
+/// connection on which nothing was sent takes 25,896 (`memory_slopes` in `platform/tests/`).
+/// The rest is for a head of 4 KiB and for 2 KiB that were sent ahead; longer heads are counted
+/// apart.
+pub const CONNECTION_BYTES: u64 = 30 << 10;
 
 /// Memory of a request in progress without its body: its task, the connection to an
 /// upstream, and parts of the answer, in bytes. With its caller's connection and beside the
 /// body, it takes 64,788 with a short prompt and 91,330 with a long one.
 pub const REQUEST_BYTES: u64 = 70 << 10;
 
-/// The parts of the memory above the base that connections, requests, their bodies and
-/// answers held for slow callers may each use, in percent. The rest is left for fragmentation and for settings that
+/// The parts of the memory above the base that connections, requests, their bodies, long
+/// heads and answers held for slow callers may each use, in percent. The rest is left for fragmentation and for settings that
 /// are being replaced.
 const CONNECTIONS_PERCENT: u64 = 15;
 const REQUESTS_PERCENT: u64 = 35;
 const BODIES_PERCENT: u64 = 15;
-const ANSWERS_PERCENT: u64 = 10;
+const HEADS_PERCENT: u64 = 2;
+const ANSWERS_PERCENT: u64 = 8;
 
 /// Total size of the answers that are held for slow callers where the memory is not
 /// limited, in bytes. It is the default limit for the bodies of requests.
@@ -38,6 +41,13 @@
 /// The kernel lets it grow to 4 MiB otherwise, and its memory may count as the process's.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// Size of the kernel's receive buffer for a caller on a host with limited memory, in bytes.
+/// What callers send ahead waits there.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
+/// Total memory of long heads where the memory is not limited, in bytes.
+const DEFAULT_HEAD_BYTES: u64 = 64 << 20;
+
 /// The largest numbers of connections and requests, and the largest total size of
 /// bodies, that fit in the memory of a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,10 +58,15 @@
     pub requests: usize,
     /// Total size of the bodies of these requests, in bytes.
     pub body_bytes: u64,
+    /// Total memory of heads that are longer than the memory of a connection covers, in
+    /// bytes.
+    pub head_bytes: u64,
     /// Total size of the answers that slow callers have not read yet, in bytes.
     pub answer_bytes: u64,
     /// Size of the kernel's send buffer for a caller, in bytes; `None` if the kernel decides.
     pub send_buffer: Option<usize>,
+    /// Size of the kernel's receive buffer for a caller, in bytes; `None` if the kernel decides.
+    pub receive_buffer: Option<usize>,
 }
 
 impl MemoryBudget {
@@ -62,8 +77,10 @@
                 connections: usize::MAX,
                 requests: usize::MAX,
                 body_bytes: u64::MAX,
+                head_bytes: DEFAULT_HEAD_BYTES,
                 answer_bytes: DEFAULT_ANSWER_BYTES,
                 send_buffer: None,
+                receive_buffer: None,
             };
         };
         let available = memory.saturating_sub(BASE_BYTES);
@@ -73,8 +90,10 @@
             connections: count(part(CONNECTIONS_PERCENT), CONNECTION_BYTES).max(1),
             requests: count(part(REQUESTS_PERCENT), REQUEST_BYTES).max(1),
             body_bytes: part(BODIES_PERCENT),
+            head_bytes: part(HEADS_PERCENT),
             answer_bytes: part(ANSWERS_PERCENT),
             send_buffer: Some(SEND_BUFFER_BYTES),
+            receive_buffer: Some(RECEIVE_BUFFER_BYTES),
         }
     }
 
@@ -84,8 +103,7 @@
             connections: self.connections.min(limits.connections as usize),
             requests: self.requests.min(limits.entry_requests as usize),
             body_bytes: self.body_bytes.min(limits.entry_bodies),
-            answer_bytes: self.answer_bytes,
-            send_buffer: self.send_buffer,
+            ..self
         }
     }
 }
--- a/src/memory_budget/tests.rs
+++ b/src/memory_budget/tests.rs
@@ -3,7 +3,12 @@
 fn used(budget: MemoryBudget) -> u64 {
     let connections = budget.connections as u64 * CONNECTION_BYTES;
     let requests = budget.requests as u64 * REQUEST_BYTES;
-    BASE_BYTES + connections + requests + budget.body_bytes + budget.answer_bytes
+    BASE_BYTES
+        + connections
+        + requests
+        + budget.body_bytes
+        + budget.head_bytes
+        + budget.answer_bytes
 }
 
 #[test]
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -9,6 +9,7 @@
 
 use crate::name::Name;
 use crate::settings::Document;
+use crate::settings::HEAD_LIMITS;
 use crate::settings::MergedFiles;
 use crate::settings::Problem;
 use crate::settings::Reason;
@@ -329,6 +330,11 @@
             let reason = Reason::Contradiction("limits.probes".to_owned());
             self.report("limits.links".to_owned(), reason);
         }
+        if !HEAD_LIMITS.contains(&limits.head) {
+            let (least, most) = (HEAD_LIMITS.start(), HEAD_LIMITS.end());
+            let reason = format!("must be {least} to {most} bytes");
+            self.report("limits.head".to_owned(), Reason::Value(reason));
+        }
         if limits.body > MAX_BODY_BYTES {
             let reason = Reason::Value(format!("must be at most {MAX_BODY_BYTES} bytes"));
             self.report("limits.body".to_owned(), reason);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -25,6 +25,7 @@
 pub use merge::MergedFiles;
 pub(crate) use merge::join;
 pub use model::Fencing;
+pub use model::HEAD_LIMITS;
 pub use model::Limits;
 pub use model::Organisation;
 pub use model::Policy;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -281,6 +282,9 @@
     Off,
 }
 
+/// The values that [`Limits::head`] may have, in bytes. The HTTP server reads no longer heads.
+pub const HEAD_LIMITS: RangeInclusive<u64> = 1 << 10..=120 << 10;
+
 /// Limits on the resources of one process, and timeouts.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize)]
@@ -289,6 +293,10 @@
     /// Maximum size of a request's body, in bytes.
     #[serde_as(as = "BytesText")]
     pub body: u64,
+    /// Length above which the head of a request is refused before it is complete, in bytes;
+    /// one of [`HEAD_LIMITS`].
+    #[serde_as(as = "BytesText")]
+    pub head: u64,
     /// Maximum number of caller connections per entry.
     pub connections: u32,
     /// Maximum number of requests that one entry holds.
@@ -366,6 +374,7 @@
     fn default() -> Self {
         Self {
             body: 4 << 20,
+            head: 64 << 10,
             connections: 4096,
             entry_requests: 4096,
             entry_bodies: 64 << 20,
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -22,10 +22,13 @@
 
 const BOUNDS: HttpBounds = HttpBounds {
     connections: 4096,
+    head: 64 << 10,
+    heads: 64 << 20,
     head_timeout: Duration::from_secs(60),
     write_timeout: Duration::from_secs(60),
     keep_alive: Duration::from_secs(5),
     send_buffer: None,
+    receive_buffer: None,
 };
 
 /// A server that runs until it is dropped, which closes all connections.
