Close connections that wait for a request when others need them

What callers saw: a crowd that opened connections and sent a byte on each kept others out for as long as the limits on time allow, and without an answer at the end of a test (15 s). It took more descriptors than the host has for sockets, so that none was left for the store and agents.

Cause: a full server waited until a connection ended by itself, and the limit on connections did not follow from the descriptors of the process.

Change: a full server accepts one more connection and closes the one that has waited the longest for its first request or, if there is none, for the rest of a later head; not before it has waited for 500 ms. If a part of a head was read, it answers 503 as not run. Connections that wait for another request are kept for their callers: a crowded server closes them after answers already. Callers get at most 40% of the sockets of a process, and requests to upstreams 35%; the rest is left for the store, agents, other entries and probes.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_with::serde_as;
@@ -17,6 +19,9 @@
 use crate::site_key::SiteKeyError;
 use crate::units::BytesText;
 
+/// The number of descriptors that are left for files and for the event loop.
+const FILE_DESCRIPTORS: u64 = 32;
+
 /// Reasons why the settings of a process could not be read.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -93,6 +98,8 @@
     pub peers: Vec<SocketAddr>,
     /// The memory that the process may use, in bytes; `None` if it is not limited.
     pub memory: Option<u64>,
+    /// The number of sockets that the process may open; `None` if it is not limited.
+    pub sockets: Option<usize>,
 }
 
 /// The settings of an agent process.
@@ -116,6 +123,14 @@
     pub host_list: Option<Name>,
 }
 
+/// Returns the number of sockets that the process may open beside its files; `None` if it is
+/// not limited.
+fn socket_limit() -> Option<usize> {
+    let descriptors = getrlimit(Resource::Nofile).current?;
+    let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+    usize::try_from(sockets).ok()
+}
+
 #[serde_as]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -168,6 +183,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             memory: file.memory,
+            sockets: socket_limit(),
         })
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -354,7 +354,7 @@
         async move {
             let state = registry.find::<EntryState>(STATE_SERVICE)?;
             let active_settings = Rc::clone(&state.active_settings);
-            let memory = MemoryBudget::new(state.config.memory);
+            let memory = state.memory_budget();
             let bounds = move || caller_bounds(memory, &active_settings.settings().limits);
             let handler_state = Rc::clone(&state);
             let handler = move |req: Request| http::handle(Rc::clone(&handler_state), req);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -175,6 +175,10 @@
         let limits = UpstreamLimits::new(incarnation, clock, log.clone());
         let limits = Rc::new(limits);
         let memory = MemoryBudget::new(config.memory);
+        let memory = match config.sockets {
+            Some(sockets) => memory.with_sockets(sockets),
+            None => memory,
+        };
         let directory = Rc::clone(&parts.directory);
         let gossip = Rc::new(EntryGossip::new(incarnation, clock, log.clone()));
         let rollouts = Rollouts::new(RolloutParts {
@@ -454,6 +458,11 @@
         }
     }
 
+    /// Returns what fits in the memory and the descriptors of the host.
+    pub fn memory_budget(&self) -> MemoryBudget {
+        self.memory
+    }
+
     /// Renders the metrics as text.
     pub fn render_metrics(&self) -> String {
         let held = self.held_requests.borrow().len();
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -73,14 +73,19 @@
 /// after the next answer: idle ones would keep others out.
 const CROWDED_FRACTION: f64 = 0.5;
 
+/// The time for which a connection waits for a whole head before it may be closed for another
+/// one.
+const MIN_WAIT: Duration = Duration::from_millis(500);
+
 /// The time after which a connection that waits for room looks for it again.
 const ROOM_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Limits on the connections of one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HttpBounds {
-    /// The maximum number of open connections. Further ones wait in the listen
-    /// queue.
+    /// The maximum number of open connections. For a further one, a connection is closed that
+    /// waits for its first request or for the rest of a head, if there is one; others wait in
+    /// the listen queue.
     pub connections: usize,
     /// The length above which the head of a request is refused before it is complete, in
     /// bytes.
@@ -140,6 +145,22 @@
     fn is_crowded(&self, bounds: &HttpBounds) -> bool {
         self.connections() as f64 > bounds.connections as f64 * CROWDED_FRACTION
     }
+
+    /// Closes the connection that has waited the longest for its first request or, if there
+    /// is none, for the rest of a later one. Other connections are kept for their callers.
+    fn evict(&self) {
+        let connections = self.connections.borrow();
+        let waiting = connections.values().filter_map(|exchange| {
+            let (awaited, since) = exchange.awaited()?;
+            Some((awaited, since, exchange))
+        });
+        let first = waiting.min_by_key(|(awaited, since, _)| (*awaited, *since));
+        if let Some((_, since, exchange)) = first
+            && since.elapsed() >= MIN_WAIT
+        {
+            exchange.refuse(Refusal::Crowded);
+        }
+    }
 }
 
 impl HttpServer {
@@ -421,6 +442,7 @@
         if state.stopping.get() || state.connections() < bounds().connections {
             return;
         }
+        state.evict();
         // Fails if no connection has closed meanwhile.
         let _ = actix_rt::time::timeout(ROOM_INTERVAL, changed).await;
     }
--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -405,3 +405,39 @@
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
     assert_eq!(count.get(), 0);
 }
+
+// Clients that hold connections kept others out.
+#[actix_rt::test]
+async fn connections_without_a_request_are_closed_for_others() {
+    let (server, count) = start_counter(BOUNDS).await;
+    let mut kept = TcpStream::connect(server.address())
+        .await
+        .expect("a connection");
+    let mut buf = [0; 1_024];
+    kept.write_all(get("/0").as_bytes())
+        .await
+        .expect("it is open");
+    assert!(kept.read(&mut buf).await.expect("an answer") > 0);
+    let mut holders = Vec::new();
+    for _ in 0..2 * BOUNDS.connections {
+        let holder = TcpStream::connect(server.address()).await;
+        let mut holder = holder.expect("a connection");
+        holder.write_all(b"G").await.expect("it is open");
+        holders.push(holder);
+    }
+    let mut other = TcpStream::connect(server.address())
+        .await
+        .expect("a connection");
+    for stream in [&mut other, &mut kept] {
+        let request = get("/0");
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it is open");
+        let read = stream.read(&mut buf).await.expect("an answer");
+        assert!(buf[..read].starts_with(b"HTTP/1.1 200"));
+    }
+    assert_eq!(count.get(), 3);
+    let refused = holders[0].read(&mut buf).await.expect("a refusal");
+    assert!(buf[..refused].starts_with(b"HTTP/1.1 503"));
+}
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -33,6 +33,12 @@
 const HEADS_PERCENT: u64 = 2;
 const ANSWERS_PERCENT: u64 = 8;
 
+/// The parts of the sockets that the connections of callers, and those of requests to
+/// upstreams, may each use, in percent. The rest is left for the store, agents,
+/// other entries and probes.
+const CONNECTION_SOCKETS_PERCENT: usize = 40;
+const REQUEST_SOCKETS_PERCENT: usize = 35;
+
 /// Total size of the answers that are held for slow callers where the memory is not
 /// limited, in bytes. It is the default limit for the bodies of requests.
 const DEFAULT_ANSWER_BYTES: u64 = 64 << 20;
@@ -106,4 +112,15 @@
             ..self
         }
     }
+
+    /// Returns the smaller of this budget and what a process that may open `sockets`
+    /// sockets needs.
+    pub fn with_sockets(self, sockets: usize) -> Self {
+        let part = |percent: usize| (sockets.saturating_mul(percent) / 100).max(1);
+        Self {
+            connections: self.connections.min(part(CONNECTION_SOCKETS_PERCENT)),
+            requests: self.requests.min(part(REQUEST_SOCKETS_PERCENT)),
+            ..self
+        }
+    }
 }
--- a/src/memory_budget/tests.rs
+++ b/src/memory_budget/tests.rs
@@ -40,3 +40,14 @@
 fn a_host_without_room_still_accepts_a_connection() {
     assert_eq!(MemoryBudget::new(Some(1)).connections, 1);
 }
+
+#[test]
+fn sockets_leave_a_quarter_for_other_connections() {
+    for sockets in [100, 824, 3_900] {
+        let budget = MemoryBudget::new(None).with_sockets(sockets);
+        let used = budget.connections + budget.requests;
+        assert!(used <= sockets * 3 / 4, "{budget:?}");
+        assert!(budget.connections >= budget.requests, "{budget:?}");
+    }
+    assert_eq!(MemoryBudget::new(None).with_sockets(1).connections, 1);
+}
