--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -35,18 +35,18 @@
 use tokio::sync::Notify;
 use tokio_io_timeout::TimeoutStream;
 
+use self::caller_exchange::AnswerBody;
+use self::caller_exchange::CallerExchange;
 use self::caller_stream::CallerStream;
 use self::caller_stream::HeadBounds;
 use self::caller_stream::PollClosed;
-use self::exchange::AnswerBody;
-use self::exchange::Exchange;
 use self::head_budget::HeadBudget;
 use self::head_budget::HeadReservation;
 use self::linger::linger;
 use self::shared_stream::SharedStream;
 
+mod caller_exchange;
 mod caller_stream;
-mod exchange;
 mod head_budget;
 mod linger;
 mod shared_stream;
@@ -54,7 +54,7 @@
 mod tests;
 mod turn;
 
-pub use exchange::Refusal;
+pub use caller_exchange::Refusal;
 pub use shared_stream::CallerPresence;
 
 /// The pause after a failed `accept`, for example if no file descriptor is free.
@@ -103,7 +103,7 @@
     /// decides.
     pub send_buffer: Option<usize>,
     /// The size of a connection's receive buffer in the kernel, in bytes; `None` if the kernel
-    /// decides.
+    /// decides. It is set when the server is bound.
     pub receive_buffer: Option<usize>,
 }
 
@@ -127,7 +127,7 @@
 #[derive(Default)]
 struct State {
     /// The open connections, in the order in which they were accepted.
-    connections: RefCell<BTreeMap<u64, Rc<Exchange>>>,
+    connections: RefCell<BTreeMap<u64, Rc<CallerExchange>>>,
     accepted: Cell<u64>,
     heads: Rc<HeadBudget>,
     refused: RefusedConnections,
@@ -191,6 +191,11 @@
         Fut: Future<Output = Response<BoxBody>> + 'static,
     {
         let listener = TcpListener::bind(address).await?;
+        if let Some(bytes) = bounds().receive_buffer {
+            // Connections inherit it, and their first window fits. Without it, the kernel may
+            // hold more.
+            let _ = SockRef::from(&listener).set_recv_buffer_size(bytes);
+        }
         let address = listener.local_addr()?;
         let state = Rc::new(State {
             refused,
@@ -267,7 +272,7 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let exchange = Exchange::new();
+    let exchange = CallerExchange::new();
     let guard = ConnectionGuard::new(state, &exchange);
     let peer = stream.peer_addr().ok();
     // Without these options, answers are only delayed, and the kernel may hold more.
@@ -275,9 +280,6 @@
     if let Some(bytes) = bounds.send_buffer {
         let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
     }
-    if let Some(bytes) = bounds.receive_buffer {
-        let _ = SockRef::from(&stream).set_recv_buffer_size(bytes);
-    }
     let stream = SharedStream::new(stream);
     let socket = stream.socket();
     let presence = stream.presence();
@@ -333,7 +335,7 @@
     bounds: HttpBounds,
     handler: F,
     state: Rc<State>,
-    exchange: Rc<Exchange>,
+    exchange: Rc<CallerExchange>,
 ) -> ConnectionState
 where
     S: AsyncRead + AsyncWrite + PollClosed + Unpin + 'static,
@@ -455,7 +457,7 @@
 }
 
 impl ConnectionGuard {
-    fn new(state: &Rc<State>, exchange: &Rc<Exchange>) -> Self {
+    fn new(state: &Rc<State>, exchange: &Rc<CallerExchange>) -> Self {
         let id = state.accepted.get();
         state.accepted.set(id + 1);
         let mut connections = state.connections.borrow_mut();
--- a/src/http_server/exchange.rs
+++ b/src/http_server/caller_exchange.rs
@@ -66,7 +66,7 @@
 }
 
 /// What the connection of a caller shares with the requests on it and with its server.
-pub(super) struct Exchange {
+pub(super) struct CallerExchange {
     turn: RefCell<Turn>,
     /// The task of the connection.
     reader: RefCell<Option<Waker>>,
@@ -77,7 +77,7 @@
     awaited_since: Cell<Instant>,
 }
 
-impl Exchange {
+impl CallerExchange {
     pub(super) fn new() -> Rc<Self> {
         Rc::new(Self {
             turn: RefCell::new(Turn::new()),
@@ -213,11 +213,11 @@
 struct RequestBody {
     /// `None` at the end.
     payload: Option<Payload<BoxedPayloadStream>>,
-    exchange: Rc<Exchange>,
+    exchange: Rc<CallerExchange>,
 }
 
 impl RequestBody {
-    fn new(payload: Payload<BoxedPayloadStream>, exchange: &Rc<Exchange>) -> Self {
+    fn new(payload: Payload<BoxedPayloadStream>, exchange: &Rc<CallerExchange>) -> Self {
         Self {
             payload: Some(payload),
             exchange: Rc::clone(exchange),
@@ -265,11 +265,11 @@
 /// The body of an answer. The next request is read when its end has been written.
 pub(super) struct AnswerBody {
     body: BoxBody,
-    exchange: Rc<Exchange>,
+    exchange: Rc<CallerExchange>,
 }
 
 impl AnswerBody {
-    pub(super) fn new(body: BoxBody, exchange: &Rc<Exchange>) -> Self {
+    pub(super) fn new(body: BoxBody, exchange: &Rc<CallerExchange>) -> Self {
         Self {
             body,
             exchange: Rc::clone(exchange),
--- a/src/http_server/caller_stream.rs
+++ b/src/http_server/caller_stream.rs
@@ -19,8 +19,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
-use super::exchange::Exchange;
-use super::exchange::Refusal;
+use super::caller_exchange::CallerExchange;
+use super::caller_exchange::Refusal;
 use super::head_budget::HeadReservation;
 
 /// The size of one read, in bytes, and so of what is held of the requests that a caller sends
@@ -48,7 +48,7 @@
 pub(super) struct CallerStream<S> {
     stream: S,
     has_left: Rc<Cell<bool>>,
-    exchange: Rc<Exchange>,
+    exchange: Rc<CallerExchange>,
     /// What the caller has sent after the part of a request that was passed on.
     ahead: BytesMut,
     bounds: HeadBounds,
@@ -63,7 +63,7 @@
 {
     pub(super) fn new(
         stream: S,
-        exchange: Rc<Exchange>,
+        exchange: Rc<CallerExchange>,
         bounds: HeadBounds,
         reservation: HeadReservation,
     ) -> Self {
--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -77,7 +77,7 @@
         BOUNDS,
         handler,
         Rc::default(),
-        Exchange::new(),
+        CallerExchange::new(),
     );
     actix_rt::spawn(connection);
     let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
