--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -433,8 +433,8 @@
     }
 }
 
-/// Waits until the limit on connections allows another one or the server is stopping, and
-/// closes idle connections meanwhile.
+/// Waits until the limit on connections allows another one or the server is stopping. Closes
+/// connections that wait for a request meanwhile.
 async fn wait_for_room<B>(bounds: &B, state: &State)
 where
     B: Fn() -> HttpBounds,
