Show that a version that raises the largest body is never in force

Cause: the settings check rejects a whole version for a body limit over 24 MiB, and the process goes on with the version before. Change: review/15, a script that drops a route and a key, adds others and raises maxBodyBytes in one version.

--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -1,4 +1,4 @@
-//! The cases 11 to 14 of the third review: `stand-3 CASE RECORD`. Exits with 1 if the rule was
+//! The cases 11 to 15 of the third review: `stand-3 CASE RECORD`. Exits with 1 if the rule was
 //! broken, with 0 if it held and with 2 if the case could not run. With `TROUBLE=0` the
 //! disruption is left out.
 
@@ -8,6 +8,7 @@
 mod kill_all;
 mod moved_weights;
 mod planned_stop;
+mod raised_limit;
 mod replica;
 mod requester;
 mod store;
@@ -90,6 +91,7 @@
         "planned-stop" => planned_stop::run(&mut case),
         "kill-all" => kill_all::run(&mut case),
         "moved-weights" => moved_weights::run(&mut case),
+        "raised-limit" => raised_limit::run(&mut case),
         _ => Verdict::NotRun,
     };
     match verdict {
