Let the stand-in of the store go away, and add a drill beside a kill of all

Cause: an open end of a postmortem needs a store that is away and comes back from a copy. Change: the store of review/stand-3 can go away; restored-versions plays the drill.

--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -13,6 +13,7 @@
 mod replica;
 mod requester;
 mod restored_entries;
+mod restored_versions;
 mod spoilt_answers;
 mod store;
 
@@ -97,6 +98,7 @@
         "spoilt-answers" => spoilt_answers::run(&mut case),
         "prefix" => prefix::run(&mut case),
         "restored-entries" => restored_entries::run(&mut case),
+        "restored-versions" => restored_versions::run(&mut case),
         "raised-limit" => raised_limit::run(&mut case),
         _ => Verdict::NotRun,
     };
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,6 +37,7 @@
     pub address: SocketAddr,
     state: Mutex<State>,
     changed: Condvar,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -47,6 +50,7 @@
                 ..State::default()
             }),
             changed: Condvar::new(),
+            is_away: AtomicBool::new(false),
         });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
@@ -81,12 +85,19 @@
         Copy(self.state.lock().unwrap().clone())
     }
 
+    /// Goes away: calls get no answer, and their channels end.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     /// Comes back from a copy, as in a drill.
     pub fn restore(&self, copy: &Copy) {
         let mut state = self.state.lock().unwrap();
         let era = state.era + 1;
         *state = copy.0.clone();
         state.era = era;
+        self.is_away.store(false, Ordering::SeqCst);
         self.changed.notify_all();
     }
 
@@ -99,7 +110,13 @@
             let Some(body) = http::read_sized(&mut reader, &head) else {
                 return;
             };
+            if self.is_away.load(Ordering::SeqCst) {
+                return;
+            }
             let (status, reply) = self.handle(&head, &body);
+            if self.is_away.load(Ordering::SeqCst) {
+                return;
+            }
             let reply = reply.to_string();
             let era = self.state.lock().unwrap().era;
             let answer = format!(
@@ -156,7 +173,8 @@
         let end = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
         let era = state.era;
         loop {
-            if from > state.revision || era != state.era {
+            let is_away = self.is_away.load(Ordering::SeqCst);
+            if from > state.revision || era != state.era || is_away {
                 return (410, json!({}));
             }
             let of_kind = state.events.iter().filter(|e| e.0 > from && e.1 == kind);
