End cases that could not run with exit code 2

Cause: a panic, as without a free port or a temporary folder, ended a case of the third review with exit code 101, and nothing ended one whose requests all wait for their limits, which can take over 120 s. Change: a panic counts as "could not run", and a case without a result after 110 s ends so too, with the processes that it started. No check, bound or disruption is changed.

--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -19,11 +19,17 @@
 
 use std::fs::File;
 use std::io::Write;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
 
+/// A case may take 120 s.
+const LIMIT: Duration = Duration::from_secs(110);
+
 /// What was sent, answered and run.
 pub struct Record(File);
 
@@ -90,18 +96,10 @@
         has_trouble: !std::env::var("TROUBLE").is_ok_and(|t| t == "0"),
         record: Record(file),
     };
-    let verdict = match name.as_str() {
-        "crash-and-upgrade" => crash_and_upgrade::run(&mut case),
-        "planned-stop" => planned_stop::run(&mut case),
-        "kill-all" => kill_all::run(&mut case),
-        "moved-weights" => moved_weights::run(&mut case),
-        "spoilt-answers" => spoilt_answers::run(&mut case),
-        "prefix" => prefix::run(&mut case),
-        "restored-entries" => restored_entries::run(&mut case),
-        "restored-versions" => restored_versions::run(&mut case),
-        "raised-limit" => raised_limit::run(&mut case),
-        _ => Verdict::NotRun,
-    };
+    fleet::end_after(LIMIT);
+    let run = AssertUnwindSafe(|| run_case(&name, &mut case));
+    // What the case has started is ended while the panic unwinds.
+    let verdict = catch_unwind(run).unwrap_or(Verdict::NotRun);
     match verdict {
         Verdict::Held => {
             case.record.line("held");
@@ -117,3 +115,18 @@
         }
     }
 }
+
+fn run_case(name: &str, case: &mut Case) -> Verdict {
+    match name {
+        "crash-and-upgrade" => crash_and_upgrade::run(case),
+        "planned-stop" => planned_stop::run(case),
+        "kill-all" => kill_all::run(case),
+        "moved-weights" => moved_weights::run(case),
+        "spoilt-answers" => spoilt_answers::run(case),
+        "prefix" => prefix::run(case),
+        "restored-entries" => restored_entries::run(case),
+        "restored-versions" => restored_versions::run(case),
+        "raised-limit" => raised_limit::run(case),
+        _ => Verdict::NotRun,
+    }
+}
