Reject answers that lack the marks of their upstream

Cause: an answer was compared with its request only if it named one, and nothing looked for the stamp. Change: a dialect reads the marks, and AnswerVerdict judges them with the status, in one place. A success needs the id of the request and the stamp, and no encoding; a failure needs one mark. A foreign answer is one that broke off, and is logged with its marks. Tests: spoilt_answers (platform), all four of which fail on the program of before.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -9,6 +9,7 @@
 use actix_http::Response;
 use actix_http::body::BoxBody;
 
+use crate::answer_verdict::AnswerMarks;
 use crate::entry::CallerError;
 use crate::exchange::AnswerHead;
 use crate::name::Name;
@@ -50,19 +51,6 @@
     pub last_event: Option<u64>,
 }
 
-/// Classification of an upstream's answer by its head.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AnswerVerdict {
-    /// The answer to the request.
-    Answer,
-    /// The upstream is full; the request was not run.
-    Full,
-    /// Another instance has this address; the request was not run.
-    WrongInstance,
-    /// The answer is for another request, or comes from another upstream.
-    RequestIdMismatch,
-}
-
 /// Format of the scheduling information in requests and answers.
 pub trait Dialect {
     /// Returns the time within which the caller wants its answer, if it is
@@ -107,8 +95,9 @@
     /// Adds the headers that carry `context` to the upstream.
     fn add_headers(&self, upstream_request: &mut UpstreamRequest, context: &ForwardContext<'_>);
 
-    /// Classifies an answer to the request with the caller's `id` by its head.
-    fn classify_answer(&self, id: Option<&Name>, answer: &AnswerHead) -> AnswerVerdict;
+    /// Returns the marks of an answer to the request with the caller's `id`; `None` if upstreams
+    /// don't mark their answers.
+    fn read_marks(&self, id: Option<&Name>, answer: &AnswerHead) -> Option<AnswerMarks>;
 
     /// Returns what the upstream says of itself in an answer.
     fn read_notice(&self, answer: &AnswerHead) -> UpstreamNotice;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,8 +8,8 @@
 use slog::info;
 use tokio::net::TcpStream;
 
+use crate::answer_verdict::AnswerVerdict;
 use crate::clock::Timestamp;
-use crate::dialect::AnswerVerdict;
 use crate::dialect::ForwardContext;
 use crate::entry::idempotency::OwnedClaim;
 use crate::entry::local_schedulers::SchedulerHandle;
@@ -295,7 +295,8 @@
             sent_at,
         } = answered;
         let dialect = &self.state.dialect;
-        let verdict = dialect.classify_answer(self.job.caller_id.as_ref(), &answer.head);
+        let marks = dialect.read_marks(self.job.caller_id.as_ref(), &answer.head);
+        let verdict = AnswerVerdict::new(answer.head.status, marks);
         if matches!(verdict, AnswerVerdict::Answer | AnswerVerdict::Full) {
             let notice = dialect.read_notice(&answer.head);
             let status = answer.head.status;
@@ -319,10 +320,8 @@
                     UNREACHABLE_RETRY_AFTER,
                 )));
             }
-            AnswerVerdict::RequestIdMismatch => {
-                self.state
-                    .record_result(&self.upstream, UpstreamResult::Failed);
-                return Err(AttemptResult::Interrupted);
+            AnswerVerdict::Foreign => {
+                return Err(self.fail_foreign(answer.head.status, marks));
             }
         }
         let status = answer.head.status;
--- a/src/entry/attempt/failures.rs
+++ b/src/entry/attempt/failures.rs
@@ -9,6 +9,7 @@
 use super::UNREACHABLE_RETRY_AFTER;
 use super::running::AnswerProgress;
 use super::running::RunningAnswer;
+use crate::answer_verdict::AnswerMarks;
 use crate::entry::relay::Relay;
 use crate::exchange::ExchangeError;
 use crate::exchange::Framing;
@@ -39,6 +40,17 @@
         AttemptResult::Interrupted
     }
 
+    pub(super) fn fail_foreign(&self, status: u16, marks: Option<AnswerMarks>) -> AttemptResult {
+        info!(self.state.log, "answer is not the upstream's own";
+            "request" => %self.job.logged_id(self.request),
+            "upstream" => %self.upstream,
+            "status" => status,
+            "marks" => ?marks);
+        self.state
+            .record_result(&self.upstream, UpstreamResult::Failed);
+        AttemptResult::Interrupted
+    }
+
     pub(super) fn fail_exchange(
         &self,
         e: &ExchangeError,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -202,6 +202,12 @@
         std::str::from_utf8(&header.value).ok()
     }
 
+    /// Returns the values of the header `name`, which is in lower case.
+    pub fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let headers = self.headers.iter().filter(move |h| h.name.as_str() == name);
+        headers.map(|h| &*h.value)
+    }
+
     /// Returns the time for which an upstream that turned the request away wants no
     /// others.
     pub fn hold_off(&self) -> Option<Result<Duration, InvalidRetryAfter>> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod agent;
 pub mod agent_client;
 pub mod answer_buffer;
+pub mod answer_verdict;
 pub mod apply;
 pub mod burn;
 pub mod burn_report;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -7,7 +7,7 @@
 use actix_http::Response;
 use actix_http::body::BoxBody;
 
-use crate::dialect::AnswerVerdict;
+use crate::answer_verdict::AnswerMarks;
 use crate::dialect::Dialect;
 use crate::dialect::ForwardContext;
 use crate::dialect::Prompt;
@@ -88,8 +88,8 @@
 
     fn add_headers(&self, _upstream_request: &mut UpstreamRequest, _context: &ForwardContext<'_>) {}
 
-    fn classify_answer(&self, _id: Option<&Name>, _answer: &AnswerHead) -> AnswerVerdict {
-        AnswerVerdict::Answer
+    fn read_marks(&self, _id: Option<&Name>, _answer: &AnswerHead) -> Option<AnswerMarks> {
+        None
     }
 
     fn read_notice(&self, answer: &AnswerHead) -> UpstreamNotice {
