Match prefixes with their slash

Change: a path that ends with a slash is a prefix, byte for byte. The check of settings for shadowed routes tries the paths that a route can take now. An IPv6 address as a host is not cut at its colons. Looked at and unchanged: longest match, query, percent-encoding, dots, double slashes, case and port of the host. Limits, drains and metrics go by names of routes. Tests: prefixes (platform), both of which fail on the program of before, and 16 paths in routes::tests.

--- a/src/config_review/reachability.rs
+++ b/src/config_review/reachability.rs
@@ -65,12 +65,14 @@
 /// looked up are one of each set of paths for which other routes compete.
 fn shadowing_route(settings: &Settings, name: &Name, route: &Route) -> Option<Name> {
     let host = route.host.as_deref();
-    let trimmed = route.path.trim_end_matches('/');
+    let below = match route.path.ends_with('/') {
+        true => route.path.to_string(),
+        false => format!("{}/", route.path),
+    };
     let paths = [
         route.path.to_string(),
-        trimmed.to_owned(),
-        format!("{trimmed}/"),
-        format!("{trimmed}/{UNNAMED_SEGMENT}"),
+        format!("{below}{UNNAMED_SEGMENT}"),
+        below,
     ];
     let find = |path: &String| settings.routes.find(host, path).map(|(found, _)| found);
     match paths.iter().any(|path| find(path) == Some(name)) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -299,7 +299,9 @@
 /// Returns the host name in the `Host` header, without the port.
 fn request_host(head: &RequestHead) -> Option<&str> {
     let host = head.headers.get(header::HOST)?.to_str().ok()?;
-    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+    // The colons of an IPv6 address are inside of brackets.
+    let port = host.rfind(':').filter(|at| !host[*at..].contains(']'));
+    Some(port.map_or(host, |at| &host[..at]))
 }
 
 fn resolve_tier(
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -207,8 +207,8 @@
     pub kind: RouteKind,
     /// Host name in the request; absent for any.
     pub host: Option<Name>,
-    /// Exact path for a model, path prefix for a service. A path that ends with a
-    /// slash is a prefix for a model too.
+    /// Exact path for a model; for a service, the path and all below it. A path that ends
+    /// with a slash is a prefix for both, and does not match without the slash.
     pub path: Name,
     /// Service to which requests are sent. Requests of a model route without a
     /// service go to the upstreams that serve their model.
--- a/src/settings/routes.rs
+++ b/src/settings/routes.rs
@@ -124,13 +124,14 @@
 }
 
 /// Returns whether `path` is that of `route`, or lies below it where the route's path
-/// is a prefix.
+/// is a prefix. A prefix that ends with a slash begins the path, byte for byte.
 fn matches_path(route: &Route, path: &str) -> bool {
-    if route.kind == RouteKind::Model && !route.path.ends_with('/') {
-        return path == route.path.as_str();
+    let rest = path.strip_prefix(route.path.as_str());
+    match route.kind {
+        _ if route.path.ends_with('/') => rest.is_some(),
+        RouteKind::Model => rest.is_some_and(str::is_empty),
+        RouteKind::Service => rest.is_some_and(|r| r.is_empty() || r.starts_with('/')),
     }
-    path.strip_prefix(route.path.trim_end_matches('/'))
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 fn lowercase(host: &Name) -> Name {
--- a/src/settings/routes/tests.rs
+++ b/src/settings/routes/tests.rs
@@ -38,6 +38,59 @@
     assert_eq!(find(None, "/v1/chat"), Some("b"));
 }
 
+// Review 12, ROUTE: the prefix `/orders/` took the path `/orders`, which it does not begin.
+#[test]
+fn prefix_with_a_slash_begins_the_path() {
+    for kind in [RouteKind::Service, RouteKind::Model] {
+        let routes: Routes = [
+            ("all", "/"),
+            ("orders", "/orders/"),
+            ("open", "/orders/open/"),
+            ("double", "/orders//"),
+        ]
+        .into_iter()
+        .map(|(name, path)| (Name::new(name), route(kind, Some("x"), path)))
+        .collect();
+        let find = |path| routes.find(Some("x"), path).map(|(name, _)| name.as_str());
+        for (path, expected) in [
+            ("/orders", "all"),
+            ("/orders/", "orders"),
+            ("/orders/1", "orders"),
+            ("/ordersx", "all"),
+            ("/Orders/", "all"),
+            ("/orders%2F1", "all"),
+            ("/%6Frders/1", "all"),
+            ("//orders/1", "all"),
+            ("/./orders/1", "all"),
+            ("/orders/../1", "orders"),
+            ("/orders/open", "orders"),
+            ("/orders/open/", "open"),
+            ("/orders/open/1", "open"),
+            ("/orders/opening/", "orders"),
+            ("/orders//open/", "double"),
+            ("/orders//", "double"),
+        ] {
+            assert_eq!(find(path), Some(expected), "{path}");
+        }
+        assert_eq!(find("*"), None);
+        assert_eq!(find(""), None);
+    }
+}
+
+#[test]
+fn path_of_a_service_without_a_slash_takes_all_below_it() {
+    let routes: Routes = [("a", "/a"), ("b", "/a/b/")]
+        .into_iter()
+        .map(|(name, path)| (Name::new(name), route(RouteKind::Service, None, path)))
+        .collect();
+    let find = |path| routes.find(None, path).map(|(name, _)| name.as_str());
+    assert_eq!(find("/a"), Some("a"));
+    assert_eq!(find("/a/"), Some("a"));
+    assert_eq!(find("/a/b"), Some("a"));
+    assert_eq!(find("/a/b/"), Some("b"));
+    assert_eq!(find("/ab"), None);
+}
+
 fn path() -> impl Strategy<Value = String> {
     "(/[ab]?){0,4}"
 }
