Refuse unknown streams while a restored store may lack versions

Cause: after a kill of all processes, the only version in the list of upstreams and in the stored record was taken for the one that began a stream. Change: the record names the timeline of the store in which it was complete. An entry that reads it in a later timeline refuses unknown streams for the time in which upstreams register again, with that as Retry-After, and names the new timeline only after it. Ruled out: such a time after each start. A kill alone does not make the record incomplete, and streams of a site with one version would be refused for it.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -67,7 +67,7 @@
 /// Retry delay for an organisation that has reached its concurrency limit.
 const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Retry delay where a stream can't be resumed at its version.
+/// Retry delay where no upstream runs the version of a stream.
 const NO_VERSION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Retry delay where the entry is full.
@@ -275,9 +275,10 @@
     let stream = stream.map(|id| StreamId::new(organisation, id));
     let timeout = state.answer_timeout(job);
     let found = state.streams.find(&job.target, stream, timeout).await;
-    let origin = found.filter(|version| state.has_version(job, version));
-    let unavailable = CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER);
-    let origin = origin.ok_or(unavailable)?;
+    let origin = found.map_err(|e| CallerError::VersionUnavailable(e.retry_after))?;
+    if !state.has_version(job, &origin) {
+        return Err(CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER));
+    }
     // Boxed, since the future of each request would be larger otherwise.
     Box::pin(state.wait_for_connections(job, &origin)).await;
     Ok(Some(origin))
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -22,6 +22,7 @@
 use crate::directory::SoftwareVersion;
 use crate::entry::peers::Peers;
 use crate::name::Name;
+use crate::object_store::Timeline;
 use crate::stream_holders::Holder;
 use crate::stream_holders::Holders;
 use crate::stream_origins::Origin;
@@ -31,6 +32,7 @@
 use crate::stream_origins::StreamRecord;
 use crate::stream_origins::VersionHistory;
 use crate::units::millis;
+use crate::version_view::VersionView;
 use crate::wire::streams::StreamMessage;
 use crate::wire::streams::StreamQuery;
 use crate::wire::streams::decode;
@@ -48,6 +50,9 @@
 /// entry reads when it starts.
 const HISTORY_WAIT: Duration = Duration::from_millis(500);
 
+/// The time after which a caller can come back whose stream's version can't be told.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The maximum number of records in one datagram.
 const MAX_BATCH: usize = 1000;
 
@@ -57,13 +62,22 @@
 /// The number of times that a query is sent.
 const QUERY_ATTEMPTS: u32 = 3;
 
+/// The version that began a stream can't be told.
+#[derive(Clone, Copy, Debug)]
+pub struct UnknownOrigin {
+    /// The time after which it may be known.
+    pub retry_after: Duration,
+}
+
 /// The streams of this entry and what others have sent of theirs.
 pub struct Streams {
     origins: RefCell<StreamOrigins>,
     holders: RefCell<Holders>,
     directory: Rc<Directory>,
     /// Whether the versions of the time before this entry started are known.
-    knows_history: watch::Sender<bool>,
+    view: RefCell<VersionView>,
+    /// Whether the record of these versions was read.
+    has_read_history: watch::Sender<bool>,
     /// The other entries; not set if this entry has no address for them.
     peers: OnceCell<Weak<Peers>>,
     queries: RefCell<HashMap<u64, PendingQuery>>,
@@ -93,7 +107,8 @@
             origins: RefCell::new(StreamOrigins::new()),
             holders: RefCell::new(Holders::new()),
             directory,
-            knows_history: watch::Sender::new(true),
+            view: RefCell::new(VersionView::new()),
+            has_read_history: watch::Sender::new(true),
             peers: OnceCell::new(),
             queries: RefCell::default(),
             last_query: Cell::new(0),
@@ -110,7 +125,8 @@
 
     /// Lets requests wait for the history of the versions, which a store keeps.
     pub fn await_history(&self) {
-        self.knows_history.send_replace(false);
+        self.view.replace(VersionView::with_record());
+        self.has_read_history.send_replace(false);
     }
 
     /// Sends the records of running streams to the processes that are to keep them and have
@@ -127,16 +143,39 @@
         self.notify_due();
     }
 
-    /// Adds the history of the versions that was stored `age` ago; `None` if there is none.
-    pub fn restore_history(&self, history: Option<(&VersionHistory, Duration)>) {
-        if let Some((history, age)) = history {
-            let mut origins = self.origins.borrow_mut();
-            origins.restore(self.clock.now(), history, age);
-        }
-        self.knows_history.send_replace(true);
+    /// Records that the store keeps no history of the versions yet.
+    pub fn begin_history(&self) {
+        self.view.borrow_mut().begin();
+        self.has_read_history.send_replace(true);
+    }
+
+    /// Adds the history of the versions that was stored `age` ago and was complete in the
+    /// timeline `recorded` of the store, which is now in `current`.
+    pub fn restore_history(
+        &self,
+        history: &VersionHistory,
+        age: Duration,
+        recorded: Option<Timeline>,
+        current: Option<Timeline>,
+    ) {
+        let now = self.clock.now();
+        self.origins.borrow_mut().restore(now, history, age);
+        self.view.borrow_mut().restore(now, recorded, current);
+        self.has_read_history.send_replace(true);
         self.notify_due();
     }
 
+    /// Records that the store was restored from an older copy.
+    pub fn store_restored(&self) {
+        self.view.borrow_mut().store_restored(self.clock.now());
+    }
+
+    /// Returns the timeline of the store in which the history is complete, while the store is
+    /// in `current`.
+    pub fn complete_in(&self, current: Option<Timeline>) -> Option<Timeline> {
+        self.view.borrow().complete_in(self.clock.now(), current)
+    }
+
     /// Returns the versions that streams can have begun at.
     pub fn history(&self) -> VersionHistory {
         self.origins.borrow().history(self.clock.now())
@@ -209,20 +248,23 @@
         }
     }
 
-    /// Returns the version that began a stream, or `None` if that can't be told. Asks
-    /// other entries if this one doesn't know.
+    /// Returns the version that began a stream. Asks other entries if this one doesn't know.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the version can't be told.
     pub async fn find(
         &self,
         service: &Name,
         stream: Option<StreamId>,
         timeout: Duration,
-    ) -> Option<SoftwareVersion> {
+    ) -> Result<SoftwareVersion, UnknownOrigin> {
         let found = {
             let origins = self.origins.borrow();
             origins.find(self.clock.now(), service, stream, timeout)
         };
         if let Origin::Known(version) = found {
-            return Some(version);
+            return Ok(version);
         }
         let query = StreamQuery {
             number: self.last_query.get() + 1,
@@ -234,31 +276,33 @@
         let answer = self.ask(query).await;
         if let Some(record) = answer.record {
             self.origins.borrow_mut().learn(self.clock.now(), &record);
-            return Some(record.version);
+            return Ok(record.version);
         }
-        let knows_history = self.wait_for_history().await;
+        self.wait_for_history().await;
         let now = self.clock.now();
         let seen = self.origins.borrow().versions_within(now, service, timeout);
         let versions: BTreeSet<SoftwareVersion> = seen.union(&answer.versions).cloned().collect();
+        let missing_for = self.view.borrow().missing_for(now);
         info!(self.log, "nobody knows where a stream began";
             "service" => %service,
             "versions" => versions.len(),
-            "knows_history" => knows_history,
+            "incomplete_ms" => missing_for.map(millis),
             "asked_entries" => answer.entries.len(),
             "unanswered" => answer.unanswered.len(),
             "view_ms" => self.directory.age().map(millis));
-        let is_certain = versions.len() == 1 && knows_history;
-        if !is_certain || !self.standing(&answer).is_in_step() {
-            return None;
-        }
-        versions.into_iter().next()
+        let retry_after = missing_for.unwrap_or(UNKNOWN_RETRY_AFTER);
+        let is_certain = versions.len() == 1 && missing_for.is_none();
+        let only = versions.into_iter().next();
+        only.filter(|_| is_certain && self.standing(&answer).is_in_step())
+            .ok_or(UnknownOrigin { retry_after })
     }
 
-    /// Waits for the history of the versions, and returns whether it is known.
-    async fn wait_for_history(&self) -> bool {
-        let mut knows_history = self.knows_history.subscribe();
-        let known = knows_history.wait_for(|knows| *knows);
-        actix_rt::time::timeout(HISTORY_WAIT, known).await.is_ok()
+    /// Waits until the history of the versions was read, if the store answers soon.
+    async fn wait_for_history(&self) {
+        let mut has_read = self.has_read_history.subscribe();
+        let read = has_read.wait_for(|has_read| *has_read);
+        // Otherwise the view stays incomplete.
+        let _ = actix_rt::time::timeout(HISTORY_WAIT, read).await;
     }
 
     fn standing(&self, answer: &PendingQuery) -> Standing {
--- a/src/entry/version_record.rs
+++ b/src/entry/version_record.rs
@@ -18,6 +18,7 @@
 use crate::entry::streams::Streams;
 use crate::ids::Incarnation;
 use crate::object_store::ObjectStore;
+use crate::object_store::Timeline;
 use crate::quota::Quota;
 use crate::stream_origins::VersionHistory;
 use crate::units::millis;
@@ -31,14 +32,32 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The versions of services as of the time of writing.
-#[derive(Deserialize, Serialize)]
+#[derive(Default, Deserialize, Serialize)]
 struct VersionRecord {
     /// When it was written, in milliseconds since the Unix epoch.
     written_millis: u64,
+    /// The timeline of the store in which the versions were last complete; `None` if the store
+    /// names none. An older copy names an earlier one.
+    #[serde(default)]
+    complete_in: Option<u64>,
     /// The versions. Their ages are those at the time of writing.
     history: VersionHistory,
 }
 
+/// What the stored record says.
+#[derive(Clone, Debug, Default)]
+struct Stored {
+    history: VersionHistory,
+    complete_in: Option<Timeline>,
+}
+
+impl Stored {
+    /// Returns whether a record need not be written over another one.
+    fn is_same(&self, other: &Self) -> bool {
+        self.complete_in == other.complete_in && self.history.has_same_versions(&other.history)
+    }
+}
+
 /// Reads the record at the start, and writes it after changes while this entry is
 /// responsible for it.
 pub struct VersionRecorder {
@@ -63,9 +82,9 @@
     pub async fn run(self) {
         let mut record = StoredRecord::new(Rc::clone(&self.store), RECORD_OBJECT);
         let value = record.read(|| true).await;
-        let mut stored = self.restore(value.as_deref()).unwrap_or_default();
         let mut timelines = self.store.timelines();
-        timelines.mark_unchanged();
+        let current = *timelines.borrow_and_update();
+        let mut stored = self.restore(value.as_deref(), current);
         let mut changes = self.directory.subscribe();
         let mut has_failed = false;
         loop {
@@ -81,20 +100,24 @@
             }
             if timelines.has_changed().unwrap_or_default() {
                 // A store that was restored from an older copy may have lost the record.
-                timelines.mark_unchanged();
-                stored = VersionHistory::default();
+                stored = Stored::default();
+                self.streams.store_restored();
             }
-            let history = self.streams.history();
-            if history.has_same_versions(&stored) || !self.is_writer() {
+            let current = *timelines.borrow_and_update();
+            let new = Stored {
+                history: self.streams.history(),
+                complete_in: self.streams.complete_in(current),
+            };
+            if new.is_same(&stored) || !self.is_writer() {
                 continue;
             }
-            let written = match self.encode(history.clone()) {
+            let written = match self.encode(&new) {
                 Some(value) => record.write(value).await,
                 None => continue,
             };
             match written {
                 Ok(()) => {
-                    stored = history;
+                    stored = new;
                     has_failed = false;
                 }
                 Err(e) => {
@@ -111,31 +134,38 @@
         quota.is_record_writer(self.clock.now(), self.incarnation)
     }
 
-    /// Returns the versions of the stored record, if it can be read.
-    fn restore(&self, value: Option<&[u8]>) -> Option<VersionHistory> {
-        let decoded = value.map(serde_json::from_slice::<VersionRecord>);
-        let record = decoded.and_then(|decoded| match decoded {
-            Ok(record) => Some(record),
-            Err(e) => {
-                warn!(self.log, "could not decode the record of versions"; "error" => %e);
-                None
-            }
-        });
-        let restored = record.as_ref().map(|record| {
-            let now = millis(since_epoch());
-            let age = Duration::from_millis(now.saturating_sub(record.written_millis));
-            (&record.history, age)
+    /// Restores the stored record from a store in the timeline `current`. One that can't be
+    /// read counts as one without versions that was never complete.
+    fn restore(&self, value: Option<&[u8]>, current: Option<Timeline>) -> Stored {
+        let Some(value) = value else {
+            info!(self.log, "no record of versions found");
+            self.streams.begin_history();
+            return Stored::default();
+        };
+        let record = serde_json::from_slice(value).unwrap_or_else(|e| {
+            warn!(self.log, "could not decode the record of versions"; "error" => %e);
+            VersionRecord::default()
         });
         info!(self.log, "record of versions read";
-            "services" => restored.map(|(history, _)| history.services.len()));
-        self.streams.restore_history(restored);
-        record.map(|record| record.history)
+            "services" => record.history.services.len(),
+            "complete_in" => record.complete_in,
+            "current" => current.map(|t| t.0));
+        let now = millis(since_epoch());
+        let age = Duration::from_millis(now.saturating_sub(record.written_millis));
+        let complete_in = record.complete_in.map(Timeline);
+        self.streams
+            .restore_history(&record.history, age, complete_in, current);
+        Stored {
+            history: record.history,
+            complete_in,
+        }
     }
 
-    fn encode(&self, history: VersionHistory) -> Option<Bytes> {
+    fn encode(&self, new: &Stored) -> Option<Bytes> {
         let record = VersionRecord {
             written_millis: millis(since_epoch()),
-            history,
+            complete_in: new.complete_in.map(|t| t.0),
+            history: new.history.clone(),
         };
         match serde_json::to_vec(&record) {
             Ok(value) => Some(Bytes::from(value)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -133,6 +133,7 @@
 pub mod upstream_notice;
 pub mod upstream_request;
 pub mod usage;
+pub mod version_view;
 pub mod wire;
 pub mod zone_balance;
 
