Archive where streams began, for the end of all processes

Cause: records of streams were in the memory of entries and agents only. After a kill of all of them nobody knew the version that began a stream, and beside several versions each was refused until its time limit (LOST). An entry that doesn't know a stream asks it too. Slots, segments and their expiry are a state machine without I/O.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,6 +37,7 @@
 mod serve;
 mod state;
 mod stored_record;
+mod stream_archiver;
 mod streams;
 mod suspects;
 mod timers;
@@ -77,6 +78,7 @@
 use crate::entry::quarantine_record::QuarantineRecorder;
 use crate::entry::record::SpendingRecorder;
 use crate::entry::state::EntryState;
+use crate::entry::stream_archiver::StreamArchiver;
 use crate::entry::version_record::VersionRecorder;
 use crate::health::AdminState;
 use crate::health::HealthService;
@@ -272,6 +274,9 @@
             };
             state.streams.await_history();
             actix_rt::spawn(recorder.run());
+            let streams = Rc::clone(&state.streams);
+            let archiver = StreamArchiver::new(Rc::clone(store), streams, self.log.clone());
+            actix_rt::spawn(archiver.run());
         }
     }
 
@@ -299,6 +304,9 @@
             source: Box::new(e),
         })?;
         state.streams.set_peers(&peers);
+        if self.parts.store.is_some() {
+            state.streams.begin_archive(&peers);
+        }
         state.upstream_limits.set_peers(&peers);
         state.loans.set_peers(&peers);
         state.gossip.set_peers(&peers);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -301,6 +301,14 @@
         self.table.borrow().reachable(self.parts.clock.now())
     }
 
+    /// Returns what this entry is to others as a keeper of records.
+    pub fn own_holder(&self) -> Holder {
+        Holder {
+            address: self.table.borrow().own(),
+            run: self.parts.incarnation.0,
+        }
+    }
+
     /// Returns the entries that may be running and can keep records of streams.
     pub fn holders(&self) -> Vec<Holder> {
         let table = self.table.borrow();
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -17,12 +17,16 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::clock::Timestamp;
 use crate::datagram::DatagramKind;
 use crate::directory::Directory;
 use crate::directory::SoftwareVersion;
 use crate::entry::peers::Peers;
 use crate::name::Name;
 use crate::object_store::Timeline;
+use crate::stream_archive::SegmentId;
+use crate::stream_archive::StoredSegment;
+use crate::stream_archive::StreamArchive;
 use crate::stream_holders::Holder;
 use crate::stream_holders::Holders;
 use crate::stream_origins::Origin;
@@ -73,6 +77,14 @@
 pub struct Streams {
     origins: RefCell<StreamOrigins>,
     holders: RefCell<Holders>,
+    /// The records that this entry writes to the store.
+    archive: RefCell<StreamArchive>,
+    /// Notified when there may be segments to write.
+    archive_due: Notify,
+    /// Notified when there may be slots to read.
+    archive_wanted: Notify,
+    /// Notified when a slot was read.
+    archive_read: Notify,
     directory: Rc<Directory>,
     /// Whether the versions of the time before this entry started are known.
     view: RefCell<VersionView>,
@@ -106,6 +118,10 @@
         Self {
             origins: RefCell::new(StreamOrigins::new()),
             holders: RefCell::new(Holders::new()),
+            archive: RefCell::new(StreamArchive::new()),
+            archive_due: Notify::new(),
+            archive_wanted: Notify::new(),
+            archive_read: Notify::new(),
             directory,
             view: RefCell::new(VersionView::new()),
             has_read_history: watch::Sender::new(true),
@@ -196,7 +212,7 @@
                     self.follow_upstreams();
                 }
                 () = self.due.notified() => {}
-                _ = repeat.tick() => self.origins.borrow_mut().forget_mixed_copies(self.clock.now()),
+                _ = repeat.tick() => self.repeat_mixed(),
             }
             if self.origins.borrow().has_unsent() {
                 actix_rt::time::sleep(BATCH_TIME).await;
@@ -205,6 +221,17 @@
         }
     }
 
+    /// Sends the records of running streams again beside several versions, and looks for
+    /// entries that have come or gone.
+    fn repeat_mixed(&self) {
+        self.origins
+            .borrow_mut()
+            .forget_mixed_copies(self.clock.now());
+        if let Some(peers) = self.peers.get().and_then(Weak::upgrade) {
+            self.follow_entries(&peers);
+        }
+    }
+
     /// Observes the versions and the agents of the listed upstreams.
     fn follow_upstreams(&self) {
         let now = self.clock.now();
@@ -279,6 +306,9 @@
             return Ok(record.version);
         }
         self.wait_for_history().await;
+        if let Some(version) = self.find_archived(service, stream, timeout).await {
+            return Ok(version);
+        }
         let now = self.clock.now();
         let seen = self.origins.borrow().versions_within(now, service, timeout);
         let versions: BTreeSet<SoftwareVersion> = seen.union(&answer.versions).cloned().collect();
@@ -365,9 +395,21 @@
             .unwrap_or_default()
     }
 
-    /// Updates the other entries that can keep records.
+    /// Updates the other entries that can keep records. Where another one archives a slot
+    /// now, it gets the records of running streams.
     fn follow_entries(&self, peers: &Peers) {
-        self.holders.borrow_mut().set_entries(peers.holders());
+        let now = self.clock.now();
+        let mut holders = self.holders.borrow_mut();
+        let archivists = holders.archivists().to_vec();
+        if !holders.set_entries(peers.holders()) || holders.archivists() == archivists {
+            return;
+        }
+        self.archive
+            .borrow_mut()
+            .set_owned(now, &holders.own_slots());
+        drop(holders);
+        self.origins.borrow_mut().mark_all_due(now);
+        self.notify_due();
     }
 
     /// Returns the processes that have not replied to a query; none if the answer is known.
@@ -385,9 +427,14 @@
                 let mut origins = self.origins.borrow_mut();
                 records.iter().for_each(|record| origins.learn(now, record));
                 drop(origins);
+                self.archive_own(&records);
                 self.notify_due();
                 None
             }
+            Ok(StreamMessage::Query(query)) if self.awaits_archive(&query) => {
+                // The sender asks again.
+                None
+            }
             Ok(StreamMessage::Query(query)) => {
                 let reply = self.origins.borrow().answer(now, &query);
                 Some(encode(&StreamMessage::Reply(reply)))
@@ -422,6 +469,10 @@
             self.origins.borrow_mut().take_unsent(now, &holders)
         };
         for (holder, batch) in batches {
+            if self.holders.borrow().is_this_entry(&holder) {
+                self.archive_own(&batch);
+                continue;
+            }
             for part in batch.chunks(MAX_BATCH) {
                 let message = encode(&StreamMessage::Began(part.to_vec()));
                 let receiver = [holder.address];
@@ -431,6 +482,171 @@
     }
 }
 
+/// The archive of streams in the store, see [`crate::stream_archive`].
+impl Streams {
+    /// Lets this entry archive streams, for which others know it by `peers`.
+    pub fn begin_archive(&self, peers: &Peers) {
+        self.holders.borrow_mut().set_own(peers.own_holder());
+        let owned = self.holders.borrow().own_slots();
+        self.archive
+            .borrow_mut()
+            .set_owned(self.clock.now(), &owned);
+    }
+
+    /// Returns the number of slots of the archive.
+    pub fn archive_slots(&self) -> u32 {
+        self.holders.borrow().slots()
+    }
+
+    /// Sets the number of slots that a stored archive has.
+    pub fn restore_archive_slots(&self, slots: u32) {
+        let mut holders = self.holders.borrow_mut();
+        holders.raise_slots(slots);
+        let owned = holders.own_slots();
+        self.archive
+            .borrow_mut()
+            .set_owned(self.clock.now(), &owned);
+    }
+
+    /// Adds the records to the archive of which this entry is the archivist.
+    fn archive_own(&self, records: &[StreamRecord]) {
+        let now = self.clock.now();
+        let holders = self.holders.borrow();
+        let mut archive = self.archive.borrow_mut();
+        let mut has_new = false;
+        for record in records.iter().filter(|r| holders.is_own(r.stream)) {
+            has_new |= archive.add(now, holders.slot(record.stream), record);
+        }
+        if has_new {
+            self.archive_due.notify_one();
+            self.archive_wanted.notify_one();
+        }
+    }
+
+    /// Returns whether only the archive may tell where a stream of `service` began.
+    fn needs_archive(&self, service: &Name, timeout: Duration) -> bool {
+        let now = self.clock.now();
+        let versions = self.origins.borrow().versions_within(now, service, timeout);
+        versions.len() > 1 || self.view.borrow().missing_for(now).is_some()
+    }
+
+    /// Returns whether this entry archives the stream of a query, doesn't know it and has not
+    /// read its slot yet.
+    fn awaits_archive(&self, query: &StreamQuery) -> bool {
+        let now = self.clock.now();
+        let Some(stream) = query.stream else {
+            return false;
+        };
+        let is_known = self.origins.borrow().get(now, stream).is_some();
+        if is_known || !self.needs_archive(&query.service, query.timeout) {
+            return false;
+        }
+        let awaited_since = self.want_archived(stream);
+        awaited_since.is_some_and(|since| now.since(since) < HISTORY_WAIT)
+    }
+
+    /// Asks for the slot of a stream, if this entry archives it. Returns since when it is
+    /// awaited; `None` if there is nothing to wait for.
+    fn want_archived(&self, stream: StreamId) -> Option<Timestamp> {
+        let holders = self.holders.borrow();
+        if !holders.is_own(stream) {
+            return None;
+        }
+        let slot = holders.slot(stream);
+        let since = self.archive.borrow_mut().want(self.clock.now(), slot)?;
+        self.archive_wanted.notify_one();
+        Some(since)
+    }
+
+    /// Returns the version of a stream that this entry archives, if it has been archived and the
+    /// store answers soon.
+    async fn find_archived(
+        &self,
+        service: &Name,
+        stream: Option<StreamId>,
+        timeout: Duration,
+    ) -> Option<SoftwareVersion> {
+        let stream = stream.filter(|_| self.needs_archive(service, timeout))?;
+        let is_read = async {
+            loop {
+                let read = self.archive_read.notified();
+                if self.want_archived(stream).is_none() {
+                    return;
+                }
+                read.await;
+            }
+        };
+        let _ = actix_rt::time::timeout(HISTORY_WAIT, is_read).await;
+        let record = self.origins.borrow().get(self.clock.now(), stream);
+        record.map(|r| r.version)
+    }
+
+    /// Waits until there may be a slot to read.
+    pub async fn archive_wanted(&self) {
+        self.archive_wanted.notified().await;
+    }
+
+    /// Returns a slot to read.
+    pub fn next_slot_to_read(&self) -> Option<u32> {
+        self.archive.borrow_mut().next_to_read(self.clock.now())
+    }
+
+    /// Returns whether this entry writes a slot.
+    pub fn writes_slot(&self, slot: u32) -> bool {
+        self.archive.borrow().owns(slot)
+    }
+
+    /// Adds the stored segments of a slot.
+    pub fn restore_archived(&self, slot: u32, segments: &[Vec<StreamRecord>]) {
+        let now = self.clock.now();
+        let mut origins = self.origins.borrow_mut();
+        for record in segments.iter().flatten() {
+            origins.learn(now, record);
+        }
+        drop(origins);
+        self.archive
+            .borrow_mut()
+            .finish_reading(now, slot, segments);
+        self.archive_read.notify_waiters();
+        self.notify_archive_due();
+        self.notify_due();
+    }
+
+    /// Waits until there may be segments to write.
+    pub async fn archive_due(&self) {
+        self.archive_due.notified().await;
+    }
+
+    /// Wakes the task that writes segments, if any are due.
+    pub fn notify_archive_due(&self) {
+        if self.archive.borrow().has_due() {
+            self.archive_due.notify_one();
+        }
+    }
+
+    /// Returns the segments to write, as of now in milliseconds since the Unix epoch.
+    pub fn take_due_segments(&self, now_millis: u64) -> Vec<(SegmentId, StoredSegment)> {
+        let mut archive = self.archive.borrow_mut();
+        archive.take_due(self.clock.now(), now_millis)
+    }
+
+    /// Makes a segment due that could not be written.
+    pub fn mark_segment_due(&self, id: SegmentId) {
+        self.archive.borrow_mut().mark_due(id);
+    }
+
+    /// Makes a slot due to be read again, of which another entry has written a segment.
+    pub fn read_slot_again(&self, slot: u32) {
+        self.archive.borrow_mut().read_again(self.clock.now(), slot);
+        self.archive_wanted.notify_one();
+    }
+
+    /// Makes all segments due to be written after a restore of the store.
+    pub fn mark_archive_lost(&self) {
+        self.archive.borrow_mut().mark_all_due();
+    }
+}
+
 /// Forgets a query that has ended or whose caller has left.
 struct QueryGuard<'a> {
     streams: &'a Streams,
--- a/src/entry/version_record.rs
+++ b/src/entry/version_record.rs
@@ -40,6 +40,9 @@
     /// names none. An older copy names an earlier one.
     #[serde(default)]
     complete_in: Option<u64>,
+    /// The number of slots of the archive of streams; 0 in records of before.
+    #[serde(default)]
+    archive_slots: u32,
     /// The versions. Their ages are those at the time of writing.
     history: VersionHistory,
 }
@@ -49,12 +52,15 @@
 struct Stored {
     history: VersionHistory,
     complete_in: Option<Timeline>,
+    archive_slots: u32,
 }
 
 impl Stored {
     /// Returns whether a record need not be written over another one.
     fn is_same(&self, other: &Self) -> bool {
-        self.complete_in == other.complete_in && self.history.has_same_versions(&other.history)
+        self.complete_in == other.complete_in
+            && self.archive_slots == other.archive_slots
+            && self.history.has_same_versions(&other.history)
     }
 }
 
@@ -107,6 +113,7 @@
             let new = Stored {
                 history: self.streams.history(),
                 complete_in: self.streams.complete_in(current),
+                archive_slots: self.streams.archive_slots(),
             };
             if new.is_same(&stored) || !self.is_writer() {
                 continue;
@@ -152,12 +159,14 @@
             "current" => current.map(|t| t.0));
         let now = millis(since_epoch());
         let age = Duration::from_millis(now.saturating_sub(record.written_millis));
+        self.streams.restore_archive_slots(record.archive_slots);
         let complete_in = record.complete_in.map(Timeline);
         self.streams
             .restore_history(&record.history, age, complete_in, current);
         Stored {
             history: record.history,
             complete_in,
+            archive_slots: record.archive_slots,
         }
     }
 
@@ -165,6 +174,7 @@
         let record = VersionRecord {
             written_millis: millis(since_epoch()),
             complete_in: new.complete_in.map(|t| t.0),
+            archive_slots: new.archive_slots,
             history: new.history.clone(),
         };
         match serde_json::to_vec(&record) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -122,6 +122,7 @@
 pub mod site_key;
 pub mod spare_links;
 pub mod stored_settings;
+pub mod stream_archive;
 pub mod stream_holders;
 pub mod stream_origins;
 mod strict_connector;
--- a/src/peer_table.rs
+++ b/src/peer_table.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the address of this entry.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
     /// Adds an entry. Returns whether it is another one that was not known.
     pub fn add(&mut self, now: Timestamp, peer: SocketAddr) -> bool {
         if peer == self.own || self.peers.contains_key(&peer) {
--- a/src/stream_holders.rs
+++ b/src/stream_holders.rs
@@ -2,12 +2,16 @@
 //!
 //! Entries can all end at the same time, while agents go on, and an entry that has just
 //! started knows the agents from the directory. So agents keep the records, and other
-//! entries do beside several versions, when more depends on them.
+//! entries do beside several versions, when more depends on them. The archivist of a stream
+//! then also writes its record to the store, for the end of all processes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::peer_table::hash;
 use crate::peer_table::order;
+use crate::stream_archive::MAX_SLOTS;
+use crate::stream_archive::slots_for;
 use crate::stream_origins::StreamId;
 
 #[cfg(test)]
@@ -85,16 +89,30 @@
 }
 
 /// The processes that can keep records for an entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Holders {
     agents: Ring,
+    /// The other entries.
     entries: Ring,
+    /// This entry; `None` if others can't reach it.
+    own: Option<Holder>,
+    /// The entry that writes each slot of the archive; empty before `own` is set.
+    archivists: Vec<Holder>,
+    /// The number of slots, a power of two. It grows with the site, and is kept when entries
+    /// end, since records are where they were written.
+    slots: u32,
 }
 
 impl Holders {
     /// Creates the empty set of an entry that starts.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            agents: Ring::default(),
+            entries: Ring::default(),
+            own: None,
+            archivists: Vec::new(),
+            slots: 1,
+        }
     }
 
     /// Replaces the agents. Returns whether they have changed.
@@ -110,7 +128,83 @@
     where
         I: IntoIterator<Item = Holder>,
     {
-        self.entries.set(entries)
+        let has_changed = self.entries.set(entries);
+        if has_changed {
+            self.raise_slots(slots_for(self.entries.holders.len() + 1));
+            self.assign_slots();
+        }
+        has_changed
+    }
+
+    /// Sets what this entry is to others.
+    pub fn set_own(&mut self, own: Holder) {
+        self.own = Some(own);
+        self.assign_slots();
+    }
+
+    /// Raises the number of slots to that of a stored archive.
+    pub fn raise_slots(&mut self, slots: u32) {
+        if slots > self.slots && slots <= MAX_SLOTS && slots.is_power_of_two() {
+            self.slots = slots;
+            self.assign_slots();
+        }
+    }
+
+    /// Returns the number of slots of the archive.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the slot of the archive that has the record of a stream.
+    pub fn slot(&self, stream: StreamId) -> u32 {
+        // Always below the number of slots, which is far below 2^32.
+        (stream.0 % u64::from(self.slots)) as u32
+    }
+
+    /// Assigns each slot to the first entry in the order of the slot. An entry that knows no other
+    /// one assigns all to itself only if there is one: others are about to be known.
+    fn assign_slots(&mut self) {
+        let Some(own) = self
+            .own
+            .filter(|_| self.slots == 1 || !self.entries.holders.is_empty())
+        else {
+            self.archivists.clear();
+            return;
+        };
+        let mut entries = self.entries.clone();
+        entries.set(self.entries.holders.iter().map(|(_, h)| *h).chain([own]));
+        let first = |slot| {
+            let key = hash(format!("archive {slot}").as_bytes());
+            entries.first(Some(StreamId(key)), 1)
+        };
+        self.archivists = (0..self.slots).flat_map(first).collect();
+    }
+
+    /// Returns the entry that archives the record of a stream, which can be this one.
+    pub fn archivist(&self, stream: StreamId) -> Option<Holder> {
+        self.archivists.get(self.slot(stream) as usize).copied()
+    }
+
+    /// Returns the entry that writes each slot of the archive; none before that is known.
+    pub fn archivists(&self) -> &[Holder] {
+        &self.archivists
+    }
+
+    /// Returns whether a process is this entry.
+    pub fn is_this_entry(&self, holder: &Holder) -> bool {
+        self.own.as_ref() == Some(holder)
+    }
+
+    /// Returns whether this entry archives the record of a stream.
+    pub fn is_own(&self, stream: StreamId) -> bool {
+        self.own.is_some() && self.archivist(stream) == self.own
+    }
+
+    /// Returns the slots that this entry writes.
+    pub fn own_slots(&self) -> BTreeSet<u32> {
+        let slots = (0..).zip(&self.archivists);
+        let own = slots.filter(|(_, archivist)| Some(**archivist) == self.own);
+        own.map(|(slot, _)| slot).collect()
     }
 
     /// Returns the processes that are to keep the record of a stream. `is_mixed` says
@@ -124,6 +218,8 @@
         };
         let mut keepers = self.agents.first(Some(stream), agents);
         keepers.extend(self.entries.first(Some(stream), entries));
+        let archivist = self.archivist(stream).filter(|_| is_mixed);
+        keepers.extend(archivist.filter(|a| !keepers.contains(a)));
         keepers
     }
 
@@ -139,7 +235,16 @@
             true => ASKED_LONE_ENTRIES,
             false => ASKED_ENTRIES,
         };
-        let asked = self.entries.first(stream, count);
+        let mut asked = self.entries.first(stream, count);
+        let archivist = stream.and_then(|s| self.archivist(s));
+        let other = archivist.filter(|a| Some(*a) != self.own && !asked.contains(a));
+        asked.extend(other);
         asked.into_iter().map(|h| h.address).collect()
     }
 }
+
+impl Default for Holders {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -46,7 +46,7 @@
 
 /// The time by which clocks of hosts may differ. The age of a version in a record of another
 /// process is trusted only beyond it.
-const CLOCK_ERROR: Duration = Duration::from_secs(30);
+pub(crate) const CLOCK_ERROR: Duration = Duration::from_secs(30);
 
 /// The age up to which a view of the upstreams shows that an entry that reaches only a
 /// minority of the others isn't cut off from the platform. Those that it can't reach have
--- a/src/units.rs
+++ b/src/units.rs
@@ -128,6 +128,37 @@
     }
 }
 
+/// `serde_with` adapter for ids of 64 bits, written as 16 hexadecimal digits each without
+/// separators.
+pub struct HexIds;
+
+impl<'de> DeserializeAs<'de, Vec<u64>> for HexIds {
+    fn deserialize_as<D>(deserializer: D) -> Result<Vec<u64>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = String::deserialize(deserializer)?;
+        let bytes = parse_hex(&text).filter(|b| b.len().is_multiple_of(8));
+        let bytes =
+            bytes.ok_or_else(|| D::Error::custom("expected 16 hexadecimal digits an id"))?;
+        let ids = bytes.as_chunks().0.iter();
+        Ok(ids.map(|id| u64::from_be_bytes(*id)).collect())
+    }
+}
+
+impl SerializeAs<Vec<u64>> for HexIds {
+    fn serialize_as<S>(source: &Vec<u64>, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let mut text = String::with_capacity(source.len() * 16);
+        for id in source {
+            text.push_str(&format!("{id:016x}"));
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
 /// Decodes pairs of hexadecimal digits. Returns `None` if the text has an odd
 /// length or another character.
 pub fn parse_hex(text: &str) -> Option<Vec<u8>> {
