Use upstreams again that an older copy lists and the platform keeps

Cause: a registration that was removed shortly before a restore of the store, and that the copy lists, counts as that of an upstream that has left until it changes. Change: after four heartbeats with the platform it is used if it is still listed: the platform removes the registrations of silent upstreams after three. Ruled out: probes and reports, which an upstream that has left answers too for some seconds.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -123,6 +123,10 @@
     /// a running upstream can have expired.
     fn shortest_lapse(&self) -> Duration;
 
+    /// Returns the time after which the registration of a silent upstream is certain to have
+    /// expired, while the platform is there; `None` if it never is.
+    fn longest_lapse(&self) -> Option<Duration>;
+
     /// Registers this entry under `name` with its peer address.
     fn announce(&self, name: Name, peer: SocketAddr) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
@@ -331,8 +335,9 @@
     async fn follow_upstreams(self: Rc<Self>) {
         let (tx, mut rx) = mpsc::unbounded_channel();
         actix_rt::spawn(Rc::clone(&self).poll_upstreams(tx));
-        let mut registrations =
-            Registrations::new().with_shortest_lapse(self.platform.shortest_lapse());
+        let mut registrations = Registrations::new()
+            .with_shortest_lapse(self.platform.shortest_lapse())
+            .with_longest_lapse(self.platform.longest_lapse());
         let mut revisions = self.state.active_settings.subscribe();
         loop {
             let next_tick = registrations.next_tick().map(|at| self.clock.instant(at));
--- a/src/registrations.rs
+++ b/src/registrations.rs
@@ -10,7 +10,8 @@
 //! have left since, or list them as not leaving yet. A process does not go back
 //! on what it knew: an upstream that leaves keeps leaving until its end, and one
 //! whose registration was removed shortly before the restore gets no work until
-//! it registers again.
+//! it is seen to be alive. Its registration then changes, or is not removed although
+//! the platform removes those of silent upstreams.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -46,6 +47,8 @@
     /// The removed upstreams that an older copy of the platform's state lists again,
     /// as it lists them.
     outdated: BTreeMap<Name, DiscoveredUpstream>,
+    /// Until when they stay so if they are listed unchanged; `None` if there are none.
+    outdated_until: Option<Timestamp>,
     /// Whether the platform was restored from an older copy since the last update.
     restored: bool,
     /// Upstreams whose registration is missing since the last outage.
@@ -57,6 +60,9 @@
     /// The shortest time without the platform after which registrations can have
     /// expired.
     shortest_lapse: Duration,
+    /// The time with the platform after which the registration of a silent upstream is certain
+    /// to have expired; `None` if it never is.
+    longest_lapse: Option<Duration>,
     /// Until when the missing upstreams are kept; `None` outside of that time.
     keep_until: Option<Timestamp>,
 }
@@ -74,6 +80,13 @@
         self
     }
 
+    /// Sets the time with the platform after which the registration of a silent upstream is
+    /// certain to have expired.
+    pub fn with_longest_lapse(mut self, longest_lapse: Option<Duration>) -> Self {
+        self.longest_lapse = longest_lapse;
+        self
+    }
+
     /// Records that the platform answered that nothing has changed. After an outage in
     /// which registrations can have expired, they can still be removed.
     pub fn confirm(&mut self, now: Timestamp) {
@@ -122,6 +135,10 @@
         if self.may_have_lapsed(now) {
             self.keep_until = Some(now + REREGISTRATION_TIME);
         }
+        if self.unreachable && self.outdated_until.is_some() {
+            // Registrations may not have expired meanwhile.
+            self.outdated_until = self.longest_lapse.map(|lapse| now + lapse);
+        }
         self.unreachable = false;
         self.last_contact = now;
     }
@@ -147,6 +164,10 @@
             });
             let reappeared = reappeared.map(|d| (d.name.clone(), d.clone()));
             self.outdated.extend(reappeared);
+            self.outdated_until = self.longest_lapse.map(|lapse| now + lapse);
+        }
+        if self.outdated.is_empty() {
+            self.outdated_until = None;
         }
     }
 
@@ -158,24 +179,31 @@
         known.is_some_and(|k| k.leaving && k.started == listed.started)
     }
 
-    /// Drops the missing upstreams once their time has elapsed. Returns whether
-    /// any were dropped. While the platform is unreachable none are, because they
-    /// can't register again.
+    /// Drops the missing upstreams once their time has elapsed, and uses the outdated ones that
+    /// are still listed after theirs. Returns whether anything has changed. While the platform
+    /// is unreachable nothing does, because registrations can't be renewed or removed.
     pub fn tick(&mut self, now: Timestamp) -> bool {
-        if self.next_tick().is_none_or(|until| now < until) {
-            return false;
+        let is_over = |until: Option<Timestamp>| until.is_some_and(|until| until <= now);
+        let mut has_changed = false;
+        if !self.unreachable && is_over(self.keep_until) {
+            self.keep_until = None;
+            let dropped = std::mem::take(&mut self.missing);
+            has_changed |= !dropped.is_empty();
+            self.removed
+                .extend(dropped.into_iter().map(|(name, d)| (name, (d, now))));
         }
-        self.keep_until = None;
-        let dropped = std::mem::take(&mut self.missing);
-        let any_dropped = !dropped.is_empty();
-        self.removed
-            .extend(dropped.into_iter().map(|(name, d)| (name, (d, now))));
-        any_dropped
+        if !self.unreachable && is_over(self.outdated_until) {
+            self.outdated_until = None;
+            has_changed |= !std::mem::take(&mut self.outdated).is_empty();
+        }
+        has_changed
     }
 
     /// Returns when `tick` is due next.
     pub fn next_tick(&self) -> Option<Timestamp> {
-        self.keep_until.filter(|_| !self.unreachable)
+        let ticks = [self.keep_until, self.outdated_until];
+        let next = ticks.into_iter().flatten().min();
+        next.filter(|_| !self.unreachable)
     }
 
     /// Returns the names of the upstreams that are kept without a registration.
--- a/src/registrations/tests.rs
+++ b/src/registrations/tests.rs
@@ -222,6 +222,55 @@
     assert_eq!(accepting(&registrations), ["one", "two"]);
 }
 
+// Review 15, LOST: upstreams that were cut off from the platform, and whose registrations an
+// older copy has as they still are, were never used again.
+#[test]
+fn a_removed_upstream_that_an_older_copy_lists_gets_work_if_it_is_not_removed_again() {
+    let lapse = Some(Duration::from_secs(4));
+    let start = || {
+        let mut registrations = Registrations::new().with_longest_lapse(lapse);
+        registrations.update(at(0), vec![run("one", false), run("two", false)]);
+        registrations.update(at(100), vec![run("two", false)]);
+        registrations.mark_restored();
+        registrations.update(at(200), vec![run("one", false), run("two", false)]);
+        assert_eq!(accepting(&registrations), ["two"]);
+        registrations
+    };
+    let mut alive = start();
+    assert_eq!(alive.next_tick(), Some(at(2_400)));
+    alive.tick(at(2_400));
+    alive.confirm(at(4_000));
+    assert_eq!(alive.next_tick(), Some(at(4_200)));
+    assert!(!alive.tick(at(4_199)));
+    assert_eq!(accepting(&alive), ["two"]);
+    assert!(alive.tick(at(4_200)));
+    assert_eq!(accepting(&alive), ["one", "two"]);
+    assert_eq!(alive.next_tick(), None);
+    // One that has left is removed again before.
+    let mut left = start();
+    left.update(at(3_800), vec![run("two", false)]);
+    left.tick(at(5_000));
+    assert_eq!(accepting(&left), ["two"]);
+}
+
+// Without the platform nothing is removed, so that a registration tells nothing.
+#[test]
+fn a_removed_upstream_in_an_older_copy_gets_no_work_after_an_outage_alone() {
+    let lapse = Some(Duration::from_secs(4));
+    let mut registrations = Registrations::new().with_longest_lapse(lapse);
+    registrations.update(at(0), vec![run("one", false), run("two", false)]);
+    registrations.update(at(100), vec![run("two", false)]);
+    registrations.mark_restored();
+    registrations.update(at(200), vec![run("one", false), run("two", false)]);
+    registrations.mark_unreachable();
+    assert!(!registrations.tick(at(4_200)));
+    registrations.confirm(at(6_000));
+    registrations.tick(at(9_999));
+    assert_eq!(accepting(&registrations), ["two"]);
+    assert!(registrations.tick(at(10_000)));
+    assert_eq!(accepting(&registrations), ["one", "two"]);
+}
+
 #[test]
 fn a_removed_upstream_that_registers_again_without_a_restore_gets_work() {
     let mut registrations = Registrations::new();
