Probe requests early that tell crash suspects apart

Cause: where prompts with a crashing part come before any request with the route's first part has succeeded, both parts explain the same crashes and are convicted. Change: a request with some only of the suspects that explain the same crashes tells them apart by any result. The entry that probes sends one 2 s after the last crash; a success clears the part, a crash ends the tie. Ruled out: convicting one of them only, which would let the other's crashes go on if it is the cause.

--- a/src/crash_suspects.rs
+++ b/src/crash_suspects.rs
@@ -4,7 +4,8 @@
 //! prompts, are present at each crash as well. They differ from the cause by their
 //! successes: what has succeeded lately is no suspect. Among the suspects, the one that is
 //! present at most crashes explains these; others are convicted only by crashes that are
-//! left unexplained. What has succeeded lately and goes on crashing upstreams, while others
+//! left unexplained. Several can explain the same crashes, as long as none has succeeded: a
+//! request with some of them only is probed early, since it tells them apart. What has succeeded lately and goes on crashing upstreams, while others
 //! that were present at the crashes succeed, is a suspect too.
 
 use std::collections::BTreeMap;
@@ -50,6 +51,9 @@
 /// The shortest time that is given to the next probe.
 const MIN_PROBE_WAIT: Duration = Duration::from_secs(30);
 
+/// The same for a request that tells suspects apart.
+const MIN_EARLY_PROBE_WAIT: Duration = Duration::from_secs(2);
+
 /// How many times longer a request with several convicted suspects waits to be a probe. One
 /// with a single suspect can show which of them is sound.
 const JOINT_PROBE_PATIENCE: u32 = 4;
@@ -193,18 +197,33 @@
         let Some(first) = convicted.first().copied() else {
             return Verdict::Sound;
         };
-        let patience = match convicted.len() {
-            1 => 1,
-            _ => JOINT_PROBE_PATIENCE,
-        };
+        let tells_apart = self.tells_apart(&convicted);
         let suspects = convicted.iter().filter_map(|id| self.suspects.get(id));
-        let next_probe = suspects.map(|s| s.next_probe(patience)).max();
-        let next_probe = next_probe.unwrap_or_default();
+        let next_probes = suspects.map(|s| match (tells_apart, convicted.len()) {
+            (true, _) => s.next_early_probe(),
+            (false, 1) => s.next_probe(1),
+            (false, _) => s.next_probe(JOINT_PROBE_PATIENCE),
+        });
+        let next_probe = next_probes.max().unwrap_or_default();
         if now >= next_probe && is_prober(first) {
             return Verdict::Probe(first);
         }
-        let wait = now.until(next_probe).max(MIN_PROBE_WAIT);
-        Verdict::Refused(first, wait)
+        let shortest = match tells_apart {
+            true => MIN_EARLY_PROBE_WAIT,
+            false => MIN_PROBE_WAIT,
+        };
+        Verdict::Refused(first, now.until(next_probe).max(shortest))
+    }
+
+    /// Returns whether a request with just these convicted suspects tells them from others
+    /// that explain all of their crashes.
+    fn tells_apart(&self, convicted: &BTreeSet<SuspectId>) -> bool {
+        let others = self.convicted.difference(convicted);
+        let others: Vec<&Suspect> = others.filter_map(|id| self.suspects.get(id)).collect();
+        convicted.iter().all(|id| {
+            let suspect = self.suspects.get(id);
+            suspect.is_some_and(|s| others.iter().any(|other| other.explains(s)))
+        })
     }
 
     /// Records that a request with these ids is sent as a probe.
--- a/src/crash_suspects/suspect.rs
+++ b/src/crash_suspects/suspect.rs
@@ -52,6 +52,9 @@
     Duration::from_secs(24 * 3600),
 ];
 
+/// The time between a crash and a probe that tells suspects apart, and between two of these.
+const EARLY_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The shortest time between two crashes of which the later one was a probe's.
 const PROBE_GAP: Duration = Duration::from_secs(15);
 
@@ -198,6 +201,24 @@
         last + interval * patience
     }
 
+    /// Returns when the next probe may be sent that tells this suspect from others. Once one
+    /// has crashed an upstream, the suspects differ.
+    pub(super) fn next_early_probe(&self) -> Timestamp {
+        let last_crash = self.last_crash();
+        match self.last_probe {
+            Some(probe) if probe < last_crash && last_crash.since(probe) < PROBE_GAP => {
+                self.next_probe(1)
+            }
+            probe => probe.unwrap_or_default().max(last_crash) + EARLY_PROBE_INTERVAL,
+        }
+    }
+
+    /// Returns whether all crashes of `other` since its last success are crashes of this one.
+    pub(super) fn explains(&self, other: &Self) -> bool {
+        let mut crashes = other.counted();
+        crashes.all(|(id, _)| self.crashes.contains_key(&id))
+    }
+
     /// Returns the number of crashes that were those of probes: these come long after the
     /// crash before.
     fn failed_probes(&self) -> usize {
