Answer 502 where a refusal does not state that the request was not run

Change: AnswerVerdict tells a doubtful refusal (408, 429, 503) from others. For a request that may not be repeated it is an answer that broke off, so the caller gets 502; others get it as it is.

--- a/src/answer_verdict.rs
+++ b/src/answer_verdict.rs
@@ -53,6 +53,9 @@
     Answer,
     /// The upstream is full; the request was not run.
     Full,
+    /// An answer whose status tells callers that the request was not run, and whose upstream
+    /// does not state so. The request may have run.
+    DoubtfulRefusal,
     /// Another instance has this address; the request was not run.
     WrongInstance,
     /// The answer is for another request, or not the upstream's. The request may have run.
@@ -67,6 +70,7 @@
             (_, Some(marks)) if !marks.is_own(status) => Self::Foreign,
             (421, _) => Self::WrongInstance,
             (429 | 503, Some(marks)) if marks.states_not_run => Self::Full,
+            (408 | 429 | 503, Some(marks)) if !marks.states_not_run => Self::DoubtfulRefusal,
             _ => Self::Answer,
         }
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -297,7 +297,11 @@
         let dialect = &self.state.dialect;
         let marks = dialect.read_marks(self.job.caller_id.as_ref(), &answer.head);
         let verdict = AnswerVerdict::new(answer.head.status, marks);
-        if matches!(verdict, AnswerVerdict::Answer | AnswerVerdict::Full) {
+        let is_own = !matches!(
+            verdict,
+            AnswerVerdict::Foreign | AnswerVerdict::WrongInstance
+        );
+        if is_own {
             let notice = dialect.read_notice(&answer.head);
             let status = answer.head.status;
             let notices = &self.state.notices;
@@ -305,6 +309,11 @@
         }
         match verdict {
             AnswerVerdict::Answer => {}
+            // The caller would take its status for a promise, and send the request again.
+            AnswerVerdict::DoubtfulRefusal if !self.job.idempotent => {
+                return Err(self.fail_doubtful(answer.head.status));
+            }
+            AnswerVerdict::DoubtfulRefusal => {}
             AnswerVerdict::Full => {
                 let hold_off = self.state.notices.wait(&self.upstream);
                 return Err(AttemptResult::NotRun(Refusal::new(
--- a/src/entry/attempt/failures.rs
+++ b/src/entry/attempt/failures.rs
@@ -51,6 +51,16 @@
         AttemptResult::Interrupted
     }
 
+    pub(super) fn fail_doubtful(&self, status: u16) -> AttemptResult {
+        info!(self.state.log, "upstream refused a request that may have run";
+            "request" => %self.job.logged_id(self.request),
+            "upstream" => %self.upstream,
+            "status" => status);
+        self.state
+            .record_result(&self.upstream, UpstreamResult::Failed);
+        AttemptResult::Interrupted
+    }
+
     pub(super) fn fail_exchange(
         &self,
         e: &ExchangeError,
