--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,7 @@
 use crate::name::Name;
 use crate::settings::Document;
 use crate::settings::HEAD_LIMITS;
+use crate::settings::MAX_BODY_BYTES;
 use crate::settings::MergedFiles;
 use crate::settings::Problem;
 use crate::settings::Reason;
@@ -28,9 +29,6 @@
     "limits",
 ];
 
-/// Largest request body that fits into a message between processes, in bytes.
-const MAX_BODY_BYTES: u64 = 24 << 20;
-
 impl Settings {
     /// Merges and validates the files of `document`.
     ///
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -27,6 +27,7 @@
 pub use model::Fencing;
 pub use model::HEAD_LIMITS;
 pub use model::Limits;
+pub use model::MAX_BODY_BYTES;
 pub use model::Organisation;
 pub use model::Policy;
 pub use model::QuotaRate;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -285,6 +285,9 @@
 /// The values that [`Limits::head`] may have, in bytes. The HTTP server reads no longer heads.
 pub const HEAD_LIMITS: RangeInclusive<u64> = 1 << 10..=120 << 10;
 
+/// The largest limit on bodies of requests, in bytes.
+pub const MAX_BODY_BYTES: u64 = 24 << 20;
+
 /// Limits on the resources of one process, and timeouts.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize)]
