Tell upstreams of an organisation that is named public

Cause: requests on public routes are counted under the organisation "public", and the name decided whether an upstream is told the organisation. Change: the route decides. Public requests are counted under "(public)", so that they don't use the quota and the tier of an organisation named public.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -16,7 +16,6 @@
 use crate::entry::relay::Relay;
 use crate::entry::reply_queue::Collection;
 use crate::entry::request::Job;
-use crate::entry::request::PUBLIC_ORGANISATION;
 use crate::entry::rollouts::SentRequest;
 use crate::entry::state::EntryState;
 use crate::exchange;
@@ -270,7 +269,7 @@
         let mut upstream_request = self.job.upstream_request.clone();
         let organisation = &self.job.admission.organisation;
         let context = ForwardContext {
-            organisation: Some(organisation).filter(|o| o.as_str() != PUBLIC_ORGANISATION),
+            organisation: Some(organisation).filter(|_| !self.job.admission.route.public),
             remaining: self.state.now().until(self.deadline),
             instance: upstream.instance.as_ref(),
             // After the first event is relayed, the answer resumes from the last
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -37,8 +37,9 @@
 
 const BEARER_PREFIX: &str = "Bearer ";
 
-/// Organisation name under which requests on public routes are counted.
-pub const PUBLIC_ORGANISATION: &str = "public";
+/// Organisation name under which requests on public routes are counted. An organisation can be
+/// named "public".
+const PUBLIC_ORGANISATION: &str = "(public)";
 
 /// The objective of a route that sets none is the deadline divided by this.
 const DEFAULT_OBJECTIVE_DIVISOR: u32 = 2;
