Let other entries keep the records of streams where there are no agents

Cause: beside a single version only agents keep records, and plain services have none. Change: where no agents are known, two other entries keep the records. Only those of services with several versions are archived, also when the second version comes later. The unit test of holders said that nobody keeps such records, which is the fault; it demands the two copies now.

--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -236,7 +236,12 @@
     fn follow_upstreams(&self) {
         let now = self.clock.now();
         let upstreams = self.directory.upstreams();
-        self.origins.borrow_mut().observe(now, &upstreams);
+        let is_newly_mixed = self.origins.borrow_mut().observe(now, &upstreams);
+        if is_newly_mixed {
+            // Those that came before are not sent again.
+            let records = self.origins.borrow().records(now);
+            self.archive_own(&records);
+        }
         let agents = upstreams.values().filter_map(|upstream| {
             let address = upstream.agent?;
             let run = upstream.started.unwrap_or_default();
@@ -508,13 +513,18 @@
             .set_owned(self.clock.now(), &owned);
     }
 
-    /// Adds the records to the archive of which this entry is the archivist.
+    /// Adds the records to the archive of which this entry is the archivist, of services with
+    /// several versions.
     fn archive_own(&self, records: &[StreamRecord]) {
         let now = self.clock.now();
         let holders = self.holders.borrow();
         let mut archive = self.archive.borrow_mut();
         let mut has_new = false;
-        for record in records.iter().filter(|r| holders.is_own(r.stream)) {
+        let origins = self.origins.borrow();
+        let is_due = |r: &&StreamRecord| {
+            holders.is_own(r.stream) && origins.has_several_versions(&r.service)
+        };
+        for record in records.iter().filter(is_due) {
             has_new |= archive.add(now, holders.slot(record.stream), record);
         }
         if has_new {
--- a/src/stream_holders.rs
+++ b/src/stream_holders.rs
@@ -17,8 +17,9 @@
 #[cfg(test)]
 mod tests;
 
-/// The number of agents that get the record of a stream while its service has one
-/// version. It is needed only if the entry dies before it knows of a second one.
+/// The number of agents, or of other entries where no agents are known, that get the record of
+/// a stream while its service has one version. It is needed if the entry dies: others can't tell
+/// its death from a cut, behind which it may know of a second version.
 const SPARE_COPIES: usize = 2;
 
 /// The number of agents and of other entries that get the record of a stream beside
@@ -214,7 +215,8 @@
         let (agents, entries) = match (is_mixed, has_agents) {
             (true, true) => (AGENT_COPIES, ENTRY_COPIES),
             (true, false) => (0, LONE_ENTRY_COPIES),
-            (false, _) => (SPARE_COPIES, 0),
+            (false, true) => (SPARE_COPIES, 0),
+            (false, false) => (0, SPARE_COPIES),
         };
         let mut keepers = self.agents.first(Some(stream), agents);
         keepers.extend(self.entries.first(Some(stream), entries));
--- a/src/stream_holders/tests.rs
+++ b/src/stream_holders/tests.rs
@@ -49,7 +49,7 @@
 #[test]
 fn entries_keep_the_records_where_there_are_no_agents() {
     let entries_only = holders(0, 9);
-    assert!(entries_only.keepers(StreamId(7), false).is_empty());
+    assert_eq!(entries_only.keepers(StreamId(7), false).len(), SPARE_COPIES);
     let mixed = entries_only.keepers(StreamId(7), true);
     assert_eq!(mixed.len(), LONE_ENTRY_COPIES);
     let asked = entries_only.asked_entries(Some(StreamId(7)));
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -190,8 +190,9 @@
     }
 
     /// Updates the versions from the currently listed upstreams. Where a service gets a
-    /// second version, the records of its streams become due to be sent.
-    pub fn observe(&mut self, now: Timestamp, upstreams: &Upstreams) {
+    /// second version, the records of its streams become due to be sent. Returns whether one
+    /// has.
+    pub fn observe(&mut self, now: Timestamp, upstreams: &Upstreams) -> bool {
         let mixed_before = self.mixed_services();
         for seen in self.versions.values_mut() {
             for last in seen.values_mut() {
@@ -206,6 +207,7 @@
         }
         self.expire_versions(now);
         self.mark_mixed_due(&mixed_before);
+        !self.mixed_services().is_subset(&mixed_before)
     }
 
     fn expire_versions(&mut self, now: Timestamp) {
@@ -361,6 +363,12 @@
         })
     }
 
+    /// Returns the records of all streams.
+    pub fn records(&self, now: Timestamp) -> Vec<StreamRecord> {
+        let streams = self.records.keys();
+        streams.filter_map(|s| self.get(now, *s)).collect()
+    }
+
     /// Returns what is known of a stream of `service`, which began at most `timeout` ago
     /// and is `None` if its caller doesn't name it.
     pub fn find(
@@ -414,7 +422,7 @@
             let Some(record) = self.get(now, stream) else {
                 continue;
             };
-            let keepers = holders.keepers(stream, self.is_mixed(&record.service));
+            let keepers = holders.keepers(stream, self.has_several_versions(&record.service));
             let stored = self.records.get_mut(&stream);
             let Some(own) = stored.and_then(|r| r.own.as_mut()) else {
                 continue;
@@ -442,7 +450,8 @@
         }
     }
 
-    fn is_mixed(&self, service: &Name) -> bool {
+    /// Returns whether several versions of a service are remembered.
+    pub fn has_several_versions(&self, service: &Name) -> bool {
         self.versions
             .get(service)
             .is_some_and(|seen| seen.len() > 1)
@@ -450,7 +459,10 @@
 
     /// Returns the services of which several versions are remembered.
     fn mixed_services(&self) -> BTreeSet<Name> {
-        let mixed = self.versions.keys().filter(|s| self.is_mixed(s));
+        let mixed = self
+            .versions
+            .keys()
+            .filter(|s| self.has_several_versions(s));
         mixed.cloned().collect()
     }
 }
