Resume streams of split routes at the service that began them

Cause: the service of each request of a split route is drawn by the weights, also of one that resumes a stream. Change: a stream is resumed at the service of its record, if the route still leads to it, and refused otherwise. One without a record is refused on a split route.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -228,7 +228,7 @@
         let placed = state.place(&admitted, &job.target);
         job.admission.placed = placed.map_err(overloaded)?;
     }
-    let origin = find_origin(state, &job).await.map_err(&refuse)?;
+    let origin = find_origin(state, &mut job).await.map_err(&refuse)?;
     let quota_charge = state.charge_quota(&job).await.map_err(&refuse)?;
     let claim = match claim_if_needed(state, req.head(), &job)
         .await
@@ -257,14 +257,14 @@
 }
 
 /// Returns the software version at which a request resumes its stream; `None` if it
-/// begins one.
+/// begins one. A stream of a split route is resumed at the service that began it.
 ///
 /// # Errors
 ///
 /// Fails if the version can't be told, or if no upstream runs it.
 async fn find_origin(
     state: &EntryState,
-    job: &Job,
+    job: &mut Job,
 ) -> Result<Option<SoftwareVersion>, CallerError> {
     if !job.resumes_stream() {
         return Ok(None);
@@ -274,9 +274,15 @@
     let stream = job.resumes.as_ref();
     let stream = stream.map(|id| StreamId::new(organisation, id));
     let timeout = state.answer_timeout(job);
-    let found = state.streams.find(&job.target, stream, timeout).await;
-    let origin = found.map_err(|e| CallerError::VersionUnavailable(e.retry_after))?;
-    if !state.has_version(job, &origin) {
+    let route = Rc::clone(&job.admission.route);
+    let is_split = route.targets().count() > 1;
+    let found = state.streams.find(&job.target, is_split, stream, timeout);
+    let found = found.await;
+    let found = found.map_err(|e| CallerError::VersionUnavailable(e.retry_after))?;
+    let origin = found.version;
+    let is_routed = job.target == found.service || route.targets().any(|s| *s == found.service);
+    job.target = found.service;
+    if !is_routed || !state.has_version(job, &origin) {
         return Err(CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER));
     }
     // Boxed, since the future of each request would be larger otherwise.
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -29,7 +29,6 @@
 use crate::stream_archive::StreamArchive;
 use crate::stream_holders::Holder;
 use crate::stream_holders::Holders;
-use crate::stream_origins::Origin;
 use crate::stream_origins::Standing;
 use crate::stream_origins::StreamId;
 use crate::stream_origins::StreamOrigins;
@@ -66,6 +65,24 @@
 /// The number of times that a query is sent.
 const QUERY_ATTEMPTS: u32 = 3;
 
+/// Where a stream began, as far as a request that resumes it needs it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FoundOrigin {
+    /// The service.
+    pub service: Name,
+    /// The software version of the upstream.
+    pub version: SoftwareVersion,
+}
+
+impl From<StreamRecord> for FoundOrigin {
+    fn from(record: StreamRecord) -> Self {
+        Self {
+            service: record.service,
+            version: record.version,
+        }
+    }
+}
+
 /// The version that began a stream can't be told.
 #[derive(Clone, Copy, Debug)]
 pub struct UnknownOrigin {
@@ -280,23 +297,21 @@
         }
     }
 
-    /// Returns the version that began a stream. Asks other entries if this one doesn't know.
+    /// Returns where a stream of a route to `service` began. Asks other entries if this one
+    /// doesn't know. A route that `is_split` leads to other services too.
     ///
     /// # Errors
     ///
-    /// Fails if the version can't be told.
+    /// Fails if that can't be told.
     pub async fn find(
         &self,
         service: &Name,
+        is_split: bool,
         stream: Option<StreamId>,
         timeout: Duration,
-    ) -> Result<SoftwareVersion, UnknownOrigin> {
-        let found = {
-            let origins = self.origins.borrow();
-            origins.find(self.clock.now(), service, stream, timeout)
-        };
-        if let Origin::Known(version) = found {
-            return Ok(version);
+    ) -> Result<FoundOrigin, UnknownOrigin> {
+        if let Some(record) = self.record_of(stream) {
+            return Ok(record.into());
         }
         let query = StreamQuery {
             number: self.last_query.get() + 1,
@@ -308,11 +323,11 @@
         let answer = self.ask(query).await;
         if let Some(record) = answer.record {
             self.origins.borrow_mut().learn(self.clock.now(), &record);
-            return Ok(record.version);
+            return Ok(record.into());
         }
         self.wait_for_history().await;
-        if let Some(version) = self.find_archived(service, stream, timeout).await {
-            return Ok(version);
+        if let Some(record) = self.find_archived(service, stream, timeout).await {
+            return Ok(record.into());
         }
         let now = self.clock.now();
         let seen = self.origins.borrow().versions_within(now, service, timeout);
@@ -326,10 +341,20 @@
             "unanswered" => answer.unanswered.len(),
             "view_ms" => self.directory.age().map(millis));
         let retry_after = missing_for.unwrap_or(UNKNOWN_RETRY_AFTER);
-        let is_certain = versions.len() == 1 && missing_for.is_none();
-        let only = versions.into_iter().next();
-        only.filter(|_| is_certain && self.standing(&answer).is_in_step())
-            .ok_or(UnknownOrigin { retry_after })
+        let is_certain = versions.len() == 1 && missing_for.is_none() && !is_split;
+        let only = versions
+            .into_iter()
+            .next()
+            .filter(|_| is_certain && self.standing(&answer).is_in_step());
+        let found = only.map(|version| FoundOrigin {
+            service: service.clone(),
+            version,
+        });
+        found.ok_or(UnknownOrigin { retry_after })
+    }
+
+    fn record_of(&self, stream: Option<StreamId>) -> Option<StreamRecord> {
+        self.origins.borrow().get(self.clock.now(), stream?)
     }
 
     /// Waits until the history of the versions was read, if the store answers soon.
@@ -568,14 +593,14 @@
         Some(since)
     }
 
-    /// Returns the version of a stream that this entry archives, if it has been archived and the
+    /// Returns the record of a stream that this entry archives, if it has been archived and the
     /// store answers soon.
     async fn find_archived(
         &self,
         service: &Name,
         stream: Option<StreamId>,
         timeout: Duration,
-    ) -> Option<SoftwareVersion> {
+    ) -> Option<StreamRecord> {
         let stream = stream.filter(|_| self.needs_archive(service, timeout))?;
         let is_read = async {
             loop {
@@ -587,8 +612,7 @@
             }
         };
         let _ = actix_rt::time::timeout(HISTORY_WAIT, is_read).await;
-        let record = self.origins.borrow().get(self.clock.now(), stream);
-        record.map(|r| r.version)
+        self.record_of(Some(stream))
     }
 
     /// Waits until there may be a slot to read.
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -257,6 +257,14 @@
     pub deadline: Option<Duration>,
 }
 
+impl Route {
+    /// Returns the services to which requests are sent; none if their bodies name them.
+    pub fn targets(&self) -> impl Iterator<Item = &Name> {
+        let split = self.split.iter().filter(|(_, weight)| **weight > 0);
+        self.service.iter().chain(split.map(|(service, _)| service))
+    }
+}
+
 /// Policy by which an entry selects upstreams.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
