Wait for the registration of a plain service before a stream goes on at it

Cause: a plain service does not tell its run, and the registration of the run before was taken for that of whoever listens. While it is open, the process is the one that accepted it, so the registration of then is its own; if the version differs, the stream does not go on there. Only continued and resumed streams wait. Ruled out: a time after a crash, which other entries have not seen; health checks, which name the id only.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -39,6 +39,9 @@
     confirmed_at: Cell<Option<Instant>>,
     /// The number of upstreams that are kept without a registration.
     kept: Cell<usize>,
+    /// The time after its start within which an upstream has registered; `None` if upstreams
+    /// come from the settings.
+    registration_time: Cell<Option<Duration>>,
 }
 
 impl Directory {
@@ -119,6 +122,17 @@
         self.confirmed_at.get().map(|at| at.elapsed())
     }
 
+    /// Sets the time after its start within which an upstream has registered.
+    pub fn set_registration_time(&self, time: Option<Duration>) {
+        self.registration_time.set(time);
+    }
+
+    /// Returns the time after its start within which an upstream has registered; `None` if that
+    /// is not known.
+    pub fn registration_time(&self) -> Option<Duration> {
+        self.registration_time.get()
+    }
+
     /// Sets the number of upstreams that are kept without a registration.
     pub fn set_kept(&self, count: usize) {
         self.kept.set(count);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -123,6 +123,10 @@
     /// a running upstream can have expired.
     fn shortest_lapse(&self) -> Duration;
 
+    /// Returns the time after its start within which an upstream has registered; `None` if that
+    /// is not known.
+    fn registration_time(&self) -> Option<Duration>;
+
     /// Returns the time after which the registration of a silent upstream is certain to have
     /// expired, while the platform is there; `None` if it never is.
     fn longest_lapse(&self) -> Option<Duration>;
@@ -335,6 +339,10 @@
     async fn follow_upstreams(self: Rc<Self>) {
         let (tx, mut rx) = mpsc::unbounded_channel();
         actix_rt::spawn(Rc::clone(&self).poll_upstreams(tx));
+        let registration_time = self.platform.registration_time();
+        self.state
+            .directory
+            .set_registration_time(registration_time);
         let mut registrations = Registrations::new()
             .with_shortest_lapse(self.platform.shortest_lapse())
             .with_longest_lapse(self.platform.longest_lapse());
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -210,6 +210,9 @@
         // the connection would fail. What an agent knows of its upstream can be a moment old.
         if self.job.admission.route.resumable {
             self.check_run(&upstream).await?;
+            if relay.origin().is_some() {
+                self.wait_for_registration(&upstream, &stream).await?;
+            }
         }
         Ok(Connected { upstream, stream })
     }
--- a/src/entry/attempt/run_check.rs
+++ b/src/entry/attempt/run_check.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use slog::info;
+use tokio::net::TcpStream;
 
 use super::Attempt;
 use super::AttemptResult;
@@ -75,6 +76,30 @@
         }
     }
 
+    /// Waits until the process that has accepted `stream` has registered, if it does not tell
+    /// its run: while the connection is open, it is the same one. Its version then is that of
+    /// the registration, which the caller compares.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends meanwhile.
+    pub(super) async fn wait_for_registration(
+        &self,
+        upstream: &Upstream,
+        stream: &TcpStream,
+    ) -> Result<(), AttemptResult> {
+        let tells_run = self.state.dialect.run_report_path(upstream.kind).is_some();
+        let time = self.state.directory.registration_time();
+        let Some(time) = time.filter(|_| !tells_run) else {
+            return Ok(());
+        };
+        // Nothing was asked for, so that only an end makes it readable.
+        match event_loop::timeout(time, stream.readable()).await {
+            Ok(_) => Err(self.fail_unreachable()),
+            Err(_) => Ok(()),
+        }
+    }
+
     /// Returns which run serves at the address of `upstream`, as it tells itself.
     pub(super) async fn serving_run(&self, upstream: &Upstream) -> ServingRun {
         let path = self.state.dialect.run_report_path(upstream.kind);
