--- a/src/entry/stream_archiver.rs
+++ b/src/entry/stream_archiver.rs
@@ -1,4 +1,4 @@
-//! Reads and writes the slots of the archive of streams that this entry is responsible for.
+//! Reads and writes the shards of the archive of streams that this entry is responsible for.
 //!
 //! No stream waits for a write. A stream whose origin nobody knows waits for a read, for a
 //! short time.
@@ -55,49 +55,49 @@
         }
     }
 
-    /// Reads slots that are wanted and writes segments that are due, until the task is aborted.
+    /// Reads shards that are wanted and writes segments that are due, until the task is aborted.
     pub async fn run(self) {
-        futures::future::join(self.read_slots(), self.write_segments()).await;
+        futures::future::join(self.read_shards(), self.write_segments()).await;
     }
 
-    async fn read_slots(&self) {
+    async fn read_shards(&self) {
         loop {
-            match self.streams.next_slot_to_read() {
-                Some(slot) => self.read_slot(slot).await,
+            match self.streams.next_shard_to_read() {
+                Some(shard) => self.read_shard(shard).await,
                 None => {
                     let wanted = self.streams.archive_wanted();
-                    // A slot that was taken over is read after some time.
+                    // A shard that was taken over is read after some time.
                     let _ = actix_rt::time::timeout(PURGE_INTERVAL, wanted).await;
                 }
             }
         }
     }
 
-    async fn read_slot(&self, slot: u32) {
+    async fn read_shard(&self, shard: u32) {
         let mut segments: Vec<Vec<StreamRecord>> = Vec::new();
         let mut objects = Vec::new();
         loop {
             let id = SegmentId {
-                slot,
+                shard,
                 index: segments.len(),
             };
             let mut object = self.new_object(id);
-            let is_needed = || self.streams.writes_slot(slot);
+            let is_needed = || self.streams.writes_shard(shard);
             let Some(value) = object.read(is_needed).await else {
                 break;
             };
             segments.push(self.decode(id, &value));
             objects.push((id, object));
         }
-        if !self.streams.writes_slot(slot) {
+        if !self.streams.writes_shard(shard) {
             return;
         }
         info!(self.log, "archived streams read";
-            "slot" => slot,
+            "shard" => shard,
             "segments" => segments.len(),
             "streams" => segments.iter().map(Vec::len).sum::<usize>());
         self.objects.borrow_mut().extend(objects);
-        self.streams.restore_archived(slot, &segments);
+        self.streams.restore_archived(shard, &segments);
     }
 
     fn new_object(&self, id: SegmentId) -> StoredRecord {
@@ -155,8 +155,8 @@
             if let Err(e) = self.write(id, &segment).await {
                 self.streams.mark_segment_due(id);
                 if e == StoreError::Conflict {
-                    // Another entry writes the slot too. Its records are not to be lost.
-                    self.streams.read_slot_again(id.slot);
+                    // Another entry writes the shard too. Its records are not to be lost.
+                    self.streams.read_shard_again(id.shard);
                 }
                 result = Err(e);
             }
--- a/src/entry/version_record.rs
+++ b/src/entry/version_record.rs
@@ -40,9 +40,9 @@
     /// names none. An older copy names an earlier one.
     #[serde(default)]
     complete_in: Option<u64>,
-    /// The number of slots of the archive of streams; 0 in records of before.
+    /// The number of shards of the archive of streams; 0 in records of before.
     #[serde(default)]
-    archive_slots: u32,
+    archive_shards: u32,
     /// The versions. Their ages are those at the time of writing.
     history: VersionHistory,
 }
@@ -52,14 +52,18 @@
 struct Stored {
     history: VersionHistory,
     complete_in: Option<Timeline>,
-    archive_slots: u32,
+    archive_shards: u32,
 }
 
 impl Stored {
     /// Returns whether a record need not be written over another one.
     fn is_same(&self, other: &Self) -> bool {
+        let is_empty = |stored: &Self| stored.history.services.is_empty();
+        if is_empty(self) && is_empty(other) {
+            return true;
+        }
         self.complete_in == other.complete_in
-            && self.archive_slots == other.archive_slots
+            && self.archive_shards == other.archive_shards
             && self.history.has_same_versions(&other.history)
     }
 }
@@ -113,7 +117,7 @@
             let new = Stored {
                 history: self.streams.history(),
                 complete_in: self.streams.complete_in(current),
-                archive_slots: self.streams.archive_slots(),
+                archive_shards: self.streams.archive_shards(),
             };
             if new.is_same(&stored) || !self.is_writer() {
                 continue;
@@ -159,14 +163,14 @@
             "current" => current.map(|t| t.0));
         let now = millis(since_epoch());
         let age = Duration::from_millis(now.saturating_sub(record.written_millis));
-        self.streams.restore_archive_slots(record.archive_slots);
+        self.streams.restore_archive_shards(record.archive_shards);
         let complete_in = record.complete_in.map(Timeline);
         self.streams
             .restore_history(&record.history, age, complete_in, current);
         Stored {
             history: record.history,
             complete_in,
-            archive_slots: record.archive_slots,
+            archive_shards: record.archive_shards,
         }
     }
 
@@ -174,7 +178,7 @@
         let record = VersionRecord {
             written_millis: millis(since_epoch()),
             complete_in: new.complete_in.map(|t| t.0),
-            archive_slots: new.archive_slots,
+            archive_shards: new.archive_shards,
             history: new.history.clone(),
         };
         match serde_json::to_vec(&record) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,8 @@
 //!    over [`wire`] after a [`handshake`] with the [`site_key`], or in the entry
 //!    itself, as a local scheduler.
 //! 5. The entry sends the [`upstream_request`] to the upstream through an
-//!    [`exchange`] and forwards the answer. [`events`] finds the position at which
+//!    [`exchange`] and forwards the answer, if it is the upstream's own by its
+//!    [`answer_verdict`]. [`events`] finds the position at which
 //!    an interrupted stream resumes at another upstream, [`completeness`]
 //!    whether an answer was broken off, and [`silence`] whether nothing comes any
 //!    more. An [`upstream_notice`] is what an upstream says of itself: [`departures`] holds
@@ -36,7 +37,9 @@
 //! and inform each other by [`gossip`], by which they agree on the share of a new
 //! version in a [`rollout`], and by which [`zone_balance`] learns the load of other zones.
 //! [`stream_origins`] knows which software version began a stream, and [`stream_holders`]
-//! which processes keep that; they exchange signed messages ([`datagram`]).
+//! which processes keep that; they exchange signed messages ([`datagram`]). [`stream_archive`]
+//! keeps it in the store for the end of all processes, and [`version_view`] tells whether an
+//! entry that has started knows all versions.
 //! [`settings`] are merged and checked, stored as
 //! [`stored_settings`] in the [`object_store`], changed by [`apply`], loaded by
 //! [`settings_service`] and active as [`active_settings`]; long work on them is done in
--- a/src/stream_archive.rs
+++ b/src/stream_archive.rs
@@ -1,10 +1,10 @@
 //! The records of where streams began, as a few entries keep them in the store.
 //!
 //! Beside several versions, the record of each stream also goes to the store, which outlasts
-//! the end of all processes. The streams are divided into slots, and the records of a slot are
+//! the end of all processes. The streams are divided into shards, and the records of a shard are
 //! written by one entry at a time, in segments: a batch of new records costs the write of the
 //! segment that is being filled. A segment is written empty once no stream needs its records,
-//! and is then filled again. An entry that takes a slot over reads its segments first.
+//! and is then filled again. An entry that takes a shard over reads its segments first.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,32 +27,32 @@
 #[cfg(test)]
 mod tests;
 
-/// The number of entries for each slot. Each sends the slot's writer a batch of records a few
+/// The number of entries for each shard. Each sends the shard's writer a batch of records a few
 /// dozen times a second at most.
-const ENTRIES_PER_SLOT: usize = 32;
+const ENTRIES_PER_SHARD: usize = 32;
 
-/// The maximum number of slots.
-pub const MAX_SLOTS: u32 = 32;
+/// The maximum number of shards.
+pub const MAX_SHARDS: u32 = 32;
 
 /// The maximum number of records in a segment, each of which takes 16 bytes.
 const SEGMENT_RECORDS: usize = 1024;
 
-/// The time after which an entry reads a slot that it has taken over, if no stream needs it
+/// The time after which an entry reads a shard that it has taken over, if no stream needs it
 /// before. What an earlier writer has left there is removed.
 const TAKEOVER_TIME: Duration = Duration::from_secs(5);
 
-/// Returns the number of slots of a site with so many entries, a power of two.
-pub fn slots_for(entries: usize) -> u32 {
-    let slots = u32::try_from(entries / ENTRIES_PER_SLOT).unwrap_or(MAX_SLOTS);
-    slots.clamp(1, MAX_SLOTS).next_power_of_two()
+/// Returns the number of shards of a site with so many entries, a power of two.
+pub fn shards_for(entries: usize) -> u32 {
+    let shards = u32::try_from(entries / ENTRIES_PER_SHARD).unwrap_or(MAX_SHARDS);
+    shards.clamp(1, MAX_SHARDS).next_power_of_two()
 }
 
-/// A segment of a slot.
+/// A segment of a shard.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct SegmentId {
-    /// The slot.
-    pub slot: u32,
-    /// The position of the segment in its slot. There is no segment behind one that is not
+    /// The shard.
+    pub shard: u32,
+    /// The position of the segment in its shard. There is no segment behind one that is not
     /// stored.
     pub index: usize,
 }
@@ -60,7 +60,7 @@
 impl SegmentId {
     /// Returns the name of the stored object.
     pub fn object_name(self) -> String {
-        format!("streams-{}-{}", self.slot, self.index)
+        format!("streams-{}-{}", self.shard, self.index)
     }
 }
 
@@ -131,9 +131,9 @@
     Done,
 }
 
-/// A slot that this entry writes.
+/// A shard that this entry writes.
 #[derive(Debug)]
-struct Slot {
+struct Shard {
     owned_since: Timestamp,
     reading: Reading,
     segments: Vec<Segment>,
@@ -143,7 +143,7 @@
     early: HashMap<StreamId, ArchivedRecord>,
 }
 
-impl Slot {
+impl Shard {
     fn new(now: Timestamp) -> Self {
         Self {
             owned_since: now,
@@ -198,37 +198,37 @@
     }
 }
 
-/// The slots that this entry writes.
+/// The shards that this entry writes.
 #[derive(Debug, Default)]
 pub struct StreamArchive {
-    slots: BTreeMap<u32, Slot>,
+    shards: BTreeMap<u32, Shard>,
 }
 
 impl StreamArchive {
-    /// Creates the archive of an entry that writes no slots yet.
+    /// Creates the archive of an entry that writes no shards yet.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Sets the slots that this entry writes. Another entry may write the others.
+    /// Sets the shards that this entry writes. Another entry may write the others.
     pub fn set_owned(&mut self, now: Timestamp, owned: &BTreeSet<u32>) {
-        self.slots.retain(|slot, _| owned.contains(slot));
-        for slot in owned {
-            self.slots.entry(*slot).or_insert_with(|| Slot::new(now));
+        self.shards.retain(|shard, _| owned.contains(shard));
+        for shard in owned {
+            self.shards.entry(*shard).or_insert_with(|| Shard::new(now));
         }
     }
 
-    /// Returns whether this entry writes a slot.
-    pub fn owns(&self, slot: u32) -> bool {
-        self.slots.contains_key(&slot)
+    /// Returns whether this entry writes a shard.
+    pub fn owns(&self, shard: u32) -> bool {
+        self.shards.contains_key(&shard)
     }
 
-    /// Adds a record to a slot that this entry writes. Returns whether it is a new one.
-    pub fn add(&mut self, now: Timestamp, slot: u32, record: &StreamRecord) -> bool {
-        let Some(slot) = self.slots.get_mut(&slot) else {
+    /// Adds a record to a shard that this entry writes. Returns whether it is a new one.
+    pub fn add(&mut self, now: Timestamp, shard: u32, record: &StreamRecord) -> bool {
+        let Some(shard) = self.shards.get_mut(&shard) else {
             return false;
         };
-        if slot.contains(record.stream) {
+        if shard.contains(record.stream) {
             return false;
         }
         let archived = ArchivedRecord {
@@ -236,43 +236,43 @@
             version: record.version.clone(),
             expires: now + record.needed_for,
         };
-        match slot.reading {
-            Reading::Done => slot.insert(record.stream, archived),
+        match shard.reading {
+            Reading::Done => shard.insert(record.stream, archived),
             Reading::Idle | Reading::Wanted(_) => {
-                slot.early.insert(record.stream, archived);
-                slot.want(now);
+                shard.early.insert(record.stream, archived);
+                shard.want(now);
             }
         }
         true
     }
 
-    /// Asks for the stored segments of a slot. Returns since when they are awaited, or `None` if
-    /// they have been read or another entry writes the slot.
-    pub fn want(&mut self, now: Timestamp, slot: u32) -> Option<Timestamp> {
-        self.slots.get_mut(&slot)?.want(now)
+    /// Asks for the stored segments of a shard. Returns since when they are awaited, or `None` if
+    /// they have been read or another entry writes the shard.
+    pub fn want(&mut self, now: Timestamp, shard: u32) -> Option<Timestamp> {
+        self.shards.get_mut(&shard)?.want(now)
     }
 
-    /// Returns a slot whose stored segments are to be read.
+    /// Returns a shard whose stored segments are to be read.
     pub fn next_to_read(&mut self, now: Timestamp) -> Option<u32> {
-        for slot in self.slots.values_mut() {
-            if slot.reading == Reading::Idle && now.since(slot.owned_since) >= TAKEOVER_TIME {
-                slot.want(now);
+        for shard in self.shards.values_mut() {
+            if shard.reading == Reading::Idle && now.since(shard.owned_since) >= TAKEOVER_TIME {
+                shard.want(now);
             }
         }
-        let mut wanted = self.slots.iter();
-        let (slot, _) = wanted.find(|(_, s)| matches!(s.reading, Reading::Wanted(_)))?;
-        Some(*slot)
+        let mut wanted = self.shards.iter();
+        let (shard, _) = wanted.find(|(_, s)| matches!(s.reading, Reading::Wanted(_)))?;
+        Some(*shard)
     }
 
-    /// Records the stored segments of a slot. Records that were added meanwhile are to be
+    /// Records the stored segments of a shard. Records that were added meanwhile are to be
     /// written.
-    pub fn finish_reading(&mut self, now: Timestamp, slot: u32, stored: &[Vec<StreamRecord>]) {
-        let Some(slot) = self.slots.get_mut(&slot) else {
+    pub fn finish_reading(&mut self, now: Timestamp, shard: u32, stored: &[Vec<StreamRecord>]) {
+        let Some(shard) = self.shards.get_mut(&shard) else {
             return;
         };
         // Segments that this entry had before it was told of another writer.
-        for segment in std::mem::take(&mut slot.segments) {
-            slot.early.extend(segment.records);
+        for segment in std::mem::take(&mut shard.segments) {
+            shard.early.extend(segment.records);
         }
         for records in stored {
             let archived = records.iter().map(|r| {
@@ -283,44 +283,44 @@
                 };
                 (r.stream, archived)
             });
-            slot.segments.push(Segment {
+            shard.segments.push(Segment {
                 records: archived.collect(),
                 is_due: false,
             });
         }
-        slot.reading = Reading::Done;
-        for (stream, record) in std::mem::take(&mut slot.early) {
-            if !slot.contains(stream) {
-                slot.insert(stream, record);
+        shard.reading = Reading::Done;
+        for (stream, record) in std::mem::take(&mut shard.early) {
+            if !shard.contains(stream) {
+                shard.insert(stream, record);
             }
         }
     }
 
-    /// Reads a slot again: another entry has written one of its segments.
-    pub fn read_again(&mut self, now: Timestamp, slot: u32) {
-        if let Some(slot) = self.slots.get_mut(&slot) {
-            slot.reading = Reading::Wanted(now);
+    /// Reads a shard again: another entry has written one of its segments.
+    pub fn read_again(&mut self, now: Timestamp, shard: u32) {
+        if let Some(shard) = self.shards.get_mut(&shard) {
+            shard.reading = Reading::Wanted(now);
         }
     }
 
     /// Makes all segments due to be written: the store may have lost some.
     pub fn mark_all_due(&mut self) {
-        for segment in self.slots.values_mut().flat_map(|s| &mut s.segments) {
+        for segment in self.shards.values_mut().flat_map(|s| &mut s.segments) {
             segment.is_due = true;
         }
     }
 
     /// Makes a segment due to be written again after a failure.
     pub fn mark_due(&mut self, id: SegmentId) {
-        let slot = self.slots.get_mut(&id.slot);
-        if let Some(segment) = slot.and_then(|s| s.segments.get_mut(id.index)) {
+        let shard = self.shards.get_mut(&id.shard);
+        if let Some(segment) = shard.and_then(|s| s.segments.get_mut(id.index)) {
             segment.is_due = true;
         }
     }
 
     /// Returns whether there is something to write.
     pub fn has_due(&self) -> bool {
-        let read = self.slots.values().filter(|s| s.reading == Reading::Done);
+        let read = self.shards.values().filter(|s| s.reading == Reading::Done);
         read.flat_map(|s| &s.segments).any(|s| s.is_due)
     }
 
@@ -328,15 +328,15 @@
     /// counts them as written. Those whose records nobody needs any more are empty.
     pub fn take_due(&mut self, now: Timestamp, now_millis: u64) -> Vec<(SegmentId, StoredSegment)> {
         let mut due = Vec::new();
-        for (number, slot) in &mut self.slots {
-            slot.purge(now);
-            if slot.reading != Reading::Done {
+        for (number, shard) in &mut self.shards {
+            shard.purge(now);
+            if shard.reading != Reading::Done {
                 continue;
             }
-            for (index, segment) in slot.segments.iter_mut().enumerate() {
+            for (index, segment) in shard.segments.iter_mut().enumerate() {
                 if std::mem::take(&mut segment.is_due) {
                     let id = SegmentId {
-                        slot: *number,
+                        shard: *number,
                         index,
                     };
                     due.push((id, segment.to_stored(now, now_millis)));
--- a/src/stream_archive/tests.rs
+++ b/src/stream_archive/tests.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// A store of segments, and the entry that writes slot 0 to it.
+/// A store of segments, and the entry that writes shard 0 to it.
 #[derive(Default)]
 struct Fixture {
     archive: StreamArchive,
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn records_are_written_after_the_slot_was_read() {
+fn records_are_written_after_the_shard_was_read() {
     let mut fixture = Fixture::start(0);
     assert_eq!(fixture.archive.next_to_read(at(0)), None);
     assert!(fixture.archive.add(at(0), 0, &record(1, 1)));
@@ -73,7 +73,7 @@
     assert!(fixture.archive.has_due());
     fixture.write(0);
     assert_eq!(
-        fixture.stored[&SegmentId { slot: 0, index: 0 }].records(0),
+        fixture.stored[&SegmentId { shard: 0, index: 0 }].records(0),
         [record(1, 1)]
     );
 }
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn records_of_slots_of_other_entries_are_left_to_them() {
+fn records_of_shards_of_other_entries_are_left_to_them() {
     let mut fixture = Fixture::start(0);
     assert!(!fixture.archive.add(at(0), 1, &record(1, 1)));
     assert_eq!(fixture.archive.want(at(0), 1), None);
@@ -122,7 +122,7 @@
 
 // What a writer has left is removed by the one that follows it, also if no stream comes.
 #[test]
-fn slot_that_was_taken_over_is_read_and_emptied() {
+fn shard_that_was_taken_over_is_read_and_emptied() {
     let mut fixture = Fixture::start(0);
     fixture.read(0);
     fixture.archive.add(at(0), 0, &record(1, 1));
@@ -141,7 +141,7 @@
     let mut fixture = Fixture::start(0);
     fixture.read(0);
     fixture.archive.add(at(0), 0, &record(1, 1));
-    let id = SegmentId { slot: 0, index: 0 };
+    let id = SegmentId { shard: 0, index: 0 };
     let other = fixture.archive.take_due(at(0), 0)[0].1.clone();
     fixture.archive.add(at(0), 0, &record(2, 2));
     fixture.stored.insert(id, other);
@@ -203,9 +203,9 @@
 }
 
 #[test]
-fn slots_grow_with_the_site() {
-    let slots = [1, 5, 31, 63, 64, 130, 1_300, 5_000].map(slots_for);
-    assert_eq!(slots, [1, 1, 1, 1, 2, 4, 32, 32]);
+fn shards_grow_with_the_site() {
+    let shards = [1, 5, 31, 63, 64, 130, 1_300, 5_000].map(shards_for);
+    assert_eq!(shards, [1, 1, 1, 1, 2, 4, 32, 32]);
 }
 
 #[derive(Clone, Debug)]
--- a/src/stream_archive/tests/many_entries.rs
+++ b/src/stream_archive/tests/many_entries.rs
@@ -47,17 +47,17 @@
     u32::from_be_bytes([0, high, middle, low])
 }
 
-/// Returns the writers with their slots, on which entries agree.
+/// Returns the writers with their shards, on which entries agree.
 fn writers(views: &[Holders]) -> BTreeMap<u32, BTreeSet<u32>> {
     let mut writers: BTreeMap<u32, BTreeSet<u32>> = BTreeMap::new();
-    for slot in 0..views[0].slots() {
-        let stream = StreamId(u64::from(slot));
+    for shard in 0..views[0].shards() {
+        let stream = StreamId(u64::from(shard));
         let writer = views[0].archivist(stream).expect("a writer");
         assert!(views.iter().all(|v| v.archivist(stream) == Some(writer)));
-        writers.entry(number(writer)).or_default().insert(slot);
+        writers.entry(number(writer)).or_default().insert(shard);
     }
-    for (writer, slots) in &writers {
-        assert_eq!(&holders(*writer).own_slots(), slots);
+    for (writer, shards) in &writers {
+        assert_eq!(&holders(*writer).own_shards(), shards);
     }
     writers
 }
@@ -66,13 +66,13 @@
 #[test]
 fn archive_keeps_to_the_rates_of_the_store_with_many_entries() {
     let views: Vec<Holders> = (0..8).map(|i| holders(i * 160)).collect();
-    assert_eq!(views[0].slots(), 32);
+    assert_eq!(views[0].shards(), 32);
     let mut archives = BTreeMap::new();
-    for (entry, slots) in writers(&views) {
+    for (entry, shards) in writers(&views) {
         let mut archive = StreamArchive::new();
-        archive.set_owned(at(0), &slots);
-        for slot in slots {
-            archive.finish_reading(at(0), slot, &[]);
+        archive.set_owned(at(0), &shards);
+        for shard in shards {
+            archive.finish_reading(at(0), shard, &[]);
         }
         archives.insert(entry, archive);
     }
@@ -87,8 +87,8 @@
             let view = &views[(i % 8) as usize];
             let writer = view.archivist(StreamId(stream)).expect("a writer");
             let archive = archives.get_mut(&number(writer)).expect("an archive");
-            let slot = view.slot(StreamId(stream));
-            assert!(archive.add(at(now), slot, &record(stream, stream % 2)));
+            let shard = view.shard(StreamId(stream));
+            assert!(archive.add(at(now), shard, &record(stream, stream % 2)));
         }
         for archive in archives.values_mut() {
             for (id, segment) in archive.take_due(at(now), now) {
@@ -109,7 +109,7 @@
     );
     assert!(most_writes < WRITES_PER_S, "{most_writes} writes a second");
     assert!(most_bytes < BYTES_PER_S, "{most_bytes} bytes a second");
-    // After a kill of all, the writers read their slots within a second.
+    // After a kill of all, the writers read their shards within a second.
     let reads = segments.len() + 32;
     assert!(reads < READS_PER_S, "{reads} reads");
 }
--- a/src/stream_holders.rs
+++ b/src/stream_holders.rs
@@ -10,8 +10,8 @@
 
 use crate::peer_table::hash;
 use crate::peer_table::order;
-use crate::stream_archive::MAX_SLOTS;
-use crate::stream_archive::slots_for;
+use crate::stream_archive::MAX_SHARDS;
+use crate::stream_archive::shards_for;
 use crate::stream_origins::StreamId;
 
 #[cfg(test)]
@@ -97,11 +97,11 @@
     entries: Ring,
     /// This entry; `None` if others can't reach it.
     own: Option<Holder>,
-    /// The entry that writes each slot of the archive; empty before `own` is set.
+    /// The entry that writes each shard of the archive; empty before `own` is set.
     archivists: Vec<Holder>,
-    /// The number of slots, a power of two. It grows with the site, and is kept when entries
+    /// The number of shards, a power of two. It grows with the site, and is kept when entries
     /// end, since records are where they were written.
-    slots: u32,
+    shards: u32,
 }
 
 impl Holders {
@@ -112,7 +112,7 @@
             entries: Ring::default(),
             own: None,
             archivists: Vec::new(),
-            slots: 1,
+            shards: 1,
         }
     }
 
@@ -131,8 +131,8 @@
     {
         let has_changed = self.entries.set(entries);
         if has_changed {
-            self.raise_slots(slots_for(self.entries.holders.len() + 1));
-            self.assign_slots();
+            self.raise_shards(shards_for(self.entries.holders.len() + 1));
+            self.assign_shards();
         }
         has_changed
     }
@@ -140,53 +140,53 @@
     /// Sets what this entry is to others.
     pub fn set_own(&mut self, own: Holder) {
         self.own = Some(own);
-        self.assign_slots();
+        self.assign_shards();
     }
 
-    /// Raises the number of slots to that of a stored archive.
-    pub fn raise_slots(&mut self, slots: u32) {
-        if slots > self.slots && slots <= MAX_SLOTS && slots.is_power_of_two() {
-            self.slots = slots;
-            self.assign_slots();
+    /// Raises the number of shards to that of a stored archive.
+    pub fn raise_shards(&mut self, shards: u32) {
+        if shards > self.shards && shards <= MAX_SHARDS && shards.is_power_of_two() {
+            self.shards = shards;
+            self.assign_shards();
         }
     }
 
-    /// Returns the number of slots of the archive.
-    pub fn slots(&self) -> u32 {
-        self.slots
+    /// Returns the number of shards of the archive.
+    pub fn shards(&self) -> u32 {
+        self.shards
     }
 
-    /// Returns the slot of the archive that has the record of a stream.
-    pub fn slot(&self, stream: StreamId) -> u32 {
-        // Always below the number of slots, which is far below 2^32.
-        (stream.0 % u64::from(self.slots)) as u32
+    /// Returns the shard of the archive that has the record of a stream.
+    pub fn shard(&self, stream: StreamId) -> u32 {
+        // Always below the number of shards, which is far below 2^32.
+        (stream.0 % u64::from(self.shards)) as u32
     }
 
-    /// Assigns each slot to the first entry in the order of the slot. An entry that knows no other
+    /// Assigns each shard to the first entry in the order of the shard. An entry that knows no other
     /// one assigns all to itself only if there is one: others are about to be known.
-    fn assign_slots(&mut self) {
+    fn assign_shards(&mut self) {
         let Some(own) = self
             .own
-            .filter(|_| self.slots == 1 || !self.entries.holders.is_empty())
+            .filter(|_| self.shards == 1 || !self.entries.holders.is_empty())
         else {
             self.archivists.clear();
             return;
         };
         let mut entries = self.entries.clone();
         entries.set(self.entries.holders.iter().map(|(_, h)| *h).chain([own]));
-        let first = |slot| {
-            let key = hash(format!("archive {slot}").as_bytes());
+        let first = |shard| {
+            let key = hash(format!("archive {shard}").as_bytes());
             entries.first(Some(StreamId(key)), 1)
         };
-        self.archivists = (0..self.slots).flat_map(first).collect();
+        self.archivists = (0..self.shards).flat_map(first).collect();
     }
 
     /// Returns the entry that archives the record of a stream, which can be this one.
     pub fn archivist(&self, stream: StreamId) -> Option<Holder> {
-        self.archivists.get(self.slot(stream) as usize).copied()
+        self.archivists.get(self.shard(stream) as usize).copied()
     }
 
-    /// Returns the entry that writes each slot of the archive; none before that is known.
+    /// Returns the entry that writes each shard of the archive; none before that is known.
     pub fn archivists(&self) -> &[Holder] {
         &self.archivists
     }
@@ -197,15 +197,15 @@
     }
 
     /// Returns whether this entry archives the record of a stream.
-    pub fn is_own(&self, stream: StreamId) -> bool {
+    pub fn is_archivist(&self, stream: StreamId) -> bool {
         self.own.is_some() && self.archivist(stream) == self.own
     }
 
-    /// Returns the slots that this entry writes.
-    pub fn own_slots(&self) -> BTreeSet<u32> {
-        let slots = (0..).zip(&self.archivists);
-        let own = slots.filter(|(_, archivist)| Some(**archivist) == self.own);
-        own.map(|(slot, _)| slot).collect()
+    /// Returns the shards that this entry writes.
+    pub fn own_shards(&self) -> BTreeSet<u32> {
+        let shards = (0..).zip(&self.archivists);
+        let own = shards.filter(|(_, archivist)| Some(**archivist) == self.own);
+        own.map(|(shard, _)| shard).collect()
     }
 
     /// Returns the processes that are to keep the record of a stream. `is_mixed` says
--- a/src/stream_holders/tests.rs
+++ b/src/stream_holders/tests.rs
@@ -107,7 +107,7 @@
         let archivist = holders.archivist(stream).expect("an archivist");
         assert!(holders.keepers(stream, true).contains(&archivist));
         assert_eq!(holders.keepers(stream, false).len(), SPARE_COPIES);
-        assert_eq!(holders.is_own(stream), archivist == entry(own));
+        assert_eq!(holders.is_archivist(stream), archivist == entry(own));
         let asked = holders.asked_entries(Some(stream));
         assert_eq!(asked.contains(&archivist.address), archivist != entry(own));
     }
@@ -116,14 +116,14 @@
 #[test]
 fn entries_agree_on_the_archivist_of_each_stream() {
     let views: Vec<Holders> = (0..130).map(|own| with_own(own, 130)).collect();
-    assert_eq!(views[0].slots(), 4);
+    assert_eq!(views[0].shards(), 4);
     for stream in (0..8).map(StreamId) {
         let archivist = views[0].archivist(stream);
         assert!(views.iter().all(|v| v.archivist(stream) == archivist));
-        let own = views.iter().filter(|v| v.is_own(stream));
+        let own = views.iter().filter(|v| v.is_archivist(stream));
         assert_eq!(own.count(), 1);
     }
-    let owned: usize = views.iter().map(|v| v.own_slots().len()).sum();
+    let owned: usize = views.iter().map(|v| v.own_shards().len()).sum();
     assert_eq!(owned, 4);
 }
 
@@ -131,33 +131,33 @@
 fn entry_that_others_cannot_reach_archives_nothing() {
     let holders = holders(12, 5);
     assert_eq!(holders.archivist(StreamId(7)), None);
-    assert!(holders.own_slots().is_empty());
+    assert!(holders.own_shards().is_empty());
 }
 
-// An entry that has just started knows no other yet, and can't tell which slots it has at a
+// An entry that has just started knows no other yet, and can't tell which shards it has at a
 // large site.
 #[test]
-fn lone_entry_archives_the_only_slot() {
+fn lone_entry_archives_the_only_shard() {
     let mut holders = Holders::new();
     holders.set_own(entry(0));
-    assert_eq!(holders.own_slots(), BTreeSet::from([0]));
-    holders.raise_slots(4);
-    assert!(holders.own_slots().is_empty());
+    assert_eq!(holders.own_shards(), BTreeSet::from([0]));
+    holders.raise_shards(4);
+    assert!(holders.own_shards().is_empty());
 }
 
 // Records are where they were written.
 #[test]
-fn slots_are_kept_when_the_site_shrinks_or_all_entries_are_restarted() {
+fn shards_are_kept_when_the_site_shrinks_or_all_entries_are_restarted() {
     let mut holders = with_own(0, 130);
     holders.set_entries((1..40).map(entry));
-    assert_eq!(holders.slots(), 4);
+    assert_eq!(holders.shards(), 4);
     let mut restarted = with_own(0, 40);
-    assert_eq!(restarted.slots(), 1);
-    restarted.raise_slots(4);
-    assert_eq!(restarted.slots(), 4);
+    assert_eq!(restarted.shards(), 1);
+    restarted.raise_shards(4);
+    assert_eq!(restarted.shards(), 4);
     // What another writer has stored.
-    for wrong in [0, 3, MAX_SLOTS * 2, u32::MAX] {
-        restarted.raise_slots(wrong);
-        assert_eq!(restarted.slots(), 4);
+    for wrong in [0, 3, MAX_SHARDS * 2, u32::MAX] {
+        restarted.raise_shards(wrong);
+        assert_eq!(restarted.shards(), 4);
     }
 }
--- a/src/version_view.rs
+++ b/src/version_view.rs
@@ -78,10 +78,10 @@
     /// Records that the store was restored. What an entry with a complete view knows stays
     /// known.
     pub fn store_restored(&mut self, now: Timestamp) {
-        if self.missing_for(now).is_some() {
-            self.state = State::Partial {
-                until: now + REREGISTRATION_TIME,
-            };
+        if let State::Partial { until } = &mut self.state
+            && now < *until
+        {
+            *until = now + REREGISTRATION_TIME;
         }
     }
 
--- a/src/version_view/tests.rs
+++ b/src/version_view/tests.rs
@@ -68,6 +68,13 @@
     assert_eq!(view.complete_in(at(1_000), SECOND), SECOND);
 }
 
+#[test]
+fn restore_does_not_stand_for_the_record() {
+    let mut view = VersionView::with_record();
+    view.store_restored(at(0));
+    assert!(view.missing_for(at(60_000)).is_some());
+}
+
 #[test]
 fn second_restore_prolongs_an_incomplete_view() {
     let mut view = start(0, FIRST, SECOND);
