Archive the records of before whatever shows the second version

Cause: an archivist archives the records of services with several versions. One that learnt of the second version by a record, before its own view of the upstreams, left out those that it had got before, until they were sent again 5 s later. Change: learning a record returns whether its service gets a second version by it, and all records are archived then. The lookup is boxed, as the future of each request holds it.

--- a/src/agent/stream_records.rs
+++ b/src/agent/stream_records.rs
@@ -91,7 +91,9 @@
         match decode(message) {
             Ok(StreamMessage::Began(records)) => {
                 let mut origins = self.origins.borrow_mut();
-                records.iter().for_each(|record| origins.learn(now, record));
+                for record in &records {
+                    origins.learn(now, record);
+                }
                 None
             }
             Ok(StreamMessage::Query(query)) => {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -211,7 +211,8 @@
         if self.job.admission.route.resumable {
             self.check_run(&upstream).await?;
             if relay.origin().is_some() {
-                self.wait_for_registration(&upstream, &stream).await?;
+                // Boxed, since the future of each request would be larger otherwise.
+                Box::pin(self.wait_for_registration(&upstream, &stream)).await?;
             }
         }
         Ok(Connected { upstream, stream })
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -276,7 +276,8 @@
     let timeout = state.answer_timeout(job);
     let route = Rc::clone(&job.admission.route);
     let is_split = route.targets().count() > 1;
-    let found = state.streams.find(&job.target, is_split, stream, timeout);
+    // Boxed, like the one below.
+    let found = Box::pin(state.streams.find(&job.target, is_split, stream, timeout));
     let found = found.await;
     let found = found.map_err(|e| CallerError::VersionUnavailable(e.retry_after))?;
     let origin = found.version;
--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -26,6 +26,7 @@
 use crate::stream_holders::Holders;
 use crate::stream_origins::StreamId;
 use crate::stream_origins::StreamOrigins;
+use crate::stream_origins::StreamRecord;
 use crate::stream_origins::VersionHistory;
 use crate::version_view::VersionView;
 use crate::wire::streams::StreamMessage;
@@ -243,6 +244,21 @@
         }
     }
 
+    /// Stores records of other entries, and archives those that are due.
+    fn learn(&self, records: &[StreamRecord]) {
+        let now = self.clock.now();
+        let mut origins = self.origins.borrow_mut();
+        let mut is_newly_mixed = false;
+        for record in records {
+            is_newly_mixed |= origins.learn(now, record);
+        }
+        // Those that came before are not sent again.
+        let all = is_newly_mixed.then(|| origins.records(now));
+        drop(origins);
+        self.archive_own(all.as_deref().unwrap_or(records));
+        self.notify_due();
+    }
+
     /// Updates the other entries that can keep records. Where another one archives a shard
     /// now, it gets the records of running streams.
     fn follow_entries(&self, peers: &Peers) {
@@ -265,11 +281,7 @@
         let now = self.clock.now();
         match decode(message) {
             Ok(StreamMessage::Began(records)) => {
-                let mut origins = self.origins.borrow_mut();
-                records.iter().for_each(|record| origins.learn(now, record));
-                drop(origins);
-                self.archive_own(&records);
-                self.notify_due();
+                self.learn(&records);
                 None
             }
             Ok(StreamMessage::Query(query)) if self.awaits_archive(&query) => {
--- a/src/entry/streams/archive.rs
+++ b/src/entry/streams/archive.rs
@@ -132,18 +132,12 @@
 
     /// Adds the stored segments of a shard.
     pub fn restore_archived(&self, shard: u32, segments: &[Vec<StreamRecord>]) {
-        let now = self.clock.now();
-        let mut origins = self.origins.borrow_mut();
-        for record in segments.iter().flatten() {
-            origins.learn(now, record);
-        }
-        drop(origins);
         self.archive
             .borrow_mut()
-            .finish_reading(now, shard, segments);
+            .finish_reading(self.clock.now(), shard, segments);
+        self.learn(&segments.concat());
         self.archive_read.notify_waiters();
         self.notify_archive_due();
-        self.notify_due();
     }
 
     /// Waits until there may be segments to write.
--- a/src/entry/streams/lookup.rs
+++ b/src/entry/streams/lookup.rs
@@ -99,7 +99,7 @@
             }
         }
         if let Some(record) = answer.record {
-            self.origins.borrow_mut().learn(self.clock.now(), &record);
+            self.learn(std::slice::from_ref(&record));
             return Ok(record.into());
         }
         if let Some(record) = self.find_archived(service, stream, timeout).await {
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -334,8 +334,9 @@
     }
 
     /// Stores a record that another entry has sent. It also shows a version that this
-    /// entry may not know yet, because its view of the upstreams is old.
-    pub fn learn(&mut self, now: Timestamp, record: &StreamRecord) {
+    /// entry may not know yet, because its view of the upstreams is old. Returns whether its
+    /// service gets a second version by it.
+    pub fn learn(&mut self, now: Timestamp, record: &StreamRecord) -> bool {
         let mixed_before = self.mixed_services();
         self.expire_versions(now);
         let seen = self.versions.entry(record.service.clone()).or_default();
@@ -350,6 +351,7 @@
             };
             self.insert(now, record.stream, stored);
         }
+        !mixed_before.contains(&record.service) && self.has_several_versions(&record.service)
     }
 
     /// Returns the record of a stream.
--- a/src/stream_origins/tests.rs
+++ b/src/stream_origins/tests.rs
@@ -335,7 +335,9 @@
                 let holders = holders(&[], &[u16::try_from(other).unwrap_or_default()]);
                 let due = entries[entry].take_unsent(at(now), &holders);
                 let due = due.into_values().flatten();
-                due.for_each(|record| entries[other].learn(at(now), &record));
+                for record in due {
+                    entries[other].learn(at(now), &record);
+                }
             }
         }
     }
