--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -25,7 +25,6 @@
 use crate::admission::retry_after;
 use crate::burn::BurnKey;
 use crate::clock::Timestamp;
-use crate::directory::SoftwareVersion;
 use crate::dispatch::Event;
 use crate::entry::collected::Truncated;
 use crate::entry::collected::collect_body;
@@ -52,9 +51,12 @@
 use crate::ids::RequestId;
 use crate::name::Name;
 use crate::outcome::Outcome;
-use crate::stream_origins::StreamId;
 use crate::units::millis;
 
+mod origin;
+
+use self::origin::find_origin;
+
 /// Time for writing the received parts of a truncated answer before the
 /// connection is closed. It covers several event-loop iterations of a busy
 /// process.
@@ -67,9 +69,6 @@
 /// Retry delay for an organisation that has reached its concurrency limit.
 const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Retry delay where no upstream runs the version of a stream.
-const NO_VERSION_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Retry delay where the entry is full.
 const ENTRY_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -256,41 +255,6 @@
     Ok(serve_accepted(state, accepted, evicted_rx, knows_chunks).await)
 }
 
-/// Returns the software version at which a request resumes its stream; `None` if it
-/// begins one. A stream of a split route is resumed at the service that began it.
-///
-/// # Errors
-///
-/// Fails if the version can't be told, or if no upstream runs it.
-async fn find_origin(
-    state: &EntryState,
-    job: &mut Job,
-) -> Result<Option<SoftwareVersion>, CallerError> {
-    if !job.resumes_stream() {
-        return Ok(None);
-    }
-    state.wait_for_upstreams(job).await;
-    let organisation = &job.admission.organisation;
-    let stream = job.resumes.as_ref();
-    let stream = stream.map(|id| StreamId::new(organisation, id));
-    let timeout = state.answer_timeout(job);
-    let route = Rc::clone(&job.admission.route);
-    let is_split = route.targets().count() > 1;
-    // Boxed, like the one below.
-    let found = Box::pin(state.streams.find(&job.target, is_split, stream, timeout));
-    let found = found.await;
-    let found = found.map_err(|e| CallerError::VersionUnavailable(e.retry_after))?;
-    let origin = found.version;
-    let is_routed = job.target == found.service || route.targets().any(|s| *s == found.service);
-    job.target = found.service;
-    if !is_routed || !state.has_version(job, &origin) {
-        return Err(CallerError::VersionUnavailable(NO_VERSION_RETRY_AFTER));
-    }
-    // Boxed, since the future of each request would be larger otherwise.
-    Box::pin(state.wait_for_connections(job, &origin)).await;
-    Ok(Some(origin))
-}
-
 /// Claims the idempotency key of a request; `None` where no claim is needed.
 async fn claim_if_needed(
     state: &EntryState,
